--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+VENV ?= .venv
+PYTHON = $(VENV)/bin/python
+PACKAGES = core protocol scheduling entry agent standins
+export PYTHONPATH = $(CURDIR):$(subst $() ,:,$(addprefix $(CURDIR)/packages/,$(PACKAGES)))
+
+.PHONY: setup format lint test bench capacity demo
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.lock $(wildcard packages/*/pyproject.toml)
+	python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --requirement requirements.lock
+	$(PYTHON) -m pip install --quiet --no-deps --no-build-isolation \
+		$(foreach name,$(PACKAGES),--editable packages/$(name))
+	touch $@
+
+format: setup
+	$(VENV)/bin/black --quiet packages tests bench
+	$(VENV)/bin/ruff check --quiet --fix packages tests bench
+
+lint: setup
+	$(VENV)/bin/black --check --quiet packages tests bench
+	$(VENV)/bin/ruff check packages tests bench
+
+test: setup
+	$(PYTHON) -m pytest
+
+bench: setup
+	$(PYTHON) -m bench
+
+capacity: setup
+	$(PYTHON) -m bench capacity
+
+demo: setup
+	$(PYTHON) -m briardeal_standins.demo
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements with bounds that come from the stated target."""
--- /dev/null
+++ b/packages/agent/briardeal_agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent process beside an endpoint or a worker."""
--- /dev/null
+++ b/packages/core/briardeal_core/__init__.py
@@ -0,0 +1,1 @@
+"""Coordination parts that other programs can embed."""
--- /dev/null
+++ b/packages/core/briardeal_core/events/_catalogue.py
@@ -0,0 +1,33 @@
+"""The catalogue of events, each with its number and what it means."""
+
+from __future__ import annotations
+
+import enum
+
+
+class Event(enum.Enum):
+    """An event that a process logs; the number never changes its meaning."""
+
+    PROCESS_STARTED = (100, "The process is up and listens.")
+    PROCESS_STOPPING = (101, "A graceful shutdown has begun; no new work is taken.")
+    PROCESS_STOPPED = (102, "The process has finished what it held.")
+    SETTINGS_REJECTED = (103, "A setting is wrong and the process does not start.")
+    AGENT_JOINED = (200, "An agent has announced itself to this entry.")
+    AGENT_LEFT = (201, "An agent has announced that it is leaving.")
+    AGENT_EXPIRED = (202, "An agent's lease lapsed without a heartbeat.")
+    AGENT_REPLACED = (203, "An agent came back with a newer incarnation.")
+    LINK_OPENED = (210, "A connection to a peer was opened.")
+    LINK_LOST = (211, "A connection to a peer was lost or went silent.")
+    REQUEST_REFUSED = (300, "A request was refused; the reason says why.")
+    REQUEST_RETRIED = (301, "A request was sent again; the reason says why.")
+    REQUEST_UNKNOWN = (302, "It is not known whether a request ran.")
+    JOB_ACCEPTED = (400, "A job was accepted and stands in the log.")
+    JOB_REFUSED = (401, "A job was refused; the reason says why.")
+    JOB_STARTED = (402, "Every task of a job has started.")
+    JOB_ENDED = (403, "A job has ended; the state says how.")
+    LOG_UNAVAILABLE = (500, "The log can't be reached or does not answer.")
+    LOG_RECOVERED = (501, "The log answers again.")
+
+    def __init__(self, number: int, meaning: str) -> None:
+        self.number = number
+        self.meaning = meaning
--- /dev/null
+++ b/packages/core/briardeal_core/metrics/__init__.py
@@ -0,0 +1,5 @@
+"""Counters and gauges of a process, served in the Prometheus text format."""
+
+from briardeal_core.metrics._metrics import Metrics
+
+__all__ = ["Metrics"]
--- /dev/null
+++ b/packages/core/briardeal_core/metrics/_metrics.py
@@ -0,0 +1,48 @@
+"""The metrics that every process has in common."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aioprometheus import Counter, Gauge, Registry
+from aioprometheus.formats import text
+
+if TYPE_CHECKING:
+    from briardeal_core.reasons import Reason
+
+
+class Metrics:
+    """Metrics of one process.
+
+    Attributes
+    ----------
+    refusals
+        Refused work, by reason code.
+    retries
+        Work sent again, by reason code.
+    """
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self.refusals = self.counter("briardeal_refusals_total", "Refused work by reason.")
+        self.retries = self.counter("briardeal_retries_total", "Work sent again by reason.")
+
+    def counter(self, name: str, doc: str) -> Counter:
+        """Return a new counter of this process."""
+        return Counter(name, doc, registry=self.registry)
+
+    def gauge(self, name: str, doc: str) -> Gauge:
+        """Return a new gauge of this process."""
+        return Gauge(name, doc, registry=self.registry)
+
+    def count_refusal(self, reason: Reason) -> None:
+        """Count one refusal."""
+        self.refusals.inc({"reason": reason.code})
+
+    def count_retry(self, reason: Reason) -> None:
+        """Count one retry."""
+        self.retries.inc({"reason": reason.code})
+
+    def render(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return text.TextFormatter().marshall(self.registry)
--- /dev/null
+++ b/packages/core/briardeal_core/reasons/_catalogue.py
@@ -0,0 +1,38 @@
+"""The catalogue of reasons, each with a sentence for readers without technical background."""
+
+from __future__ import annotations
+
+import enum
+
+
+class Reason(enum.Enum):
+    """A reason code; its value is the sentence told to people."""
+
+    NO_ENDPOINT = "No endpoint of this service is in reach at the moment."
+    ENDPOINTS_BUSY = "All endpoints of this service are busy."
+    ENDPOINT_FAILED = "The endpoint failed while it worked on the request."
+    ENDPOINT_LEAVING = "The endpoint is leaving and takes no new work."
+    ENDPOINT_REPLACED = "The endpoint was restarted since the request was addressed to it."
+    ANSWER_CUT = "The answer broke off before its end."
+    DEADLINE_PASSED = "The time that the caller allowed has passed."
+    KEY_REQUIRED = "This service needs an idempotency key with each request."
+    KEY_NOT_ISSUED = "The idempotency key was not issued by this system."
+    KEY_EXPIRED = "The idempotency key is older than the time for which keys are remembered."
+    KEY_HOME_LOST = "The process that answers for this idempotency key is gone."
+    KEY_IN_USE = "The request with this idempotency key is still running."
+    RETRY_BUDGET_SPENT = "Too large a share of requests is being sent again already."
+    SHUTTING_DOWN = "This entry is shutting down."
+    REQUEST_INVALID = "The request is not formed as the API asks."
+    JOB_UNKNOWN = "No job of this name is known."
+    JOB_NEVER_FITS = "No set of VMs that exists can hold a job of this shape."
+    LOG_UNAVAILABLE = "The platform's log does not answer, so nothing can be accepted for keeping."
+
+    @property
+    def code(self) -> str:
+        """The code in answers and metrics, in lower case."""
+        return self.name.lower()
+
+    @property
+    def sentence(self) -> str:
+        """The sentence told to people."""
+        return self.value
--- /dev/null
+++ b/packages/entry/briardeal/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process: requests, jobs and the operators' commands."""
--- /dev/null
+++ b/packages/protocol/briardeal_protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and connections between the processes of the system."""
--- /dev/null
+++ b/packages/scheduling/briardeal_scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on which job runs where and when."""
--- /dev/null
+++ b/packages/standins/briardeal_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems around briardeal."""
