--- a/packages/agent/briardeal_agent/__main__.py
+++ b/packages/agent/briardeal_agent/__main__.py
@@ -0,0 +1,1 @@
+"""Command line of the agent."""
