Add the protocol between agents and entries

Cause: agents and entries need one set of messages, with ways to lose, delay and silence them in tests. Change: msgspec messages as lines of JSON over asyncio streams, calls matched to answers by number, and a network in memory with the same interface. Conclusion: no framing of our own is needed; a line of JSON is read by the library.

--- /dev/null
+++ b/packages/protocol/briardeal_protocol/connections/__init__.py
@@ -0,0 +1,18 @@
+"""Connections that carry messages, over TCP or in memory."""
+
+from briardeal_protocol.connections._connection import Closed, Connection, Listener, Network
+from briardeal_protocol.connections._link import Call, Link, TimedOut
+from briardeal_protocol.connections._memory import MemoryNetwork
+from briardeal_protocol.connections._tcp import TcpNetwork
+
+__all__ = [
+    "Call",
+    "Closed",
+    "Connection",
+    "Link",
+    "Listener",
+    "MemoryNetwork",
+    "Network",
+    "TcpNetwork",
+    "TimedOut",
+]
--- /dev/null
+++ b/packages/protocol/briardeal_protocol/connections/_tcp.py
@@ -0,0 +1,100 @@
+"""Connections over TCP, one line of JSON a message."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from briardeal_protocol.connections._connection import Closed
+from briardeal_protocol.messages import decode, encode
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from briardeal_protocol.connections._connection import Connection, Listener
+    from briardeal_protocol.messages import Message
+
+LINE_LIMIT_BYTES = 4 * 1024 * 1024
+CONNECT_TIMEOUT_S = 2.0
+
+
+class TcpConnection:
+    """A connection over a TCP stream.
+
+    Attributes
+    ----------
+    bytes_sent, bytes_received
+        Bytes of messages so far.
+    """
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader = reader
+        self.writer = writer
+        self.bytes_sent = 0
+        self.bytes_received = 0
+
+    async def send(self, message: Message) -> Closed | None:
+        """Send one message."""
+        line = encode(message)
+        try:
+            self.writer.write(line)
+            await self.writer.drain()
+        except OSError as error:
+            return Closed(str(error))
+        self.bytes_sent += len(line)
+        return None
+
+    async def receive(self) -> Message | Closed:
+        """Wait for the next message that this version knows."""
+        while True:
+            try:
+                line = await self.reader.readuntil(b"\n")
+            except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError) as error:
+                return Closed(str(error))
+            self.bytes_received += len(line)
+            message = decode(line)
+            if message is not None:
+                return message
+
+    async def close(self) -> None:
+        """End the connection."""
+        self.writer.close()
+
+
+class TcpListener:
+    """A listening TCP address."""
+
+    def __init__(self, server: asyncio.Server) -> None:
+        self.server = server
+        host, port = server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+
+    async def close(self) -> None:
+        """Take no more connections."""
+        self.server.close()
+
+
+class TcpNetwork:
+    """Connections over TCP."""
+
+    async def connect(self, address: str) -> Connection | Closed:
+        """Open a connection to an address."""
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                opened = await asyncio.open_connection(host, int(port), limit=LINE_LIMIT_BYTES)
+        except OSError as error:
+            return Closed(str(error))
+        return TcpConnection(*opened)
+
+    async def listen(
+        self, address: str, serve: Callable[[Connection], Awaitable[None]]
+    ) -> Listener:
+        """Run `serve` in a task of its own for each connection to an address."""
+        host, _, port = address.rpartition(":")
+
+        async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await serve(TcpConnection(reader, writer))
+
+        server = await asyncio.start_server(accept, host, int(port), limit=LINE_LIMIT_BYTES)
+        return TcpListener(server)
--- /dev/null
+++ b/packages/protocol/briardeal_protocol/messages/_codec.py
@@ -0,0 +1,47 @@
+"""Encoding of messages as lines of JSON."""
+
+from __future__ import annotations
+
+import msgspec
+
+from briardeal_protocol.messages import _agent, _entry
+
+AgentMessage = (
+    _agent.AgentHello
+    | _agent.Heartbeat
+    | _agent.AgentLeaving
+    | _agent.Admitted
+    | _agent.NotAdmitted
+    | _agent.Tasks
+)
+"""What an agent sends."""
+
+EntryMessage = (
+    _entry.EntryHello
+    | _entry.HeartbeatAck
+    | _entry.Admit
+    | _entry.Release
+    | _entry.ReserveTask
+    | _entry.StartTask
+    | _entry.StopTask
+)
+"""What an entry sends."""
+
+Message = AgentMessage | EntryMessage
+"""Any message."""
+
+_encoder = msgspec.json.Encoder()
+_decoder = msgspec.json.Decoder(Message)
+
+
+def encode(message: Message) -> bytes:
+    """Return a message as one line."""
+    return _encoder.encode(message) + b"\n"
+
+
+def decode(line: bytes) -> Message | None:
+    """Return the message on a line, or `None` for one that this version does not know."""
+    try:
+        return _decoder.decode(line)
+    except msgspec.DecodeError:
+        return None
--- /dev/null
+++ b/packages/protocol/briardeal_protocol/messages/_entry.py
@@ -0,0 +1,146 @@
+"""Messages that an entry sends."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+
+class EntryHello(msgspec.Struct, frozen=True, tag="entry_hello", kw_only=True):
+    """First message of an entry on a connection that an agent opened.
+
+    Parameters
+    ----------
+    entry_id
+        Name of the entry.
+    incarnation
+        Number that is higher after every start of the entry.
+    entries
+        Agent addresses of all entries in the region, for the agent to connect to.
+    heartbeat_interval_s
+        How often the agent sends heartbeats.
+    """
+
+    entry_id: str
+    incarnation: int
+    entries: tuple[str, ...] = ()
+    heartbeat_interval_s: float = 1.0
+
+
+class HeartbeatAck(msgspec.Struct, frozen=True, tag="heartbeat_ack", kw_only=True):
+    """Answers a heartbeat, so that the agent finds a silent connection.
+
+    Parameters
+    ----------
+    sequence
+        Number of the heartbeat.
+    entries
+        Agent addresses of the entries, when they have changed.
+    """
+
+    sequence: int
+    entries: tuple[str, ...] = ()
+
+
+class Admit(msgspec.Struct, frozen=True, tag="admit", kw_only=True):
+    """Asks for a slot for one request.
+
+    Parameters
+    ----------
+    call_id
+        Number of this call on the connection.
+    key
+        Identifies the request for at-most-once execution; empty for idempotent requests.
+    incarnation
+        Incarnation of the endpoint that the request is meant for.
+    deadline_s
+        Time until the caller gives up, in seconds from now.
+    customer
+        Customer that the slot is for.
+    """
+
+    call_id: int
+    key: str
+    incarnation: int
+    deadline_s: float
+    customer: str = ""
+
+
+class Release(msgspec.Struct, frozen=True, tag="release", kw_only=True):
+    """Gives back the slot of an admitted request.
+
+    Parameters
+    ----------
+    call_id
+        Call that was admitted.
+    started
+        Whether the request may have reached the endpoint.
+    """
+
+    call_id: int
+    started: bool
+
+
+class ReserveTask(msgspec.Struct, frozen=True, tag="reserve_task", kw_only=True):
+    """Asks the agent to hold accelerators for one member of a gang.
+
+    Parameters
+    ----------
+    call_id
+        Number of this call on the connection.
+    token
+        Fencing token of the owner that gives the order.
+    job_id, attempt
+        The job and the number of its start.
+    accelerators
+        Accelerators to hold.
+    workers
+        All workers of the gang.
+    command
+        What the task runs.
+    checkpoint
+        Checkpoint to resume from; empty for none.
+    lease_s
+        How long the reservation holds without a start, in seconds.
+    """
+
+    call_id: int
+    token: int
+    job_id: str
+    attempt: int
+    accelerators: int
+    workers: tuple[str, ...] = ()
+    command: str = ""
+    checkpoint: str = ""
+    lease_s: float = 5.0
+
+
+class StartTask(msgspec.Struct, frozen=True, tag="start_task", kw_only=True):
+    """Starts a reserved member; sent only when the whole gang is reserved."""
+
+    call_id: int
+    token: int
+    job_id: str
+    attempt: int
+
+
+class StopMode(enum.StrEnum):
+    """How a task is stopped."""
+
+    CHECKPOINT = "checkpoint"
+    """Write a checkpoint, then stop."""
+    STOP = "stop"
+    """Stop at once."""
+    THROTTLE = "throttle"
+    """Leave it running on as little as possible."""
+
+
+class StopTask(msgspec.Struct, frozen=True, tag="stop_task", kw_only=True):
+    """Stops a member, or gives back its reservation."""
+
+    call_id: int
+    token: int
+    job_id: str
+    attempt: int
+    mode: StopMode = StopMode.STOP
--- a/tests/core/settings/test_options.py
+++ b/tests/core/settings/test_options.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import attrs
+
 from briardeal_core.settings import Settings, address, load_settings, option, positive
 
 
