Add thin agent and entry

Cause: the whole path has to run before any part of it grows. Change: the agent admits requests to its endpoint and guards its worker's accelerators with fencing tokens; the entry keeps a table of agents, routes requests, issues idempotency keys and starts gangs.

--- /dev/null
+++ b/packages/agent/briardeal_agent/announcements/_routes.py
@@ -0,0 +1,48 @@
+"""The agent's HTTP routes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from briardeal_agent.http import Reply
+from briardeal_protocol.messages import EndpointState
+
+if TYPE_CHECKING:
+    from briardeal_agent.http import Request
+    from briardeal_agent.structure import Agent
+
+
+class Routes:
+    """Answers the agent's HTTP requests.
+
+    Parameters
+    ----------
+    agent
+        The agent.
+    """
+
+    def __init__(self, agent: Agent) -> None:
+        self.agent = agent
+
+    def handle(self, request: Request) -> Reply:
+        """Answer one request."""
+        match request.method, request.path:
+            case "PUT", "/v1/endpoint":
+                return self._announce(request.body)
+            case "GET", "/healthz":
+                return Reply(200, b'{"status":"ok"}')
+            case "GET", "/readyz":
+                return Reply(503 if self.agent.leaving else 200, b"{}")
+            case "GET", "/metrics":
+                return Reply(200, self.agent.metrics.render(), "text/plain; version=0.0.4")
+        return Reply(404, b"{}")
+
+    def _announce(self, body: bytes) -> Reply:
+        try:
+            endpoint = msgspec.json.decode(body, type=EndpointState)
+        except msgspec.DecodeError as error:
+            return Reply(400, msgspec.json.encode({"message": str(error)}))
+        taken = self.agent.announcements.announce(endpoint)
+        return Reply(200 if taken else 409, b"{}")
--- /dev/null
+++ b/packages/agent/briardeal_agent/structure/__init__.py
@@ -0,0 +1,5 @@
+"""The agent as a service."""
+
+from briardeal_agent.structure._agent import Agent
+
+__all__ = ["Agent"]
--- /dev/null
+++ b/packages/agent/briardeal_agent/structure/_agent.py
@@ -0,0 +1,185 @@
+"""The agent: admission for an endpoint, tasks of a worker and links to entries."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+from mode import Service
+
+from briardeal_agent.announcements import Announcements
+from briardeal_agent.links import EntryLink
+from briardeal_agent.permits import Permits
+from briardeal_agent.tasks import TaskTable
+from briardeal_core.clock import WallClock
+from briardeal_core.events import Event, log_event
+from briardeal_core.jobs import WorkerShape
+from briardeal_core.metrics import Metrics
+from briardeal_protocol.messages import (
+    Admit,
+    AgentHello,
+    AgentLeaving,
+    Release,
+    ReserveTask,
+    StartTask,
+    StopTask,
+    Tasks,
+    WorkerState,
+)
+
+if TYPE_CHECKING:
+    from briardeal_agent.config import AgentSettings
+    from briardeal_agent.workers import Worker
+    from briardeal_core.clock import Clock
+    from briardeal_protocol.connections import Network
+    from briardeal_protocol.messages import AgentMessage, EndpointState, EntryMessage, TaskStatus
+
+TASK_POLL_S = 0.5
+DRAIN_POLL_S = 0.1
+
+
+class Agent(Service):
+    """The process beside one endpoint or worker.
+
+    Parameters
+    ----------
+    settings
+        Settings of the process.
+    network
+        Opens connections to entries.
+    worker
+        The platform's API on this VM, or `None` where it runs no tasks.
+    clock
+        Wall time.
+    rng
+        Source of jitter.
+    """
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        network: Network,
+        worker: Worker | None = None,
+        clock: Clock | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        super().__init__()
+        self.settings = settings
+        self.network = network
+        self.clock = clock or WallClock()
+        self.rng = rng or random.Random()
+        self.incarnation = int(self.clock.now_s() * 1000)
+        self.metrics = Metrics()
+        self.permits = Permits(_loop_time)
+        self.announcements = Announcements(self.permits, settings.endpoint_lease_s)
+        self.tasks: TaskTable | None = None
+        if worker is not None:
+            self.tasks = TaskTable(worker, settings.accelerators, _loop_time)
+        self.links: dict[str, EntryLink] = {}
+        self.link_tasks: list[asyncio.Task[None]] = []
+        self.leaving = False
+
+    async def on_start(self) -> None:
+        """Connect to the entries."""
+        self.learn_entries(self.settings.entries)
+        log_event(Event.PROCESS_STARTED, name=self.settings.agent_id)
+
+    async def on_stop(self) -> None:
+        """Take no new work, finish what is held and close the links."""
+        self.leaving = True
+        log_event(Event.PROCESS_STOPPING, name=self.settings.agent_id)
+        await self._tell_all(AgentLeaving())
+        await self._drain()
+        for task in self.link_tasks:
+            task.cancel()
+        for link in self.links.values():
+            await link.close()
+        log_event(Event.PROCESS_STOPPED, name=self.settings.agent_id)
+
+    @Service.task
+    async def _watch_endpoint(self) -> None:
+        while not self.should_stop:
+            await self.sleep(self.settings.endpoint_lease_s / 3)
+            self.announcements.expire()
+            self.permits.expire()
+
+    @Service.task
+    async def _watch_tasks(self) -> None:
+        while self.tasks is not None and not self.should_stop:
+            await self.sleep(TASK_POLL_S)
+            changed = await self.tasks.poll()
+            if changed:
+                await self._tell_all(self._task_message(*changed))
+
+    def hello(self) -> AgentHello:
+        """Return the first message of a connection."""
+        return AgentHello(
+            agent_id=self.settings.agent_id,
+            incarnation=self.incarnation,
+            region=self.settings.region,
+            failure_domain=self.settings.failure_domain,
+            endpoint=self.endpoint(),
+            worker=self._worker_state(),
+            tasks=self.tasks.inventory() if self.tasks is not None else (),
+        )
+
+    def endpoint(self) -> EndpointState | None:
+        """Return the state of the endpoint."""
+        return self.permits.endpoint
+
+    def learn_entries(self, addresses: tuple[str, ...]) -> None:
+        """Open a link to every entry that is not linked yet."""
+        for address in addresses:
+            if address not in self.links:
+                link = EntryLink(self, self.network, address, self.rng)
+                self.links[address] = link
+                self.link_tasks.append(asyncio.create_task(link.run()))
+
+    async def answer(self, link: EntryLink, message: EntryMessage) -> AgentMessage | None:
+        """Carry out an order and return the answer."""
+        if isinstance(message, Admit):
+            return self.permits.admit(link.address, message)
+        if isinstance(message, Release):
+            self.permits.release(link.address, message)
+            return None
+        if self.tasks is None:
+            return None
+        status = await self._answer_task(message)
+        return self._task_message(status, call_id=message.call_id)
+
+    async def _answer_task(self, message: EntryMessage) -> TaskStatus:
+        if isinstance(message, ReserveTask):
+            return self.tasks.reserve(message)
+        if isinstance(message, StartTask):
+            return await self.tasks.start(message)
+        assert isinstance(message, StopTask), message
+        return await self.tasks.stop(message)
+
+    def _task_message(self, *statuses: TaskStatus, call_id: int = 0) -> Tasks:
+        return Tasks(tasks=statuses, fence=self.tasks.fence, call_id=call_id)
+
+    async def _tell_all(self, message: AgentMessage) -> None:
+        await asyncio.gather(*(link.send(message) for link in self.links.values()))
+
+    async def _drain(self) -> None:
+        deadline_s = _loop_time() + self.settings.drain_timeout_s
+        while self.permits.held and _loop_time() < deadline_s:
+            await asyncio.sleep(DRAIN_POLL_S)
+            self.permits.expire()
+
+    def _worker_state(self) -> WorkerState | None:
+        if self.tasks is None:
+            return None
+        shape = WorkerShape(
+            worker_id=self.settings.agent_id,
+            region=self.settings.region,
+            failure_domain=self.settings.failure_domain,
+            rack=self.settings.rack,
+            accelerators=self.settings.accelerators,
+        )
+        return WorkerState(shape=shape, fence=self.tasks.fence)
+
+
+def _loop_time() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/packages/agent/briardeal_agent/workers/_http.py
@@ -0,0 +1,60 @@
+"""The platform's API for tasks over HTTP."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from briardeal_agent.http import HttpFailure, fetch
+from briardeal_agent.workers._worker import PlatformTask, WorkerDown
+
+if TYPE_CHECKING:
+    from briardeal_protocol.messages import StopMode
+
+TIMEOUT_S = 2.0
+
+
+class HttpWorker:
+    """Tasks on one worker, over HTTP.
+
+    Parameters
+    ----------
+    address
+        `IP:PORT` of the platform's API on this VM.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+
+    async def start(self, task: PlatformTask, lease_s: float) -> WorkerDown | None:
+        """Start a task, once for each name."""
+        path = f"/v1/tasks/{task.task_id}?lease_s={lease_s}"
+        return _down(await self._send("PUT", path, msgspec.json.encode(task)))
+
+    async def renew(self, task_id: str, lease_s: float) -> WorkerDown | None:
+        """Renew the lease of a task."""
+        return _down(await self._send("POST", f"/v1/tasks/{task_id}/lease?lease_s={lease_s}"))
+
+    async def stop(self, task_id: str, mode: StopMode) -> WorkerDown | None:
+        """Stop, checkpoint or throttle a task."""
+        return _down(await self._send("POST", f"/v1/tasks/{task_id}/{mode.value}"))
+
+    async def tasks(self) -> list[PlatformTask] | WorkerDown:
+        """Return all tasks."""
+        body = await self._send("GET", "/v1/tasks")
+        if isinstance(body, WorkerDown):
+            return body
+        return msgspec.json.decode(body, type=list[PlatformTask])
+
+    async def _send(self, method: str, path: str, body: bytes = b"") -> bytes | WorkerDown:
+        reply = await fetch(method, self.address, path, body, timeout_s=TIMEOUT_S)
+        if isinstance(reply, HttpFailure):
+            return WorkerDown(reply.detail)
+        if reply.status >= 400:
+            return WorkerDown(f"status {reply.status}")
+        return reply.body
+
+
+def _down(outcome: bytes | WorkerDown) -> WorkerDown | None:
+    return outcome if isinstance(outcome, WorkerDown) else None
--- a/packages/core/briardeal_core/settings/__init__.py
+++ b/packages/core/briardeal_core/settings/__init__.py
@@ -1,12 +1,20 @@
 """Settings read from flags and environment variables, checked in whole."""
 
+from briardeal_core.settings._command import load_or_exit
 from briardeal_core.settings._options import (
     Settings,
     Validation,
-    address,
     click_options,
     load_settings,
     option,
+)
+from briardeal_core.settings._parsers import (
+    address,
+    addresses,
+    count,
+    fraction,
+    name,
+    optional_address,
     positive,
 )
 
@@ -14,8 +22,14 @@
     "Settings",
     "Validation",
     "address",
+    "addresses",
     "click_options",
+    "count",
+    "fraction",
+    "load_or_exit",
     "load_settings",
+    "name",
     "option",
+    "optional_address",
     "positive",
 ]
--- a/packages/core/briardeal_core/settings/_options.py
+++ b/packages/core/briardeal_core/settings/_options.py
@@ -12,7 +12,6 @@
     from collections.abc import Callable, Mapping
 
 ENV_PREFIX = "BRIARDEAL_"
-MAX_PORT = 65_535
 
 T = TypeVar("T")
 S = TypeVar("S", bound="Settings")
@@ -65,26 +64,6 @@
     return attrs.field(metadata=metadata)
 
 
-def positive(kind: Callable[[str], T]) -> Callable[[str], T]:
-    """Return a parser for numbers of the given kind above zero."""
-
-    def parse(text: str) -> T:
-        value = kind(text)
-        if not 0 < value < float("inf"):
-            raise ValueError(text)
-        return value
-
-    return parse
-
-
-def address(text: str) -> str:
-    """Check an `IP:PORT` address and return it unchanged."""
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 <= int(port) <= MAX_PORT:
-        raise ValueError(text)
-    return text
-
-
 def click_options(settings: type[Settings]) -> Callable[[Callable[..., Any]], Callable[..., Any]]:
     """Return a decorator that adds one flag per setting to a click command."""
 
--- /dev/null
+++ b/packages/entry/briardeal/api/_app.py
@@ -0,0 +1,25 @@
+"""The application and its routes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from briardeal.api._health import HealthRoutes
+from briardeal.api._jobs import JobRoutes
+from briardeal.api._requests import RequestRoutes
+
+if TYPE_CHECKING:
+    from briardeal.structure import Entry
+
+BODY_LIMIT_BYTES = 16 * 1024 * 1024
+
+
+def create_app(entry: Entry) -> web.Application:
+    """Return the application of one entry."""
+    app = web.Application(client_max_size=BODY_LIMIT_BYTES)
+    app.add_routes(HealthRoutes(entry).table())
+    app.add_routes(RequestRoutes(entry).table())
+    app.add_routes(JobRoutes(entry).table())
+    return app
--- /dev/null
+++ b/packages/entry/briardeal/api/_jobs.py
@@ -0,0 +1,93 @@
+"""Jobs of customers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+from aiohttp import web
+from briardeal_core.jobs import JobRequest
+from briardeal_core.reasons import Reason, Refusal, RunState
+
+from briardeal.api._replies import reply_json, reply_refusal
+
+if TYPE_CHECKING:
+    from briardeal.jobs import JobView
+    from briardeal.structure import Entry
+
+
+class JobBody(msgspec.Struct, frozen=True, kw_only=True):
+    """Body that describes one job.
+
+    Parameters
+    ----------
+    job
+        The job as declared.
+    state
+        Where it stands.
+    workers
+        Workers that it was given last.
+    why
+        The last decision in a sentence.
+    """
+
+    job: JobRequest
+    state: str
+    workers: tuple[str, ...]
+    why: str
+
+
+class JobRoutes:
+    """Routes for jobs.
+
+    Parameters
+    ----------
+    entry
+        The entry.
+    """
+
+    def __init__(self, entry: Entry) -> None:
+        self.entry = entry
+
+    def table(self) -> list[web.RouteDef]:
+        """Return the routes."""
+        return [
+            web.post("/v1/jobs", self.submit),
+            web.get("/v1/jobs", self.jobs),
+            web.get("/v1/jobs/{job_id}", self.job),
+        ]
+
+    async def submit(self, http: web.Request) -> web.Response:
+        """Accept a job."""
+        try:
+            job = msgspec.json.decode(_with_id(await http.read()), type=JobRequest)
+        except msgspec.DecodeError as error:
+            return reply_refusal(
+                Refusal(Reason.REQUEST_INVALID, RunState.NOT_RUN, None, f"{error}.")
+            )
+        outcome = await self.entry.jobs.submit(job)
+        if isinstance(outcome, Refusal):
+            return reply_refusal(outcome)
+        return reply_json(outcome, 201)
+
+    async def jobs(self, http: web.Request) -> web.Response:
+        """Return all jobs."""
+        return reply_json([_describe(view) for view in self.entry.board.jobs.values()])
+
+    async def job(self, http: web.Request) -> web.Response:
+        """Return one job."""
+        view = self.entry.board.jobs.get(http.match_info["job_id"])
+        if view is None:
+            return reply_refusal(Refusal(Reason.JOB_UNKNOWN, RunState.NOT_RUN))
+        return reply_json(_describe(view))
+
+
+def _with_id(body: bytes) -> bytes:
+    fields = msgspec.json.decode(body)
+    if isinstance(fields, dict):
+        fields["job_id"] = ""
+    return msgspec.json.encode(fields)
+
+
+def _describe(view: JobView) -> JobBody:
+    return JobBody(job=view.job, state=view.state.value, workers=view.workers, why=view.why)
--- /dev/null
+++ b/packages/entry/briardeal/api/_requests.py
@@ -0,0 +1,83 @@
+"""Requests of callers and their idempotency keys."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+from aiohttp import web
+from briardeal_core.reasons import Reason, Refusal, RunState
+
+from briardeal.api._replies import reply_json, reply_refusal
+from briardeal.requests import Answer, Request
+
+if TYPE_CHECKING:
+    from briardeal.structure import Entry
+
+
+class KeyBody(msgspec.Struct, frozen=True):
+    """Body of the answer to a call for a key."""
+
+    key: str
+
+
+class RequestRoutes:
+    """Routes for callers.
+
+    Parameters
+    ----------
+    entry
+        The entry.
+    """
+
+    def __init__(self, entry: Entry) -> None:
+        self.entry = entry
+
+    def table(self) -> list[web.RouteDef]:
+        """Return the routes."""
+        return [
+            web.post("/v1/keys", self.issue_key),
+            web.post("/v1/services/{service}/requests", self.send),
+        ]
+
+    async def issue_key(self, http: web.Request) -> web.Response:
+        """Issue an idempotency key."""
+        return reply_json(KeyBody(str(self.entry.keys.issue())), 201)
+
+    async def send(self, http: web.Request) -> web.Response:
+        """Carry a request to an endpoint and return its whole answer."""
+        request = await self._read(http)
+        outcome = request if isinstance(request, Refusal) else await self.entry.handle(request)
+        if isinstance(outcome, Answer):
+            return web.Response(
+                body=outcome.body, status=outcome.status, content_type=outcome.content_type
+            )
+        return reply_refusal(outcome)
+
+    async def _read(self, http: web.Request) -> Request | Refusal:
+        body = await http.read()
+        timeout_s = _parse_timeout(http.headers.get("Briardeal-Timeout-S"))
+        if timeout_s is None:
+            timeout_s = self.entry.settings.request_timeout_s
+        if timeout_s <= 0:
+            detail = "Briardeal-Timeout-S must be a number of seconds above 0."
+            return Refusal(Reason.REQUEST_INVALID, RunState.NOT_RUN, None, detail)
+        return Request(
+            service=http.match_info["service"],
+            customer=http.headers.get("Briardeal-Customer", ""),
+            body=body,
+            content_type=http.content_type,
+            deadline_s=asyncio.get_running_loop().time() + timeout_s,
+            idempotent=http.headers.get("Briardeal-Idempotent", "true").lower() != "false",
+            key=http.headers.get("Idempotency-Key", ""),
+        )
+
+
+def _parse_timeout(text: str | None) -> float | None:
+    if text is None:
+        return None
+    try:
+        return float(text)
+    except ValueError:
+        return -1.0
--- /dev/null
+++ b/packages/entry/briardeal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Implementations of the commands."""
--- /dev/null
+++ b/packages/entry/briardeal/commands/serve.py
@@ -0,0 +1,50 @@
+"""Running of an entry until a signal ends it."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+from briardeal_core.events import log_to_file
+from briardeal_core.log import HttpLog
+from briardeal_protocol.connections import TcpNetwork
+
+from briardeal.api import create_app
+from briardeal.requests import HttpEndpointClient
+from briardeal.structure import Entry
+
+if TYPE_CHECKING:
+    from briardeal.config import EntrySettings
+
+
+def serve(settings: EntrySettings) -> None:
+    """Run an entry until SIGTERM or SIGINT."""
+    log_to_file(sys.stderr)
+    asyncio.run(_serve(settings))
+
+
+async def _serve(settings: EntrySettings) -> None:
+    client = HttpEndpointClient()
+    log = HttpLog(settings.log)
+    entry = Entry(settings, TcpNetwork(), log, client)
+    stopped = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stopped.set)
+    async with entry:
+        runner = await _listen(entry, settings.listen)
+        await stopped.wait()
+        await entry.drain()
+        await runner.cleanup()
+    await client.close()
+    await log.close()
+
+
+async def _listen(entry: Entry, address: str) -> web.AppRunner:
+    runner = web.AppRunner(create_app(entry), access_log=None)
+    await runner.setup()
+    host, _, port = address.rpartition(":")
+    await web.TCPSite(runner, host, int(port)).start()
+    return runner
--- /dev/null
+++ b/packages/entry/briardeal/config/__init__.py
@@ -0,0 +1,5 @@
+"""Settings of the entry."""
+
+from briardeal.config._settings import EntrySettings
+
+__all__ = ["EntrySettings"]
--- /dev/null
+++ b/packages/entry/briardeal/structure/__init__.py
@@ -0,0 +1,5 @@
+"""The entry as a service."""
+
+from briardeal.structure._entry import Entry
+
+__all__ = ["Entry"]
--- a/packages/protocol/briardeal_protocol/connections/_link.py
+++ b/packages/protocol/briardeal_protocol/connections/_link.py
@@ -10,7 +10,7 @@
 from briardeal_protocol.connections._connection import Closed
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from briardeal_protocol.connections._connection import Connection
     from briardeal_protocol.messages import Message
@@ -61,8 +61,8 @@
         finally:
             self.pending.pop(message.call_id, None)
 
-    async def run(self, handle: Callable[[Message], Any]) -> Closed:
-        """Read until the connection ends; hand over all that is not an answer to a call."""
+    async def run(self, handle: Callable[[Message], Awaitable[None]]) -> Closed:
+        """Read until the connection ends; await `handle` for all that answers no call."""
         while True:
             message = await self.connection.receive()
             if isinstance(message, Closed):
@@ -72,7 +72,7 @@
             if future is not None and not future.done():
                 future.set_result(message)
             else:
-                handle(message)
+                await handle(message)
 
     def close_calls(self, closed: Closed) -> None:
         """End every call that waits for an answer."""
--- a/tests/protocol/connections/test_link.py
+++ b/tests/protocol/connections/test_link.py
@@ -31,7 +31,11 @@
     listener = await network.listen("127.0.0.1:0", echo)
     link = Link(await network.connect(listener.address))
     other = []
-    reading = asyncio.create_task(link.run(other.append))
+
+    async def handle(message):
+        other.append(message)
+
+    reading = asyncio.create_task(link.run(handle))
     answers = await asyncio.gather(*(link.call(admit(link), 5) for _ in range(2)))
     assert [answer.start_within_s for answer in answers] == [1, 2]
     while not other:
