--- /dev/null
+++ b/packages/core/briardeal_core/log/client/_http.py
@@ -0,0 +1,106 @@
+"""The log over HTTP, by aiohttp."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TypeVar
+
+import aiohttp
+import msgspec
+
+from briardeal_core.log._model import Appended, Batch, LogUnavailable, PastRetention
+from briardeal_core.log.client._wire import AppendedBody, BatchBody, PastRetentionBody
+
+REQUEST_TIMEOUT_S = 2.0
+"""Time for one append, and for one read beyond its own wait."""
+
+T = TypeVar("T")
+
+
+class HttpLog:
+    """A client of the log service.
+
+    Parameters
+    ----------
+    base_url
+        Address of the service, such as `http://10.0.0.7:9000`.
+    timeout_s
+        Time for one append, and for one read beyond its own wait, in seconds.
+    """
+
+    def __init__(self, base_url: str, timeout_s: float = REQUEST_TIMEOUT_S) -> None:
+        self.base_url = base_url.rstrip("/")
+        self.timeout_s = timeout_s
+        self._session: aiohttp.ClientSession | None = None
+
+    async def append(self, stream: str, record: bytes, append_id: str) -> Appended | LogUnavailable:
+        """Append one record to a stream."""
+        timeout = aiohttp.ClientTimeout(total=self.timeout_s)
+        request = self._open_session().post(
+            self._records_url(stream), params={"id": append_id}, data=record, timeout=timeout
+        )
+        try:
+            async with request as response:
+                body = await response.read()
+        except aiohttp.ClientConnectorError as error:
+            return LogUnavailable(str(error))
+        except (aiohttp.ClientError, TimeoutError) as error:
+            return LogUnavailable(f"{type(error).__name__}: {error}", maybe_written=True)
+        if response.status != HTTPStatus.OK:
+            return _refused_append(response.status)
+        answer = _decode(body, AppendedBody)
+        if isinstance(answer, LogUnavailable):
+            return LogUnavailable(answer.detail, maybe_written=True)
+        return Appended(answer.offset, answer.appended_at_s)
+
+    async def read(
+        self, stream: str, offset: int, limit: int, wait_s: float = 0.0
+    ) -> Batch | PastRetention | LogUnavailable:
+        """Read at most `limit` entries, waiting up to `wait_s` seconds for the first."""
+        timeout = aiohttp.ClientTimeout(total=self.timeout_s + wait_s)
+        params = {"offset": str(offset), "limit": str(limit), "wait": str(wait_s)}
+        request = self._open_session().get(
+            self._records_url(stream), params=params, timeout=timeout
+        )
+        try:
+            async with request as response:
+                body = await response.read()
+        except (aiohttp.ClientError, TimeoutError) as error:
+            return LogUnavailable(f"{type(error).__name__}: {error}")
+        if response.status == HTTPStatus.GONE:
+            gone = _decode(body, PastRetentionBody)
+            if isinstance(gone, LogUnavailable):
+                return gone
+            return PastRetention(gone.oldest_offset, gone.end_offset)
+        if response.status != HTTPStatus.OK:
+            return LogUnavailable(f"status {response.status}")
+        batch = _decode(body, BatchBody)
+        if isinstance(batch, LogUnavailable):
+            return batch
+        return Batch(batch.entries, batch.next_offset, batch.end_offset)
+
+    async def close(self) -> None:
+        """Close all connections to the log."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    def _open_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession()
+        return self._session
+
+    def _records_url(self, stream: str) -> str:
+        return f"{self.base_url}/streams/{stream}/records"
+
+
+def _refused_append(status: int) -> LogUnavailable:
+    rejected = HTTPStatus.BAD_REQUEST <= status < HTTPStatus.INTERNAL_SERVER_ERROR
+    return LogUnavailable(f"status {status}", maybe_written=not rejected)
+
+
+def _decode(body: bytes, kind: type[T]) -> T | LogUnavailable:
+    try:
+        return msgspec.msgpack.decode(body, type=kind)
+    except msgspec.MsgspecError as error:
+        return LogUnavailable(f"answer can't be read: {error}")
--- /dev/null
+++ b/packages/core/briardeal_core/log/client/_wire.py
@@ -0,0 +1,31 @@
+"""Bodies of the log's HTTP answers, in MessagePack."""
+
+from __future__ import annotations
+
+import msgspec
+
+from briardeal_core.log._model import Entry
+
+MSGPACK_TYPE = "application/msgpack"
+
+
+class AppendedBody(msgspec.Struct, frozen=True):
+    """Answer to an append that was taken."""
+
+    offset: int
+    appended_at_s: float
+
+
+class BatchBody(msgspec.Struct, frozen=True):
+    """Answer to a read."""
+
+    entries: tuple[Entry, ...]
+    next_offset: int
+    end_offset: int
+
+
+class PastRetentionBody(msgspec.Struct, frozen=True):
+    """Answer to a read from an offset that is no longer kept."""
+
+    oldest_offset: int
+    end_offset: int
