Run one request and one job from caller to answer

Cause: the thin path was not joined. Change: stand-ins for endpoint and worker, and a demo that starts every process on loopback. Conclusion: the path runs; each part can now grow behind its interface.

--- a/packages/entry/briardeal/__main__.py
+++ b/packages/entry/briardeal/__main__.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import click
-from briardeal_core.settings import click_options, load_or_exit
 
 from briardeal.config import EntrySettings
+from briardeal_core.settings import click_options, load_or_exit
 
 SERVE_HELP = "Run an entry between callers and endpoints."
 CHECK_HELP = "Check the settings without starting."
--- a/packages/entry/briardeal/api/_jobs.py
+++ b/packages/entry/briardeal/api/_jobs.py
@@ -6,10 +6,10 @@
 
 import msgspec
 from aiohttp import web
-from briardeal_core.jobs import JobRequest
-from briardeal_core.reasons import Reason, Refusal, RunState
 
 from briardeal.api._replies import reply_json, reply_refusal
+from briardeal_core.jobs import JobRequest
+from briardeal_core.reasons import Reason, Refusal, RunState
 
 if TYPE_CHECKING:
     from briardeal.jobs import JobView
--- a/packages/entry/briardeal/api/_replies.py
+++ b/packages/entry/briardeal/api/_replies.py
@@ -7,6 +7,7 @@
 
 import msgspec
 from aiohttp import web
+
 from briardeal_core.reasons import Reason
 
 if TYPE_CHECKING:
--- a/packages/entry/briardeal/api/_requests.py
+++ b/packages/entry/briardeal/api/_requests.py
@@ -7,10 +7,10 @@
 
 import msgspec
 from aiohttp import web
-from briardeal_core.reasons import Reason, Refusal, RunState
 
 from briardeal.api._replies import reply_json, reply_refusal
 from briardeal.requests import Answer, Request
+from briardeal_core.reasons import Reason, Refusal, RunState
 
 if TYPE_CHECKING:
     from briardeal.structure import Entry
--- a/packages/entry/briardeal/commands/serve.py
+++ b/packages/entry/briardeal/commands/serve.py
@@ -8,13 +8,13 @@
 from typing import TYPE_CHECKING
 
 from aiohttp import web
-from briardeal_core.events import log_to_file
-from briardeal_core.log import HttpLog
-from briardeal_protocol.connections import TcpNetwork
 
 from briardeal.api import create_app
 from briardeal.requests import HttpEndpointClient
 from briardeal.structure import Entry
+from briardeal_core.events import log_to_file
+from briardeal_core.log.client import HttpLog
+from briardeal_protocol.connections import TcpNetwork
 
 if TYPE_CHECKING:
     from briardeal.config import EntrySettings
@@ -28,7 +28,7 @@
 
 async def _serve(settings: EntrySettings) -> None:
     client = HttpEndpointClient()
-    log = HttpLog(settings.log)
+    log = HttpLog(f"http://{settings.log}")
     entry = Entry(settings, TcpNetwork(), log, client)
     stopped = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/packages/entry/briardeal/jobs/_board.py
+++ b/packages/entry/briardeal/jobs/_board.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import attrs
-from briardeal_core.jobs import JobRequest, JobState
 
 from briardeal.jobs._records import JobAccepted, JobEnded, JobPlaced, JobRecord
+from briardeal_core.jobs import JobRequest, JobState
 
 
 @attrs.define
--- a/packages/entry/briardeal/jobs/_gangs.py
+++ b/packages/entry/briardeal/jobs/_gangs.py
@@ -9,11 +9,10 @@
 from briardeal_protocol.messages import ReserveTask, StartTask, StopTask, Tasks, TaskState
 
 if TYPE_CHECKING:
+    from briardeal.membership import AgentEntry, AgentTable
     from briardeal_core.jobs import JobRequest
     from briardeal_protocol.messages import TaskStatus
 
-    from briardeal.membership import AgentEntry, AgentTable
-
 CALL_TIMEOUT_S = 1.0
 
 
@@ -104,16 +103,12 @@
         self, agents: list[AgentEntry], job_id: str, attempt: int, token: int
     ) -> None:
         orders = [
-            StopTask(
-                call_id=agent.link.next_call_id(), token=token, job_id=job_id, attempt=attempt
-            )
+            StopTask(call_id=agent.link.next_call_id(), token=token, job_id=job_id, attempt=attempt)
             for agent in agents
         ]
         await asyncio.gather(*map(_call, agents, orders))
 
 
-async def _call(
-    agent: AgentEntry, order: ReserveTask | StartTask | StopTask
-) -> TaskStatus | None:
+async def _call(agent: AgentEntry, order: ReserveTask | StartTask | StopTask) -> TaskStatus | None:
     reply = await agent.link.call(order, CALL_TIMEOUT_S)
     return reply.tasks[0] if isinstance(reply, Tasks) else None
--- a/packages/entry/briardeal/jobs/_records.py
+++ b/packages/entry/briardeal/jobs/_records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import msgspec
+
 from briardeal_core.jobs import JobRequest, JobState
 
 JOB_STREAM = "jobs"
--- a/packages/entry/briardeal/jobs/_service.py
+++ b/packages/entry/briardeal/jobs/_service.py
@@ -6,24 +6,23 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+from mode import Service
+
+from briardeal.jobs._gangs import Gangs, GangStarted
+from briardeal.jobs._records import JOB_STREAM, JobAccepted, JobEnded, JobPlaced, JobRecord
 from briardeal_core.events import Event, log_event
 from briardeal_core.jobs import JobState
 from briardeal_core.log import Batch, LogUnavailable
 from briardeal_core.reasons import Reason, Refusal, RunState
 from briardeal_protocol.messages import TaskState
-from mode import Service
-
-from briardeal.jobs._gangs import Gangs, GangStarted
-from briardeal.jobs._records import JOB_STREAM, JobAccepted, JobEnded, JobPlaced, JobRecord
 
 if TYPE_CHECKING:
+    from briardeal.jobs._board import JobBoard, JobView
+    from briardeal.membership import AgentEntry, AgentTable
     from briardeal_core.jobs import JobRequest
     from briardeal_core.log import Log
     from briardeal_protocol.messages import Tasks, TaskStatus
 
-    from briardeal.jobs._board import JobBoard, JobView
-    from briardeal.membership import AgentEntry, AgentTable
-
 LOG_RETRY_S = 2.0
 READ_LIMIT = 500
 READ_WAIT_S = 5.0
--- a/packages/entry/briardeal/requests/_keys.py
+++ b/packages/entry/briardeal/requests/_keys.py
@@ -7,9 +7,9 @@
 from typing import TYPE_CHECKING
 
 import attrs
-from briardeal_core.reasons import Reason, Refusal, RunState
 
 from briardeal.requests._request import Answer
+from briardeal_core.reasons import Reason, Refusal, RunState
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/packages/entry/briardeal/requests/_router.py
+++ b/packages/entry/briardeal/requests/_router.py
@@ -5,18 +5,16 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from briardeal_core.reasons import Reason, Refusal, RunState
-from briardeal_protocol.messages import Admit, Admitted, NotAdmitted, Release
-
 from briardeal.requests._endpoint import NotSent, SentInVain
 from briardeal.requests._request import Answer
+from briardeal_core.reasons import Reason, Refusal, RunState
+from briardeal_protocol.messages import Admit, Admitted, NotAdmitted, Release
 
 if TYPE_CHECKING:
-    from briardeal_core.metrics import Metrics
-
     from briardeal.membership import AgentEntry, AgentTable
     from briardeal.requests._endpoint import EndpointClient
     from briardeal.requests._request import Request
+    from briardeal_core.metrics import Metrics
 
 ADMIT_TIMEOUT_S = 1.0
 BUSY_RETRY_S = 1.0
--- a/packages/entry/briardeal/structure/_entry.py
+++ b/packages/entry/briardeal/structure/_entry.py
@@ -5,25 +5,24 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from briardeal_core.clock import WallClock
-from briardeal_core.events import Event, log_event
-from briardeal_core.metrics import Metrics
-from briardeal_core.reasons import Reason, Refusal, RunState
-from briardeal_protocol.messages import EntryHello
 from mode import Service
 
 from briardeal.jobs import JobBoard, JobService
 from briardeal.membership import AgentListener, AgentTable
 from briardeal.requests import Answer, IssuedKey, Keys, Router
+from briardeal_core.clock import WallClock
+from briardeal_core.events import Event, log_event
+from briardeal_core.metrics import Metrics
+from briardeal_core.reasons import Reason, Refusal, RunState
+from briardeal_protocol.messages import EntryHello
 
 if TYPE_CHECKING:
+    from briardeal.config import EntrySettings
+    from briardeal.requests import EndpointClient, Request
     from briardeal_core.clock import Clock
     from briardeal_core.log import Log
     from briardeal_protocol.connections import Network
 
-    from briardeal.config import EntrySettings
-    from briardeal.requests import EndpointClient, Request
-
 SHUTDOWN_RETRY_S = 0.5
 DRAIN_POLL_S = 0.1
 
--- /dev/null
+++ b/packages/standins/briardeal_standins/demo/_processes.py
@@ -0,0 +1,51 @@
+"""The processes of the demo."""
+
+from __future__ import annotations
+
+import socket
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import attrs
+
+STOP_TIMEOUT_S = 10
+
+
+@attrs.define
+class Processes:
+    """Processes started by the demo, each with a file for what it prints."""
+
+    folder: Path = attrs.field(factory=lambda: Path(tempfile.mkdtemp(prefix="briardeal-")))
+    running: dict[str, subprocess.Popen[bytes]] = attrs.field(factory=dict)
+
+    def start(self, name: str, module: str, *arguments: str) -> None:
+        """Start a module as a process."""
+        output = (self.folder / f"{name}.log").open("ab")
+        command = [sys.executable, "-m", module, *arguments]
+        self.running[name] = subprocess.Popen(command, stdout=output, stderr=output)
+
+    def kill(self, name: str) -> None:
+        """Kill a process without warning."""
+        process = self.running.pop(name)
+        process.kill()
+        process.wait()
+
+    def stop(self, name: str) -> int:
+        """Ask a process to end and return its exit code."""
+        process = self.running.pop(name)
+        process.terminate()
+        return process.wait(STOP_TIMEOUT_S)
+
+    def kill_all(self) -> None:
+        """Kill every process that is left."""
+        for name in list(self.running):
+            self.kill(name)
+
+
+def free_address() -> str:
+    """Return a loopback address that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
--- /dev/null
+++ b/packages/standins/briardeal_standins/worker/__init__.py
@@ -0,0 +1,6 @@
+"""A stand-in for the platform's API on a worker."""
+
+from briardeal_standins.worker._http import create_worker_app
+from briardeal_standins.worker._worker import StandinWorker
+
+__all__ = ["StandinWorker", "create_worker_app"]
