Measure a real entry process as its agents grow

Change: up to 300 agents connect to one entry process over TCP; memory and processor time are read from the operating system.

--- /dev/null
+++ b/bench/entry_process.py
@@ -0,0 +1,194 @@
+"""Memory and processor time of a real entry process as its agents grow in number."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING
+
+import aiohttp
+import attrs
+
+from bench.figures import Figure
+from bench.processes import MeasuredProcess, free_address
+from briardeal_core.jobs import WorkerShape
+from briardeal_protocol.connections import Closed, TcpNetwork
+from briardeal_protocol.messages import (
+    AgentHello,
+    EndpointState,
+    EntryHello,
+    Heartbeat,
+    HeartbeatAck,
+    WorkerState,
+)
+
+if TYPE_CHECKING:
+    from briardeal_protocol.connections import Connection
+
+AGENT_COUNTS = (75, 150, 300)
+HEARTBEATS_EACH = 20
+JOBS_MEASURED = 500
+READY_POLL_S = 0.05
+
+
+@attrs.frozen
+class EntryUse:
+    """What one entry process used.
+
+    Parameters
+    ----------
+    base_mb
+        Resident memory without agents, in MB.
+    agent_kb
+        Further memory for each agent, in KB.
+    job_kb
+        Further memory for each accepted job, in KB.
+    heartbeat_cpu_s
+        Processor time for one heartbeat, in seconds.
+    job_cpu_s
+        Processor time for accepting one job, in seconds.
+    """
+
+    base_mb: float
+    agent_kb: float
+    job_kb: float
+    heartbeat_cpu_s: float
+    job_cpu_s: float
+
+
+@attrs.define
+class FakeAgent:
+    """The connection of an agent that only sends heartbeats."""
+
+    number: int
+    connection: Connection | None = None
+
+    async def join(self, address: str) -> None:
+        """Connect and announce a worker and an endpoint."""
+        self.connection = await TcpNetwork().connect(address)
+        assert not isinstance(self.connection, Closed), self.connection
+        await self.connection.send(_hello(self.number))
+        assert isinstance(await self.connection.receive(), EntryHello)
+
+    async def send_heartbeats(self, count: int) -> None:
+        """Send heartbeats, each after the answer to the one before."""
+        for sequence in range(count):
+            await self.connection.send(Heartbeat(sequence=sequence + 1))
+            answer = await self.connection.receive()
+            assert answer == HeartbeatAck(sequence=sequence + 1), answer
+
+
+def measure() -> list[Figure]:
+    """Return what one entry process used."""
+    use = measure_entry()
+    return [
+        Figure("entry", "resident memory without agents", use.base_mb, "MB"),
+        Figure("entry", "memory for each agent", use.agent_kb, "KB"),
+        Figure("entry", "memory for each accepted job", use.job_kb, "KB"),
+        Figure("entry", "processor time a heartbeat", use.heartbeat_cpu_s * 1e6, "us"),
+        Figure("entry", "processor time an accepted job", use.job_cpu_s * 1e6, "us"),
+    ]
+
+
+def measure_entry() -> EntryUse:
+    """Run one entry process and return what it used."""
+    return asyncio.run(_measure_entry())
+
+
+async def _measure_entry() -> EntryUse:
+    log, http, agents = free_address(), free_address(), free_address()
+    log_process = MeasuredProcess("briardeal_standins.log", "--listen", log)
+    entry = MeasuredProcess(
+        "briardeal",
+        "serve",
+        *("--entry-id", "e", "--region", "r", "--failure-domain", "d", "--log", log),
+        *("--listen", http, "--agent-listen", agents, "--peer-listen", free_address()),
+        *("--agent-lease-s", "600"),
+    )
+    try:
+        await _wait_ready(http)
+        return await _use(entry, http, agents)
+    finally:
+        entry.stop()
+        log_process.stop()
+
+
+async def _use(entry: MeasuredProcess, http: str, agents_address: str) -> EntryUse:
+    base_mb = entry.resident_mb()
+    agents: list[FakeAgent] = []
+    memory_mb = {}
+    for count in AGENT_COUNTS:
+        joining = [FakeAgent(number) for number in range(len(agents), count)]
+        await asyncio.gather(*(agent.join(agents_address) for agent in joining))
+        agents += joining
+        await asyncio.gather(*(agent.send_heartbeats(1) for agent in agents))
+        memory_mb[count] = entry.resident_mb()
+    before_s = entry.cpu_s()
+    await asyncio.gather(*(agent.send_heartbeats(HEARTBEATS_EACH) for agent in agents))
+    heartbeat_cpu_s = (entry.cpu_s() - before_s) / (len(agents) * HEARTBEATS_EACH)
+    job_cpu_s, job_kb = await _submit_jobs(entry, http)
+    for agent in agents:
+        await agent.connection.close()
+    return EntryUse(
+        base_mb=base_mb,
+        agent_kb=_slope(memory_mb) * 1024,
+        job_kb=job_kb,
+        heartbeat_cpu_s=heartbeat_cpu_s,
+        job_cpu_s=job_cpu_s,
+    )
+
+
+async def _submit_jobs(entry: MeasuredProcess, http: str) -> tuple[float, float]:
+    job = {"customer": "c", "job_class": "b", "tasks": 64, "accelerators_per_task": 9}
+    async with aiohttp.ClientSession() as session:
+        await _submit(session, http, job, JOBS_MEASURED // 5)
+        before_s, before_mb = entry.cpu_s(), entry.resident_mb()
+        await _submit(session, http, job, JOBS_MEASURED)
+    spent_s = entry.cpu_s() - before_s
+    grown_kb = (entry.resident_mb() - before_mb) * 1024
+    return spent_s / JOBS_MEASURED, grown_kb / JOBS_MEASURED
+
+
+async def _submit(session: aiohttp.ClientSession, http: str, job: object, count: int) -> None:
+    for _ in range(count):
+        async with session.post(f"http://{http}/v1/jobs", json=job) as response:
+            assert response.status in (201, 422), await response.text()
+
+
+async def _wait_ready(http: str) -> None:
+    async with aiohttp.ClientSession() as session, asyncio.timeout(30):
+        while True:
+            with contextlib.suppress(aiohttp.ClientError):
+                async with session.get(f"http://{http}/readyz") as response:
+                    if response.status == 200:
+                        return
+            await asyncio.sleep(READY_POLL_S)
+
+
+def _hello(number: int) -> AgentHello:
+    shape = WorkerShape(
+        worker_id=f"worker-{number}",
+        region="r",
+        failure_domain="d",
+        rack=f"rack-{number // 3}",
+        accelerators=8,
+    )
+    endpoint = EndpointState(
+        service="sampling", address="127.0.0.1:1", incarnation=1, slots=8, connections=64
+    )
+    return AgentHello(
+        agent_id=shape.worker_id,
+        incarnation=1,
+        region="r",
+        failure_domain="d",
+        endpoint=endpoint,
+        worker=WorkerState(shape=shape),
+    )
+
+
+def _slope(points: dict[int, float]) -> float:
+    """Return the least-squares slope of the points."""
+    mean_x = sum(points) / len(points)
+    mean_y = sum(points.values()) / len(points)
+    above = sum((x - mean_x) * (y - mean_y) for x, y in points.items())
+    return above / sum((x - mean_x) ** 2 for x in points)
