--- a/packages/core/briardeal_core/events/_catalogue.py
+++ b/packages/core/briardeal_core/events/_catalogue.py
@@ -27,6 +27,19 @@
     JOB_ENDED = (403, "A job has ended; the state says how.")
     LOG_UNAVAILABLE = (500, "The log can't be reached or does not answer.")
     LOG_RECOVERED = (501, "The log answers again.")
+    RECORD_UNKNOWN = (510, "A record of a newer version was left out; upgrade this process.")
+    RECORD_BROKEN = (511, "A record on the log can't be read and was left out.")
+    LOG_GAP_FOUND = (512, "Records that this process had not read are gone from the log.")
+    LOG_GAP_MENDED = (513, "What was gone from the log was made good from a snapshot or a peer.")
+    SNAPSHOT_WRITTEN = (514, "A snapshot was written to the log.")
+    SNAPSHOT_REJECTED = (515, "A snapshot on the log is damaged or not whole and was passed over.")
+    APPEND_UNCERTAIN = (516, "An append was not answered; the log is read back to settle it.")
+    CONFIGURATION_IN_FORCE = (520, "A configuration is in force in this process.")
+    CONFIGURATION_LOST = (
+        521,
+        "A change of configuration came second to another and has no effect.",
+    )
+    CONFIGURATION_UNREADABLE = (522, "A configuration is too new for this process; upgrade it.")
 
     def __init__(self, number: int, meaning: str) -> None:
         self.number = number
--- a/packages/core/briardeal_core/log/__init__.py
+++ b/packages/core/briardeal_core/log/__init__.py
@@ -1,5 +1,64 @@
 """The platform's append-only log: what it offers and what is kept on it."""
 
+from briardeal_core.log._budget import AppendBudget, Priority
+from briardeal_core.log._claims import (
+    CLAIM_SCHEMA,
+    Claim,
+    ClaimTable,
+    Held,
+    HeldByOther,
+    Holder,
+    RoleClaim,
+)
+from briardeal_core.log._follower import FollowerState, StreamFollower, View
+from briardeal_core.log._keeper import SnapshotKeeper
 from briardeal_core.log._model import Appended, Batch, Entry, Log, LogUnavailable, PastRetention
+from briardeal_core.log._queue import Written
+from briardeal_core.log._reader import Delivered, Delivery, ReaderCounts, StreamReader
+from briardeal_core.log._records import (
+    BrokenRecord,
+    RecordKind,
+    Schema,
+    UnknownRecord,
+    decode_envelope,
+    encode_envelope,
+)
+from briardeal_core.log._snapshots import FoundSnapshot, Snapshot, SnapshotStream
+from briardeal_core.log._writer import StreamWriter
 
-__all__ = ["Appended", "Batch", "Entry", "Log", "LogUnavailable", "PastRetention"]
+__all__ = [
+    "CLAIM_SCHEMA",
+    "AppendBudget",
+    "Appended",
+    "Batch",
+    "BrokenRecord",
+    "Claim",
+    "ClaimTable",
+    "Delivered",
+    "Delivery",
+    "Entry",
+    "FollowerState",
+    "FoundSnapshot",
+    "Held",
+    "HeldByOther",
+    "Holder",
+    "Log",
+    "LogUnavailable",
+    "PastRetention",
+    "Priority",
+    "ReaderCounts",
+    "RecordKind",
+    "RoleClaim",
+    "Schema",
+    "Snapshot",
+    "SnapshotKeeper",
+    "SnapshotStream",
+    "StreamFollower",
+    "StreamReader",
+    "StreamWriter",
+    "UnknownRecord",
+    "View",
+    "Written",
+    "decode_envelope",
+    "encode_envelope",
+]
--- /dev/null
+++ b/packages/core/briardeal_core/log/_keeper.py
@@ -0,0 +1,109 @@
+"""Writing of snapshots before retention takes what they stand for."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import aclosing
+from typing import TYPE_CHECKING
+
+from mode import Service
+
+from briardeal_core.clock import WallClock
+from briardeal_core.log._claims import Held
+from briardeal_core.log._model import LogUnavailable
+
+if TYPE_CHECKING:
+    import random
+
+    from briardeal_core.clock import Clock
+    from briardeal_core.log._claims import RoleClaim
+    from briardeal_core.log._follower import StreamFollower
+    from briardeal_core.log._snapshots import FoundSnapshot
+
+SNAPSHOT_INTERVAL_S = 6 * 3600.0
+"""Must be a fraction of the log's retention, so that several snapshots are always kept."""
+
+SNAPSHOT_LIMIT_RECORDS = 5000
+CHECKS_PER_INTERVAL = 20
+MAX_CHECK_INTERVAL_S = 300.0
+
+
+class SnapshotKeeper(Service):
+    """Writes a snapshot of a view whenever the newest is too old or too far behind.
+
+    One runs in each process; the log decides which of them writes.
+
+    Parameters
+    ----------
+    follower
+        Keeps the view.
+    claim
+        Claim on the role of writer.
+    rng
+        Source of jitter.
+    interval_s
+        Oldest that the newest snapshot may become, in seconds; a quarter of the retention.
+    limit_records
+        Most entries that a start from nothing should have to read beyond the snapshot.
+    clock
+        Wall time, which must be near that of the log.
+    """
+
+    def __init__(
+        self,
+        follower: StreamFollower,
+        claim: RoleClaim,
+        rng: random.Random,
+        interval_s: float = SNAPSHOT_INTERVAL_S,
+        limit_records: int = SNAPSHOT_LIMIT_RECORDS,
+        clock: Clock | None = None,
+    ) -> None:
+        super().__init__()
+        self.follower = follower
+        self.claim = claim
+        self.rng = rng
+        self.interval_s = interval_s
+        self.limit_records = limit_records
+        self.clock = WallClock() if clock is None else clock
+        self.written = 0
+        self._newest: FoundSnapshot | None = None
+
+    @Service.task
+    async def _keep(self) -> None:
+        check_s = min(MAX_CHECK_INTERVAL_S, self.interval_s / CHECKS_PER_INTERVAL)
+        while not self.should_stop:
+            await asyncio.sleep(check_s * self.rng.uniform(0.5, 1.5))
+            await self.keep_once()
+
+    async def keep_once(self) -> None:
+        """Write a snapshot if one is due and this process wins the claim."""
+        if not self._is_due() or not await self._look_up() or not self._is_due():
+            return
+        held = await self.claim.acquire()
+        if not isinstance(held, Held):
+            return
+        if await self._look_up() and self._is_due():
+            snapshot = self.follower.take_snapshot()
+            failed = await self.follower.snapshots.write(snapshot, held.token)
+            self.written += failed is None
+        await self.claim.release()
+
+    def _is_due(self) -> bool:
+        if not self.follower.complete or not self.follower.offset:
+            return False
+        if self._newest is None:
+            return True
+        behind = self.follower.offset - self._newest.snapshot.covers
+        age_s = self.clock.now_s() - self._newest.appended_at_s
+        return behind >= self.limit_records or age_s >= self.interval_s
+
+    async def _look_up(self) -> bool:
+        """Find the newest snapshot; return whether the log answered."""
+        async with aclosing(self.follower.snapshots.find()) as candidates:
+            async for found in candidates:
+                if isinstance(found, LogUnavailable):
+                    return False
+                self._newest = found
+                return True
+        self._newest = None
+        return True
--- /dev/null
+++ b/packages/core/briardeal_core/log/_snapshots.py
@@ -0,0 +1,217 @@
+"""Snapshots of a folded stream, kept on a stream of their own."""
+
+from __future__ import annotations
+
+import uuid
+from collections import defaultdict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgspec
+import xxhash
+
+from briardeal_core.events import Event, log_event
+from briardeal_core.log._budget import Priority
+from briardeal_core.log._copies import SeenAppend
+from briardeal_core.log._model import Appended, LogUnavailable, PastRetention
+from briardeal_core.log._records import (
+    BrokenRecord,
+    RecordKind,
+    Schema,
+    decode_envelope,
+    encode_envelope,
+)
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import AsyncIterator
+
+    from briardeal_core.log._budget import AppendBudget
+    from briardeal_core.log._model import Entry, Log
+
+PART_LIMIT_BYTES = 256 * 1024
+SEARCH_WINDOW_ENTRIES = 8
+
+
+class Snapshot(msgspec.Struct, frozen=True, array_like=True):
+    """The state that the records below an offset stand for.
+
+    Parameters
+    ----------
+    covers
+        Offset of the first record that is not part of it.
+    schema_version
+        Version of the schema of the process that wrote it.
+    copies
+        Appends whose copies must still be recognised.
+    state
+        The view's own encoding.
+    taken_at_s
+        When the last of the records was appended, by the log's clock, in seconds since the epoch.
+    """
+
+    covers: int
+    schema_version: int
+    copies: tuple[SeenAppend, ...]
+    state: bytes
+    taken_at_s: float
+
+
+class SnapshotPart(msgspec.Struct, frozen=True, array_like=True):
+    """A part of an encoded snapshot that fits into one append.
+
+    Parameters
+    ----------
+    snapshot_id
+        Identifier shared by the parts of one snapshot.
+    token
+        Fencing token of the writer.
+    index, count
+        Which part of how many.
+    checksum
+        XXH3 checksum of the whole encoded snapshot.
+    data
+        The bytes of this part.
+    """
+
+    snapshot_id: str
+    token: int
+    index: int
+    count: int
+    checksum: int
+    data: bytes
+
+
+@dataclass(frozen=True)
+class FoundSnapshot:
+    """A whole snapshot, its writer's fencing token, and when the log took it, in seconds."""
+
+    snapshot: Snapshot
+    token: int
+    appended_at_s: float
+
+
+SNAPSHOT_SCHEMA = Schema([RecordKind("snapshot_part", SnapshotPart)])
+
+
+class SnapshotStream:
+    """The snapshots of one stream.
+
+    Parameters
+    ----------
+    log
+        The log.
+    stream
+        Name of the stream of snapshots.
+    budget
+        Rate shared by all writers of the process.
+    rng
+        Source of identifiers.
+    """
+
+    def __init__(self, log: Log, stream: str, budget: AppendBudget, rng: random.Random) -> None:
+        self.log = log
+        self.stream = stream
+        self.budget = budget
+        self.rng = rng
+        self.rejected = 0
+
+    async def write(self, snapshot: Snapshot, token: int) -> LogUnavailable | None:
+        """Append a snapshot; return what went wrong, in which case it may be torn."""
+        data = msgspec.msgpack.encode(snapshot)
+        chunks = [data[at : at + PART_LIMIT_BYTES] for at in range(0, len(data), PART_LIMIT_BYTES)]
+        snapshot_id = self._new_id()
+        checksum = xxhash.xxh3_64_intdigest(data)
+        for index, chunk in enumerate(chunks):
+            part = SnapshotPart(snapshot_id, token, index, len(chunks), checksum, chunk)
+            envelope = encode_envelope([SNAPSHOT_SCHEMA.encode(part)])
+            await self.budget.acquire(Priority.STATISTICS)
+            outcome = await self.log.append(self.stream, envelope, self._new_id())
+            if not isinstance(outcome, Appended):
+                return outcome
+        log_event(Event.SNAPSHOT_WRITTEN, stream=self.stream, covers=snapshot.covers)
+        return None
+
+    async def find(self) -> AsyncIterator[FoundSnapshot | LogUnavailable]:
+        """Yield the whole snapshots, newest first, reading no further back than is asked for."""
+        span = await self._find_span()
+        if isinstance(span, LogUnavailable):
+            yield span
+            return
+        parts: dict[str, dict[int, SnapshotPart]] = defaultdict(dict)
+        high = span.stop
+        while high > span.start:
+            low = max(span.start, high - SEARCH_WINDOW_ENTRIES)
+            entries = await self._read_range(low, high)
+            if isinstance(entries, LogUnavailable):
+                yield entries
+                return
+            for found in self._assemble_window(parts, entries):
+                yield found
+            high = low
+
+    async def _find_span(self) -> range | LogUnavailable:
+        found = await self.log.read(self.stream, 0, 1)
+        if isinstance(found, LogUnavailable):
+            return found
+        if isinstance(found, PastRetention):
+            return range(found.oldest_offset, found.end_offset)
+        return range(0, found.end_offset)
+
+    async def _read_range(self, low: int, high: int) -> list[Entry] | LogUnavailable:
+        entries: list[Entry] = []
+        while low < high:
+            found = await self.log.read(self.stream, low, high - low)
+            if isinstance(found, LogUnavailable):
+                return found
+            if isinstance(found, PastRetention):
+                low = found.oldest_offset
+                continue
+            if not found.entries:
+                break
+            entries.extend(entry for entry in found.entries if entry.offset < high)
+            low = found.next_offset
+        return entries
+
+    def _assemble_window(
+        self, parts: dict[str, dict[int, SnapshotPart]], entries: list[Entry]
+    ) -> list[FoundSnapshot]:
+        """Return what became whole, with writers that lost their claim after their successors."""
+        added = [self._add_part(parts, entry) for entry in reversed(entries)]
+        whole = [found for found in added if found is not None]
+        return sorted(whole, key=lambda found: found.token, reverse=True)
+
+    def _add_part(
+        self, parts: dict[str, dict[int, SnapshotPart]], entry: Entry
+    ) -> FoundSnapshot | None:
+        envelope = decode_envelope(entry.record)
+        if isinstance(envelope, BrokenRecord):
+            return self._reject(entry)
+        for encoded in envelope.records:
+            part = SNAPSHOT_SCHEMA.decode(encoded)
+            if not isinstance(part, SnapshotPart):
+                return self._reject(entry)
+            known = parts[part.snapshot_id]
+            if part.index in known:
+                continue
+            known[part.index] = part
+            if len(known) == part.count:
+                return self._assemble(entry, known)
+        return None
+
+    def _assemble(self, entry: Entry, parts: dict[int, SnapshotPart]) -> FoundSnapshot | None:
+        data = b"".join(parts[index].data for index in sorted(parts))
+        if 0 not in parts or xxhash.xxh3_64_intdigest(data) != parts[0].checksum:
+            return self._reject(entry)
+        try:
+            snapshot = msgspec.msgpack.decode(data, type=Snapshot)
+        except msgspec.MsgspecError:
+            return self._reject(entry)
+        return FoundSnapshot(snapshot, parts[0].token, entry.appended_at_s)
+
+    def _reject(self, entry: Entry) -> None:
+        self.rejected += 1
+        log_event(Event.SNAPSHOT_REJECTED, stream=self.stream, offset=entry.offset)
+
+    def _new_id(self) -> str:
+        return uuid.UUID(int=self.rng.getrandbits(128)).hex
--- a/packages/core/briardeal_core/reasons/_catalogue.py
+++ b/packages/core/briardeal_core/reasons/_catalogue.py
@@ -26,6 +26,12 @@
     JOB_UNKNOWN = "No job of this name is known."
     JOB_NEVER_FITS = "No set of VMs that exists can hold a job of this shape."
     LOG_UNAVAILABLE = "The platform's log does not answer, so nothing can be accepted for keeping."
+    LOG_BACKLOG = "Too many records already wait to be written to the platform's log."
+    LOG_GAP = "Records that this process has not read are gone from the platform's log."
+    LOG_ANSWER_LOST = "The platform's log did not say in time whether it took the record."
+    CONFIGURATION_INVALID = "The configuration has mistakes, so nothing was changed."
+    CONFIGURATION_CONFLICT = "Another operator changed the configuration first."
+    CONFIGURATION_VERSION_UNKNOWN = "No configuration of this version is kept any more."
 
     @property
     def code(self) -> str:
--- /dev/null
+++ b/tests/core/log/samples.py
@@ -0,0 +1,93 @@
+"""Records, a view and the parts of a process that tests of the log share."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from contextlib import asynccontextmanager
+
+import msgspec
+
+from briardeal_core.log import (
+    AppendBudget,
+    Delivered,
+    RecordKind,
+    RoleClaim,
+    Schema,
+    SnapshotKeeper,
+    SnapshotStream,
+    StreamFollower,
+    StreamReader,
+    StreamWriter,
+)
+
+
+class Added(msgspec.Struct, frozen=True):
+    number: int
+
+
+class AddedV2(msgspec.Struct, frozen=True):
+    number: int
+    note: str = ""
+
+
+class Renamed(msgspec.Struct, frozen=True):
+    name: str
+
+
+SCHEMA = Schema([RecordKind("added", Added)])
+NEWER_SCHEMA = Schema([RecordKind("added", AddedV2), RecordKind("renamed", Renamed)], version=2)
+
+
+class Numbers:
+    """The numbers added so far, in order."""
+
+    def __init__(self):
+        self.numbers: list[int] = []
+
+    def apply(self, item: Delivered) -> None:
+        if isinstance(item.record, Added | AddedV2):
+            self.numbers.append(item.record.number)
+
+    def dump(self) -> bytes:
+        return msgspec.msgpack.encode(self.numbers)
+
+    def restore(self, state: bytes) -> bool:
+        try:
+            self.numbers = msgspec.msgpack.decode(state, type=list[int])
+        except msgspec.MsgspecError:
+            return False
+        return True
+
+
+class Process:
+    """A process that writes and follows the stream `s` of a log."""
+
+    def __init__(self, log, name="p", seed=1, schema=SCHEMA, **keeper_options):
+        rng = random.Random(f"{name}{seed}")
+        self.view = Numbers()
+        self.writer = StreamWriter(log, "s", schema, AppendBudget(), rng)
+        self.snapshots = SnapshotStream(log, "s.snapshots", AppendBudget(), rng)
+        reader = StreamReader(log, "s", schema)
+        self.follower = StreamFollower(reader, self.snapshots, self.view, rng)
+        claim = RoleClaim(log, "s.claims", "snapshots", name, AppendBudget(), rng)
+        self.keeper = SnapshotKeeper(
+            self.follower, claim, rng, clock=log.store.clock, **keeper_options
+        )
+
+
+@asynccontextmanager
+async def running(*services):
+    """Start services and stop them at the end."""
+    for service in services:
+        await service.start()
+    try:
+        yield
+    finally:
+        for service in services:
+            await service.stop()
+
+
+async def settle(seconds=1.0):
+    """Let virtual time pass."""
+    await asyncio.sleep(seconds)
