Add the operators' file and the configuration store

Cause: operators could not publish a configuration, and races between them or lost answers of the log would have left open whose change holds. Change: load_configuration reads YAML and tells every mistake with its place; the store publishes changes with the version they replace, lets the order of the log decide, tells acceptance only once it is read back, and takes higher versions from peers. Conclusion: the file is checked in whole; the store is not yet shown to hold under faults.

--- /dev/null
+++ b/packages/core/briardeal_core/configuration/document/_mistakes.py
@@ -0,0 +1,41 @@
+"""What is wrong in a file, and where."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, order=True)
+class Mistake:
+    """One mistake.
+
+    Parameters
+    ----------
+    line, column
+        Where it stands, counted from 1.
+    sentence
+        What is wrong and what is allowed.
+    """
+
+    line: int
+    column: int
+    sentence: str
+
+    def __str__(self) -> str:
+        return f"line {self.line}, column {self.column}: {self.sentence}"
+
+
+@dataclass(frozen=True)
+class ConfigurationErrors:
+    """A file that can't be used.
+
+    Parameters
+    ----------
+    mistakes
+        Every mistake, in the order of the file.
+    """
+
+    mistakes: tuple[Mistake, ...]
+
+    def __str__(self) -> str:
+        return "\n".join(str(mistake) for mistake in self.mistakes)
--- /dev/null
+++ b/packages/core/briardeal_core/configuration/store/__init__.py
@@ -0,0 +1,39 @@
+"""The configuration in force: published to the log, spread by peers, never reverted."""
+
+from briardeal_core.configuration.store._archive import ConfigurationArchive
+from briardeal_core.configuration.store._diff import describe_changes
+from briardeal_core.configuration.store._exchange import (
+    ConfigurationExchange,
+    ConfigurationPeer,
+    PeerUnavailable,
+)
+from briardeal_core.configuration.store._outcomes import (
+    Accepted,
+    ConfigurationStatus,
+    Conflict,
+)
+from briardeal_core.configuration.store._records import (
+    CONFIGURATION_SCHEMA,
+    ConfigurationPublished,
+    HistoryItem,
+    VersionedConfiguration,
+)
+from briardeal_core.configuration.store._store import ConfigurationStore
+from briardeal_core.configuration.store._view import ConfigurationView
+
+__all__ = [
+    "CONFIGURATION_SCHEMA",
+    "Accepted",
+    "ConfigurationArchive",
+    "ConfigurationExchange",
+    "ConfigurationPeer",
+    "ConfigurationPublished",
+    "ConfigurationStatus",
+    "ConfigurationStore",
+    "ConfigurationView",
+    "Conflict",
+    "HistoryItem",
+    "PeerUnavailable",
+    "VersionedConfiguration",
+    "describe_changes",
+]
--- /dev/null
+++ b/packages/core/briardeal_core/configuration/store/_archive.py
@@ -0,0 +1,86 @@
+"""Earlier configurations and what differs between them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from briardeal_core.configuration.store._diff import describe_changes
+from briardeal_core.configuration.store._records import (
+    CONFIGURATION_SCHEMA,
+    ConfigurationPublished,
+    decode_body,
+)
+from briardeal_core.log import Batch, BrokenRecord, decode_envelope
+from briardeal_core.reasons import Reason, Refusal, RunState
+
+if TYPE_CHECKING:
+    from briardeal_core.configuration._model import Configuration
+    from briardeal_core.configuration.store._force import ConfigurationInForce
+    from briardeal_core.configuration.store._records import HistoryItem
+    from briardeal_core.configuration.store._view import ConfigurationView
+    from briardeal_core.log import Entry, Log
+
+
+class ConfigurationArchive:
+    """The changes of the last days, as far as the log keeps them.
+
+    Parameters
+    ----------
+    log
+        The log.
+    stream
+        Stream of the configuration.
+    view
+        The changes that this process has read.
+    in_force
+        The versions that were in force in this process lately.
+    """
+
+    def __init__(
+        self, log: Log, stream: str, view: ConfigurationView, in_force: ConfigurationInForce
+    ) -> None:
+        self.log = log
+        self.stream = stream
+        self.view = view
+        self.in_force = in_force
+
+    def history(self) -> tuple[HistoryItem, ...]:
+        """Return the last changes, won and lost, oldest first."""
+        return tuple(self.view.history)
+
+    async def read_version(self, version: int) -> Configuration | Refusal:
+        """Return an earlier configuration that is still kept."""
+        found = self.in_force.recent.get(version)
+        configuration = await self._read_kept(version) if found is None else found.decode()
+        if configuration is None:
+            return Refusal(Reason.CONFIGURATION_VERSION_UNKNOWN, RunState.NOT_RUN)
+        return configuration
+
+    async def diff(self, old_version: int, new_version: int) -> tuple[str, ...] | Refusal:
+        """Return what differs between two versions, in sentences."""
+        old = await self.read_version(old_version)
+        if isinstance(old, Refusal):
+            return old
+        new = await self.read_version(new_version)
+        if isinstance(new, Refusal):
+            return new
+        return describe_changes(old, new)
+
+    async def _read_kept(self, version: int) -> Configuration | None:
+        if all(item.version != version for item in self.view.history):
+            return None
+        found = await self.log.read(self.stream, version - 1, 1)
+        if not isinstance(found, Batch) or not found.entries:
+            return None
+        return _decode_entry(found.entries[0])
+
+
+def _decode_entry(entry: Entry) -> Configuration | None:
+    envelope = decode_envelope(entry.record)
+    if isinstance(envelope, BrokenRecord):
+        return None
+    for encoded in envelope.records:
+        change = CONFIGURATION_SCHEMA.decode(encoded)
+        if isinstance(change, ConfigurationPublished):
+            return decode_body(change.format, change.body)
+    return None
--- a/packages/core/briardeal_core/log/_follower.py
+++ b/packages/core/briardeal_core/log/_follower.py
@@ -124,6 +124,10 @@
         """Wait until the end of the stream has been reached once."""
         await self._current.wait()
 
+    def can_resume(self, offset: int) -> bool:
+        """Return whether reading on from an offset would close the gap."""
+        return self.progress is FollowerState.GAP and offset >= self._oldest_offset
+
     def resume(self, offset: int) -> None:
         """Read on from an offset, after the owner mended the view up to there by other means."""
         self._resume_offset = offset
@@ -205,7 +209,7 @@
 
     def _apply_resume(self) -> None:
         offset, self._resume_offset = self._resume_offset, None
-        if offset is not None and not self.sound and offset >= self._oldest_offset:
+        if offset is not None and self.can_resume(offset):
             self.reader.seek(offset)
             self._start_reading()
 
--- a/packages/core/briardeal_core/reasons/_catalogue.py
+++ b/packages/core/briardeal_core/reasons/_catalogue.py
@@ -31,6 +31,7 @@
     LOG_ANSWER_LOST = "The platform's log did not say in time whether it took the record."
     CONFIGURATION_INVALID = "The configuration has mistakes, so nothing was changed."
     CONFIGURATION_CONFLICT = "Another operator changed the configuration first."
+    CONFIGURATION_NOT_LOST = "Nothing is missing from the platform's log, so nothing was replaced."
     CONFIGURATION_VERSION_UNKNOWN = "No configuration of this version is kept any more."
 
     @property
--- /dev/null
+++ b/tests/core/configuration/test_document.py
@@ -0,0 +1,102 @@
+"""A file is checked in whole, and every mistake is told with its place."""
+
+from __future__ import annotations
+
+import pytest
+
+from briardeal_core.configuration import Adjacency, Configuration
+from briardeal_core.configuration.document import ConfigurationErrors, load_configuration
+from briardeal_core.jobs import WorkerShape
+
+GOOD = """
+classes:
+  - name: fieldwork sampling
+    finish_within_s: 7200
+    start_within_s: 1.1
+customers:
+  - name: north
+    quota_accelerators: 32
+    request_share: 0.5
+    guarantees:
+      - job_class: fieldwork sampling
+        vms: 2
+        accelerators_per_vm: 8
+        adjacency: rack
+failure_margin_vms: 1
+"""
+
+
+def workers(count):
+    return [
+        WorkerShape(
+            worker_id=f"w{index}",
+            region="r",
+            failure_domain="d",
+            rack=f"rack{index // 3}",
+            accelerators=8,
+        )
+        for index in range(count)
+    ]
+
+
+def places(outcome):
+    return [(mistake.line, mistake.column) for mistake in outcome.mistakes]
+
+
+def test_good_file_is_read():
+    loaded = load_configuration(GOOD, workers(11))
+    assert isinstance(loaded, Configuration)
+    assert loaded.customers[0].guarantees[0].adjacency is Adjacency.RACK
+
+
+def test_every_mistake_is_told_with_its_place():
+    text = (
+        GOOD.replace("finish_within_s: 7200", "finish_within_s: .nan")
+        .replace("quota_accelerators: 32", "quota_acelerators: 32")
+        .replace("vms: 2", "vms: two")
+        .replace("adjacency: rack", "adjacency: shelf")
+        .replace("request_share: 0.5", "request_share: 1.5")
+        .replace("failure_margin_vms: 1", "failure_margin_vms: -1")
+    )
+    outcome = load_configuration(text, workers(11))
+    assert places(outcome) == [(4, 22), (8, 5), (9, 20), (12, 14), (14, 20), (15, 21)]
+    assert "Did you mean 'quota_accelerators'?" in outcome.mistakes[1].sentence
+    assert outcome.mistakes[3].sentence == (
+        "customers[0].guarantees[0].vms is 'two'; allowed: a whole number from 1 to 10000."
+    )
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "place", "part"),
+    [
+        ("- job_class: fieldwork", "- job_class: feldwork", (11, 20), "Did you mean"),
+        ("quota_accelerators: 32", "quota_accelerators: 15", (8, 25), "2 x 8 = 16"),
+        ("start_within_s: 1.1", "start_within_s: 9000", (5, 21), "later than"),
+        ("    finish_within_s: 7200\n", "", (3, 5), "finish_within_s is missing"),
+        ("  - name: north", "  - name: north\n  - name: north", (8, 11), "used twice"),
+        ("vms: 2", "vms: 4", (11, 9), "the rack with the most has 3"),
+        ("failure_margin_vms: 1", "failure_margin_vms: 10", (7, 3), "= 16 accelerators; 11 VMs"),
+        ("classes:", "classes: [", (3, 3), "not YAML"),
+    ],
+)
+def test_each_mistake_is_found(old, new, place, part):
+    outcome = load_configuration(GOOD.replace(old, new, 1), workers(11))
+    assert isinstance(outcome, ConfigurationErrors)
+    assert part in str(outcome)
+    assert place in places(outcome)
+
+
+def test_places_on_one_vm_are_counted():
+    text = GOOD.replace("accelerators_per_vm: 8", "accelerators_per_vm: 5").replace(
+        "vms: 2\n", "vms: 3\n"
+    )
+    text = text.replace("adjacency: rack", "adjacency: region").replace(
+        "margin_vms: 1", "margin_vms: 2"
+    )
+    outcome = load_configuration(text, workers(4))
+    assert "need 3 places of at least 5 accelerators on one VM; the VMs offer 2" in str(outcome)
+
+
+@pytest.mark.parametrize("text", ["", "- 1", "a: &a [*a]", "\x00", "x" * 600_000, "{{}: 1}"])
+def test_nonsense_is_refused_as_a_value(text):
+    assert isinstance(load_configuration(text), ConfigurationErrors)
