Let operators show and change the configuration

Cause: the configuration store had no way in for operators. Conclusion: a file with mistakes changes nothing and has every mistake told with its place.

--- a/packages/entry/briardeal/__main__.py
+++ b/packages/entry/briardeal/__main__.py
@@ -2,13 +2,23 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
 import click
 
 from briardeal.config import EntrySettings
+from briardeal.operators import OperatorSettings
 from briardeal_core.settings import click_options, load_or_exit
 
 SERVE_HELP = "Run an entry between callers and endpoints."
 CHECK_HELP = "Check the settings without starting."
+CONFIG_HELP = "Show and change classes, targets, customers and guarantees."
+APPLY_HELP = "Publish FILE as the new configuration."
+EXPECTED_VERSION_HELP = "Version that the file was made from; that in force when not given."
+SHOW_HELP = "Print the configuration in force."
+DIFF_HELP = "Print what differs between versions OLD and NEW."
+HISTORY_HELP = "Print the last changes and what became of each."
+EXPLAIN_HELP = "Tell in sentences why a job ran, waits, was stopped or was refused."
 
 
 @click.group()
@@ -33,5 +43,60 @@
     click.echo("The settings are right.")
 
 
+@cli.group(help=CONFIG_HELP)
+def config() -> None:
+    """Show and change the configuration."""
+
+
+@config.command("apply", help=APPLY_HELP)
+@click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+@click.option("--expected-version", type=click.IntRange(0), help=EXPECTED_VERSION_HELP)
+@click_options(OperatorSettings)
+def apply(file: Path, expected_version: int | None, **flags: str | None) -> None:
+    """Publish a configuration."""
+    from briardeal.commands import config as command
+
+    command.apply(load_or_exit(OperatorSettings, flags), file, expected_version)
+
+
+@config.command(help=SHOW_HELP)
+@click_options(OperatorSettings)
+def show(**flags: str | None) -> None:
+    """Print the configuration in force."""
+    from briardeal.commands import config as command
+
+    command.show(load_or_exit(OperatorSettings, flags))
+
+
+@config.command(help=DIFF_HELP)
+@click.argument("old", type=click.IntRange(0))
+@click.argument("new", type=click.IntRange(0))
+@click_options(OperatorSettings)
+def diff(old: int, new: int, **flags: str | None) -> None:
+    """Print the differences of two versions."""
+    from briardeal.commands import config as command
+
+    command.diff(load_or_exit(OperatorSettings, flags), old, new)
+
+
+@config.command(help=HISTORY_HELP)
+@click_options(OperatorSettings)
+def history(**flags: str | None) -> None:
+    """Print the last changes."""
+    from briardeal.commands import config as command
+
+    command.history(load_or_exit(OperatorSettings, flags))
+
+
+@cli.command(help=EXPLAIN_HELP)
+@click.argument("job_id")
+@click_options(OperatorSettings)
+def explain(job_id: str, **flags: str | None) -> None:
+    """Explain a job."""
+    from briardeal.commands import explain as command
+
+    command.explain(load_or_exit(OperatorSettings, flags), job_id)
+
+
 if __name__ == "__main__":
     cli()
--- a/packages/entry/briardeal/api/_app.py
+++ b/packages/entry/briardeal/api/_app.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from briardeal.api._configuration import ConfigurationRoutes
 from briardeal.api._health import HealthRoutes
 from briardeal.api._jobs import JobRoutes
 from briardeal.api._requests import RequestRoutes
@@ -22,4 +23,5 @@
     app.add_routes(HealthRoutes(entry).table())
     app.add_routes(RequestRoutes(entry).table())
     app.add_routes(JobRoutes(entry).table())
+    app.add_routes(ConfigurationRoutes(entry).table())
     return app
--- /dev/null
+++ b/packages/entry/briardeal/api/_configuration.py
@@ -0,0 +1,134 @@
+"""The operators' configuration."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+from aiohttp import web
+
+from briardeal.api._replies import reply_json, reply_refusal
+from briardeal_core.configuration import Configuration
+from briardeal_core.configuration.document import ConfigurationErrors, load_configuration
+from briardeal_core.configuration.store import Accepted, Conflict
+from briardeal_core.reasons import Reason, Refusal, RunState
+
+if TYPE_CHECKING:
+    from briardeal.structure import Entry
+
+UNKNOWN_AUTHOR = "an operator without a name"
+
+
+class ConfigurationBody(msgspec.Struct, frozen=True, kw_only=True):
+    """Body that describes what is in force.
+
+    Parameters
+    ----------
+    version
+        The version in force; 0 before the first.
+    author
+        Who made it.
+    age_s
+        Seconds since it was accepted.
+    unconfirmed_s
+        Seconds since the log last showed that it is the newest; `None` if it never did.
+    configuration
+        The configuration itself.
+    """
+
+    version: int
+    author: str
+    age_s: float
+    unconfirmed_s: float | None
+    configuration: Configuration
+
+
+class AcceptedBody(msgspec.Struct, frozen=True):
+    """Body of the answer to a change that was accepted."""
+
+    version: int
+
+
+class DiffBody(msgspec.Struct, frozen=True):
+    """Body that lists differences, one sentence each."""
+
+    changes: tuple[str, ...]
+
+
+class ConfigurationRoutes:
+    """Routes for operators.
+
+    Parameters
+    ----------
+    entry
+        The entry.
+    """
+
+    def __init__(self, entry: Entry) -> None:
+        self.entry = entry
+
+    def table(self) -> list[web.RouteDef]:
+        """Return the routes."""
+        return [
+            web.get("/v1/configuration", self.show),
+            web.put("/v1/configuration", self.apply),
+            web.get("/v1/configuration/history", self.history),
+            web.get("/v1/configuration/diff", self.diff),
+        ]
+
+    async def show(self, http: web.Request) -> web.Response:
+        """Return what is in force in this entry."""
+        store = self.entry.configuration
+        status = store.status()
+        return reply_json(
+            ConfigurationBody(
+                version=status.version,
+                author=status.author,
+                age_s=status.age_s,
+                unconfirmed_s=status.unconfirmed_s,
+                configuration=store.configuration,
+            )
+        )
+
+    async def apply(self, http: web.Request) -> web.Response:
+        """Replace the configuration, provided that the expected version is still in force."""
+        expected_version = _parse_version(http, "expected_version")
+        if expected_version is None:
+            return reply_refusal(_invalid("expected_version must be a whole number, 0 or more."))
+        loaded = load_configuration(await http.text(), self.entry.known_workers())
+        if isinstance(loaded, ConfigurationErrors):
+            return reply_refusal(
+                Refusal(Reason.CONFIGURATION_INVALID, RunState.NOT_RUN, detail=str(loaded))
+            )
+        author = http.headers.get("Briardeal-Author", UNKNOWN_AUTHOR)
+        outcome = await self.entry.configuration.apply(loaded, expected_version, author)
+        if isinstance(outcome, Accepted):
+            return reply_json(AcceptedBody(outcome.version))
+        if isinstance(outcome, Conflict):
+            outcome = Refusal(
+                Reason.CONFIGURATION_CONFLICT, RunState.NOT_RUN, detail=outcome.sentence
+            )
+        return reply_refusal(outcome)
+
+    async def history(self, http: web.Request) -> web.Response:
+        """Return the last changes, won and lost, oldest first."""
+        return reply_json(self.entry.configuration.archive.history())
+
+    async def diff(self, http: web.Request) -> web.Response:
+        """Return what differs between two versions."""
+        old, new = _parse_version(http, "old"), _parse_version(http, "new")
+        if old is None or new is None:
+            return reply_refusal(_invalid("old and new must be versions."))
+        changes = await self.entry.configuration.archive.diff(old, new)
+        if isinstance(changes, Refusal):
+            return reply_refusal(changes)
+        return reply_json(DiffBody(changes))
+
+
+def _parse_version(http: web.Request, name: str) -> int | None:
+    text = http.query.get(name, "")
+    return int(text) if text.isdigit() else None
+
+
+def _invalid(detail: str) -> Refusal:
+    return Refusal(Reason.REQUEST_INVALID, RunState.NOT_RUN, detail=detail)
--- /dev/null
+++ b/packages/entry/briardeal/operators/__init__.py
@@ -0,0 +1,6 @@
+"""The operators' side of the HTTP API."""
+
+from briardeal.operators._client import OperatorClient, Refused
+from briardeal.operators._settings import OperatorSettings
+
+__all__ = ["OperatorClient", "OperatorSettings", "Refused"]
--- a/packages/entry/briardeal/structure/_entry.py
+++ b/packages/entry/briardeal/structure/_entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from typing import TYPE_CHECKING
 
 from mode import Service
@@ -11,7 +12,9 @@
 from briardeal.membership import AgentListener, AgentTable
 from briardeal.requests import Answer, IssuedKey, Keys, Router
 from briardeal_core.clock import WallClock
+from briardeal_core.configuration.store import ConfigurationStore
 from briardeal_core.events import Event, log_event
+from briardeal_core.log import AppendBudget
 from briardeal_core.metrics import Metrics
 from briardeal_core.reasons import Reason, Refusal, RunState
 from briardeal_protocol.messages import EntryHello
@@ -20,6 +23,7 @@
     from briardeal.config import EntrySettings
     from briardeal.requests import EndpointClient, Request
     from briardeal_core.clock import Clock
+    from briardeal_core.jobs import WorkerShape
     from briardeal_core.log import Log
     from briardeal_protocol.connections import Network
 
@@ -42,6 +46,8 @@
         Sends requests to endpoints.
     clock
         Wall time.
+    rng
+        Source of identifiers and jitter.
     """
 
     def __init__(
@@ -51,15 +57,21 @@
         log: Log,
         client: EndpointClient,
         clock: Clock | None = None,
+        rng: random.Random | None = None,
     ) -> None:
         super().__init__()
         self.settings = settings
         self.clock = clock or WallClock()
+        self.rng = rng or random.SystemRandom()
         self.incarnation = int(self.clock.now_s() * 1000)
         self.metrics = Metrics()
         self.table = AgentTable(settings.agent_lease_s, _loop_time)
         self.keys = Keys(settings.entry_id, self.incarnation, self.clock.now_s)
         self.router = Router(self.table, client, self.metrics)
+        self.budget = AppendBudget()
+        self.configuration = ConfigurationStore(
+            log, settings.entry_id, self.budget, self.rng, self.clock
+        )
         self.board = JobBoard()
         self.jobs = JobService(log, self.board, self.table)
         hello = EntryHello(entry_id=settings.entry_id, incarnation=self.incarnation)
@@ -69,7 +81,7 @@
 
     def on_init_dependencies(self) -> list[Service]:
         """Return the services that start and stop with the entry."""
-        return [self.agents, self.jobs]
+        return [self.configuration, self.agents, self.jobs]
 
     async def on_started(self) -> None:
         """Tell the balancer that callers may come."""
@@ -88,6 +100,10 @@
         """Log the end of the process."""
         log_event(Event.PROCESS_STOPPED, name=self.settings.entry_id)
 
+    def known_workers(self) -> list[WorkerShape]:
+        """Return the workers that configuration is checked against."""
+        return [entry.hello.worker.shape for entry in self.table.workers()]
+
     async def handle(self, request: Request) -> Answer | Refusal:
         """Return the whole answer to a request, or why there is none."""
         if not self.ready:
--- /dev/null
+++ b/tests/entry/api/test_configuration.py
@@ -0,0 +1,50 @@
+"""Operators change the configuration over HTTP, and races have one winner."""
+
+from __future__ import annotations
+
+import pytest
+
+pytestmark = pytest.mark.looptime
+
+FILE = "classes: [{name: sampling, finish_within_s: 600}]\n"
+OTHER = "classes: [{name: sampling, finish_within_s: 300}]\n"
+WRONG = "classes: [{name: sampling, finish_within_s: -1}]\nfailure_margin: 1\n"
+
+
+async def apply(client, text, expected_version, author):
+    url = f"/v1/configuration?expected_version={expected_version}"
+    response = await client.put(url, data=text, headers={"Briardeal-Author": author})
+    return response.status, await response.json()
+
+
+async def test_an_accepted_change_is_shown_with_its_author(client):
+    status, accepted = await apply(client, FILE, 0, "ana")
+    assert status == 200
+    shown = await (await client.get("/v1/configuration")).json()
+    assert (shown["version"], shown["author"]) == (accepted["version"], "ana")
+    assert shown["configuration"]["classes"][0]["finish_within_s"] == 600
+
+
+async def test_the_second_of_two_operators_is_told_who_and_what(client):
+    _, first = await apply(client, FILE, 0, "ana")
+    _, second = await apply(client, OTHER, first["version"], "boris")
+    status, refusal = await apply(client, FILE, first["version"], "cene")
+    assert (status, refusal["reason"], refusal["run_state"]) == (
+        409,
+        "configuration_conflict",
+        "not_run",
+    )
+    assert "boris" in refusal["message"]
+    assert "finish_within_s was 600" in refusal["message"]
+    diff = await client.get(
+        f"/v1/configuration/diff?old={first['version']}&new={second['version']}"
+    )
+    assert len((await diff.json())["changes"]) == 1
+
+
+async def test_every_mistake_is_told_with_its_place(client):
+    status, refusal = await apply(client, WRONG, 0, "ana")
+    assert (status, refusal["reason"]) == (422, "configuration_invalid")
+    assert "line 1" in refusal["message"]
+    assert "line 2" in refusal["message"]
+    assert (await (await client.get("/v1/configuration")).json())["version"] == 0
