Tell the whole story in the demo

Cause: the demo showed one request and one job. Change: two entries, configuration, a booking sent twice, a gang, an impossible job, a killed agent and a shutdown.

--- a/packages/standins/briardeal_standins/demo/__main__.py
+++ b/packages/standins/briardeal_standins/demo/__main__.py
@@ -19,12 +19,12 @@
 
 
 async def _run() -> int:
-    site = Site()
-    try:
-        async with aiohttp.ClientSession() as session:
-            return 0 if await tell_story(site, session) else 1
-    finally:
-        site.processes.kill_all()
+    async with aiohttp.ClientSession() as session:
+        site = Site(session)
+        try:
+            return 0 if await tell_story(site) else 1
+        finally:
+            site.processes.kill_all()
 
 
 if __name__ == "__main__":
--- a/packages/standins/briardeal_standins/demo/_site.py
+++ b/packages/standins/briardeal_standins/demo/_site.py
@@ -1,8 +1,9 @@
-"""The system of the demo: a log, one entry, endpoints and workers with their agents."""
+"""The system of the demo: a log, entries, endpoints and workers with their agents."""
 
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 
 import aiohttp
 import attrs
@@ -11,66 +12,114 @@
 
 READY_TIMEOUT_S = 20.0
 POLL_S = 0.1
+ENTRIES = ("entry-1", "entry-2")
+PLACE = ("--region", "ljubljana", "--failure-domain", "lj-1")
+
+
+@attrs.frozen
+class EntryAddresses:
+    """Addresses of one entry."""
+
+    http: str = attrs.field(factory=free_address)
+    agents: str = attrs.field(factory=free_address)
+    peers: str = attrs.field(factory=free_address)
+
+
+@attrs.frozen
+class HttpReply:
+    """The status and content of an answer."""
+
+    status: int
+    content: Any
 
 
 @attrs.define
 class Site:
-    """Addresses and processes of the demo."""
+    """Addresses and processes of the demo.
 
+    Parameters
+    ----------
+    session
+        Sends the demo's own calls.
+    """
+
+    session: aiohttp.ClientSession
     processes: Processes = attrs.field(factory=Processes)
     log: str = attrs.field(factory=free_address)
-    entry: str = attrs.field(factory=free_address)
-    entry_agents: str = attrs.field(factory=free_address)
-    entry_peers: str = attrs.field(factory=free_address)
+    entries: dict[str, EntryAddresses] = attrs.field(
+        factory=lambda: {name: EntryAddresses() for name in ENTRIES}
+    )
+    endpoints: dict[str, str] = attrs.field(factory=dict)
 
     def start_control(self) -> None:
-        """Start the log and one entry."""
+        """Start the log and the entries."""
         self.processes.start("log", "briardeal_standins.log", "--listen", self.log)
-        self.processes.start(
-            "entry-1",
-            "briardeal",
-            "serve",
-            *("--entry-id", "entry-1", "--region", "ljubljana", "--failure-domain", "lj-1"),
-            *("--listen", self.entry, "--agent-listen", self.entry_agents),
-            *("--peer-listen", self.entry_peers, "--log", self.log),
-        )
+        for name, own in self.entries.items():
+            peers = [other.peers for other in self.entries.values() if other is not own]
+            self.processes.start(
+                name,
+                "briardeal",
+                "serve",
+                *("--entry-id", name, "--listen", own.http, "--agent-listen", own.agents),
+                *("--peer-listen", own.peers, "--peers", ",".join(peers), "--log", self.log),
+                *PLACE,
+            )
 
     def start_endpoint(self, name: str, service: str) -> None:
         """Start an endpoint and its agent."""
-        agent, endpoint = free_address(), free_address()
+        agent, self.endpoints[name] = free_address(), free_address()
         self._start_agent(f"agent-{name}", agent)
         self.processes.start(
             name,
             "briardeal_standins.endpoint",
-            *("--name", name, "--service", service, "--listen", endpoint, "--agent", agent),
+            *("--name", name, "--service", service),
+            *("--listen", self.endpoints[name], "--agent", agent),
         )
 
     def start_worker(self, name: str, accelerators: int) -> None:
-        """Start a worker and its agent."""
+        """Start a worker and its agent; the agent carries the worker's name."""
         agent, worker = free_address(), free_address()
-        self.processes.start(name, "briardeal_standins.worker", "--listen", worker)
-        self._start_agent(
-            f"agent-{name}", agent, "--worker", worker, "--accelerators", str(accelerators)
-        )
+        self.processes.start(f"platform-{name}", "briardeal_standins.worker", "--listen", worker)
+        self._start_agent(name, agent, "--worker", worker, "--accelerators", str(accelerators))
 
-    async def wait_ready(self, session: aiohttp.ClientSession) -> None:
-        """Wait until the entry takes requests."""
+    async def wait_ready(self) -> None:
+        """Wait until all entries take requests."""
         async with asyncio.timeout(READY_TIMEOUT_S):
-            while not await self._is_ready(session):
-                await asyncio.sleep(POLL_S)
+            for name in self.entries:
+                while (await self.call("GET", name, "/readyz")).status != 200:
+                    await asyncio.sleep(POLL_S)
+
+    async def call(
+        self, method: str, entry: str, path: str, body: Any = None, **headers: str
+    ) -> HttpReply:
+        """Call an entry; status 0 stands for no answer."""
+        url = f"http://{self.entries[entry].http}{path}"
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        return await self._call(method, url, body, named)
+
+    async def executions(self, key: str) -> int:
+        """Return how often the endpoints ran a key."""
+        replies = [
+            await self._call("GET", f"http://{address}/v1/executions", None, {})
+            for address in self.endpoints.values()
+        ]
+        return sum(reply.content.get(key, 0) for reply in replies if reply.status == 200)
 
-    async def _is_ready(self, session: aiohttp.ClientSession) -> bool:
+    async def _call(self, method: str, url: str, body: Any, headers: dict[str, str]) -> HttpReply:
+        data = {"data": body} if isinstance(body, str) else {"json": body}
         try:
-            async with session.get(f"http://{self.entry}/readyz") as response:
-                return response.status == 200
+            async with self.session.request(method, url, headers=headers, **data) as response:
+                return HttpReply(response.status, await response.json())
         except aiohttp.ClientError:
-            return False
+            return HttpReply(0, None)
 
     def _start_agent(self, name: str, listen: str, *arguments: str) -> None:
+        entries = ",".join(own.agents for own in self.entries.values())
         self.processes.start(
             name,
             "briardeal_agent",
             "run",
-            *("--agent-id", name, "--region", "ljubljana", "--failure-domain", "lj-1"),
-            *("--listen", listen, "--entries", self.entry_agents, *arguments),
+            *("--agent-id", name, "--listen", listen, "--entries", entries),
+            *PLACE,
+            *arguments,
         )
