--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES = core protocol scheduling entry agent standins
 export PYTHONPATH = $(CURDIR):$(subst $() ,:,$(addprefix $(CURDIR)/packages/,$(PACKAGES)))
 
-.PHONY: setup format lint test bench capacity catalogues demo
+.PHONY: setup format lint test bench capacity pages demo
 
 setup: $(VENV)/.installed
 
@@ -31,8 +31,8 @@
 capacity: setup
 	$(PYTHON) -m bench capacity
 
-catalogues: setup
-	$(PYTHON) -m briardeal_core.catalogues docs/user-guide
+pages: setup
+	$(PYTHON) -m briardeal_standins.pages docs/user-guide
 
 demo: setup
 	$(PYTHON) -m briardeal_standins.demo
--- a/packages/core/briardeal_core/catalogues/__init__.py
+++ b/packages/core/briardeal_core/catalogues/__init__.py
@@ -1,5 +1,5 @@
 """Pages of the documentation that list events and reasons."""
 
-from briardeal_core.catalogues._pages import PAGES, render_events, render_reasons
+from briardeal_core.catalogues._pages import render_events, render_reasons
 
-__all__ = ["PAGES", "render_events", "render_reasons"]
+__all__ = ["render_events", "render_reasons"]
--- a/packages/core/briardeal_core/catalogues/_pages.py
+++ b/packages/core/briardeal_core/catalogues/_pages.py
@@ -34,7 +34,3 @@
     """Return the page of reasons."""
     rows = [f"| `{reason.code}` | {reason.sentence} |" for reason in Reason]
     return REASONS_HEAD + "\n".join(rows) + "\n"
-
-
-PAGES = {"events.md": render_events, "reasons.md": render_reasons}
-"""The function that renders each page."""
--- a/packages/core/briardeal_core/settings/__init__.py
+++ b/packages/core/briardeal_core/settings/__init__.py
@@ -8,6 +8,7 @@
     load_settings,
     option,
 )
+from briardeal_core.settings._page import render_settings
 from briardeal_core.settings._parsers import (
     address,
     addresses,
@@ -32,4 +33,5 @@
     "option",
     "optional_address",
     "positive",
+    "render_settings",
 ]
--- a/packages/core/briardeal_core/settings/_options.py
+++ b/packages/core/briardeal_core/settings/_options.py
@@ -72,7 +72,7 @@
             flag = "--" + field.name.replace("_", "-")
             default = field.metadata["default"]
             shown = "required" if default is None else f"default {default!r}"
-            text = f"{field.metadata['text']} [{_variable(field.name)}, {shown}]"
+            text = f"{field.metadata['text']} [{variable_name(field.name)}, {shown}]"
             command = click.option(flag, field.name, help=text)(command)
         return command
 
@@ -97,7 +97,7 @@
     for field in attrs.fields(settings):
         text = flags.get(field.name)
         if text is None:
-            text = environ.get(_variable(field.name), field.metadata["default"])
+            text = environ.get(variable_name(field.name), field.metadata["default"])
         _parse_field(field, text, values, found)
     found.warnings.extend(_unknown_variables(settings, environ))
     if found.errors:
@@ -114,19 +114,20 @@
 ) -> None:
     allowed = field.metadata["allowed"]
     if text is None:
-        found.errors.append(f"{_variable(field.name)} is not set; allowed: {allowed}.")
+        found.errors.append(f"{variable_name(field.name)} is not set; allowed: {allowed}.")
         return
     try:
         values[field.name] = field.metadata["parse"](text)
     except ValueError:
-        found.errors.append(f"{_variable(field.name)} is {text!r}; allowed: {allowed}.")
+        found.errors.append(f"{variable_name(field.name)} is {text!r}; allowed: {allowed}.")
 
 
 def _unknown_variables(settings: type[Settings], environ: Mapping[str, str]) -> list[str]:
-    known = {_variable(field.name) for field in attrs.fields(settings)}
+    known = {variable_name(field.name) for field in attrs.fields(settings)}
     unknown = sorted(name for name in environ if name.startswith(ENV_PREFIX) and name not in known)
     return [f"{name} is not a setting of this program." for name in unknown]
 
 
-def _variable(name: str) -> str:
+def variable_name(name: str) -> str:
+    """Return the environment variable of a setting."""
     return ENV_PREFIX + name.upper()
--- a/tests/core/catalogues/test_pages.py
+++ b/tests/standins/test_pages.py
@@ -7,15 +7,15 @@
 
 import pytest
 
-from briardeal_core.catalogues import PAGES
 from briardeal_core.events import Event
+from briardeal_standins.pages import PAGES
 
-USER_GUIDE = Path(__file__).parents[3] / "docs" / "user-guide"
+USER_GUIDE = Path(__file__).parents[2] / "docs" / "user-guide"
 
 
 @pytest.mark.parametrize("name", PAGES)
 def test_pages_match_the_code(name):
-    assert (USER_GUIDE / name).read_text() == PAGES[name](), "run `make catalogues`"
+    assert (USER_GUIDE / name).read_text() == PAGES[name](), "run `make pages`"
 
 
 def test_event_numbers_are_unique():
