--- a/packages/agent/briardeal_agent/announcements/_routes.py
+++ b/packages/agent/briardeal_agent/announcements/_routes.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
+from briardeal_agent.announcements._announcements import Announcement
 from briardeal_agent.http import Reply
-from briardeal_protocol.messages import EndpointState
 
 if TYPE_CHECKING:
     from briardeal_agent.http import Request
@@ -41,8 +41,8 @@
 
     def _announce(self, body: bytes) -> Reply:
         try:
-            endpoint = msgspec.json.decode(body, type=EndpointState)
+            announcement = msgspec.json.decode(body, type=Announcement)
         except msgspec.DecodeError as error:
             return Reply(400, msgspec.json.encode({"message": str(error)}))
-        taken = self.agent.announcements.announce(endpoint)
+        taken = self.agent.announcements.announce(announcement)
         return Reply(200 if taken else 409, b"{}")
--- a/packages/agent/briardeal_agent/links/_entry.py
+++ b/packages/agent/briardeal_agent/links/_entry.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING, Protocol
 
+from msgspec import structs
+
 from briardeal_core.events import Event, log_event
 from briardeal_protocol.connections import Closed
 from briardeal_protocol.messages import (
@@ -22,9 +24,15 @@
     import random
 
     from briardeal_protocol.connections import Connection, Network
-    from briardeal_protocol.messages import AgentHello, AgentMessage, EndpointState, EntryMessage
+    from briardeal_protocol.messages import (
+        AgentHello,
+        AgentMessage,
+        EndpointState,
+        EntryMessage,
+    )
 
 SILENCE_TIMEOUT_S = 3.0
+HELLO_INTERVAL_S = 1.0
 RECONNECT_MIN_S = 0.2
 RECONNECT_MAX_S = 3.0
 
@@ -41,6 +49,9 @@
     def learn_entries(self, addresses: tuple[str, ...]) -> None:
         """Take the addresses of all entries."""
 
+    def lose_entry(self, entry: EntryHello) -> None:
+        """Take note that the connection to an entry was lost."""
+
     async def answer(self, link: EntryLink, message: EntryMessage) -> AgentMessage | None:
         """Carry out an order and return the answer."""
 
@@ -58,6 +69,13 @@
         Agent address of the entry.
     rng
         Source of jitter.
+
+    Attributes
+    ----------
+    entry
+        The entry at the other end; `None` while there is no connection.
+    lost_s
+        When the connection was lost, or the link made, on the loop's clock.
     """
 
     def __init__(self, host: Host, network: Network, address: str, rng: random.Random) -> None:
@@ -68,6 +86,7 @@
         self.entry: EntryHello | None = None
         self.connection: Connection | None = None
         self.last_heard_s = 0.0
+        self.lost_s = asyncio.get_running_loop().time()
         self.told: EndpointState | None = None
         self.orders: set[asyncio.Task[None]] = set()
 
@@ -75,9 +94,8 @@
         """Connect again and again, with jittered back-off, until cancelled."""
         backoff_s = RECONNECT_MIN_S
         while True:
-            if await self._connect():
+            if await self._connect() and await self._serve():
                 backoff_s = RECONNECT_MIN_S
-                await self._serve()
             await asyncio.sleep(backoff_s * self.rng.uniform(0.5, 1.5))
             backoff_s = min(2 * backoff_s, RECONNECT_MAX_S)
 
@@ -97,58 +115,75 @@
             return False
         self.connection = connection
         hello = self.host.hello()
-        self.told = hello.endpoint
+        self.told = _without_load(hello.endpoint)
         await connection.send(hello)
         self.last_heard_s = asyncio.get_running_loop().time()
         return True
 
-    async def _serve(self) -> None:
-        heartbeats = asyncio.create_task(self._send_heartbeats())
+    async def _serve(self) -> bool:
+        """Serve the connection to its end; return whether the entry said hello."""
+        connection = self.connection
+        heartbeats = asyncio.create_task(self._send_heartbeats(connection))
         try:
-            while not isinstance(message := await self.connection.receive(), Closed):
+            while not isinstance(message := await connection.receive(), Closed):
                 self.last_heard_s = asyncio.get_running_loop().time()
-                self._handle(message)
+                await self._handle(connection, message)
         finally:
             heartbeats.cancel()
-            self.entry = None
-            await self.connection.close()
+            entry, self.entry = self.entry, None
             self.connection = None
+            self.lost_s = asyncio.get_running_loop().time()
+            if entry is not None:
+                self.host.lose_entry(entry)
+            await connection.close()
             log_event(Event.LINK_LOST, peer=self.address)
+        return entry is not None
 
-    async def _send_heartbeats(self) -> None:
+    async def _send_heartbeats(self, connection: Connection) -> None:
         sequence = 0
         while True:
-            await asyncio.sleep(self.entry.heartbeat_interval_s if self.entry else 1.0)
+            await asyncio.sleep(self.entry.heartbeat_interval_s if self.entry else HELLO_INTERVAL_S)
             silence_s = asyncio.get_running_loop().time() - self.last_heard_s
-            if silence_s > SILENCE_TIMEOUT_S:
-                await self.connection.close()
+            if silence_s >= SILENCE_TIMEOUT_S:
+                await connection.close()
                 return
             sequence += 1
-            await self.connection.send(
-                Heartbeat(sequence=sequence, endpoint=self._changed_endpoint())
-            )
+            await connection.send(self._heartbeat(sequence))
 
-    def _changed_endpoint(self) -> EndpointState | None:
+    def _heartbeat(self, sequence: int) -> Heartbeat:
         endpoint = self.host.endpoint()
-        if endpoint == self.told:
-            return None
-        self.told = endpoint
-        return endpoint
-
-    def _handle(self, message: EntryMessage) -> None:
+        state = _without_load(endpoint)
+        changed = state != self.told
+        self.told = state
+        return Heartbeat(
+            sequence=sequence,
+            endpoint=endpoint if changed else None,
+            slots_in_use=endpoint.slots_in_use if endpoint is not None else 0,
+            without_endpoint=endpoint is None,
+        )
+
+    async def _handle(self, connection: Connection, message: EntryMessage) -> None:
         if isinstance(message, EntryHello):
             self.entry = message
             log_event(Event.LINK_OPENED, peer=message.entry_id)
             self.host.learn_entries(message.entries)
         elif isinstance(message, HeartbeatAck):
             self.host.learn_entries(message.entries)
-        elif isinstance(message, Admit | Release | ReserveTask | StartTask | StopTask):
-            task = asyncio.create_task(self._answer(message))
+        elif isinstance(message, Admit | Release) and self.entry is not None:
+            # Answered at once, so that a release never overtakes its admission.
+            await self._answer(connection, message)
+        elif isinstance(message, ReserveTask | StartTask | StopTask):
+            task = asyncio.create_task(self._answer(connection, message))
             self.orders.add(task)
             task.add_done_callback(self.orders.discard)
 
-    async def _answer(self, message: EntryMessage) -> None:
-        connection = self.connection
+    async def _answer(self, connection: Connection, message: EntryMessage) -> None:
         answer = await self.host.answer(self, message)
-        if answer is not None and connection is not None:
+        if answer is not None:
             await connection.send(answer)
+
+
+def _without_load(endpoint: EndpointState | None) -> EndpointState | None:
+    if endpoint is None:
+        return None
+    return structs.replace(endpoint, slots_in_use=0)
--- a/packages/agent/briardeal_agent/permits/_permits.py
+++ b/packages/agent/briardeal_agent/permits/_permits.py
@@ -2,20 +2,32 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from typing import TYPE_CHECKING
 
 import attrs
+import msgspec
 
+from briardeal_agent.permits._shares import Shares
 from briardeal_core.reasons import Reason
 from briardeal_protocol.messages import Admitted, NotAdmitted
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Hashable
+    from collections.abc import Callable
 
-    from briardeal_protocol.messages import Admit, EndpointState, Release
+    from briardeal_protocol.messages import Admit, EndpointState, EntryHello, Release
 
-START_WITHIN_S = 2.0
-KEY_TTL_S = 900.0
+START_WITHIN_S = 1.0
+"""Time in which an entry must send an admitted request."""
+
+GRACE_S = 0.5
+"""Time for a request on its way and for clocks that run unequally fast."""
+
+QUARANTINE_S = START_WITHIN_S + 2 * GRACE_S
+"""Time after a start in which permits of the agent's earlier life may still be used."""
+
+KEY_LIMIT = 4096
+"""Most keys that are remembered."""
 
 
 @attrs.define
@@ -24,80 +36,188 @@
 
     Parameters
     ----------
+    permit_id
+        Name of the slot's use, unique.
+    holder
+        Entry and incarnation that it was granted to.
+    customer
+        Customer that the request is from.
     key
         Idempotency key of the request; empty for idempotent requests.
+    incarnation
+        Incarnation of the endpoint that it is for.
+    start_by_s
+        Until when the request can be sent, on the loop's clock.
     expires_s
-        When the slot is free again at the latest, on the loop's clock.
+        When the endpoint must have ended the request, on the loop's clock.
+    loose
+        Whether no release can be counted on any more.
     """
 
+    permit_id: str
+    holder: str
+    customer: str
     key: str
+    incarnation: int
+    start_by_s: float
     expires_s: float
+    loose: bool = False
 
 
 class Permits:
-    """The slots of one endpoint and the keys that it was sent.
+    """The slots of one endpoint, across all entries, and the keys that it was sent.
 
     Parameters
     ----------
     now_s
         Clock of the loop.
+    name
+        Name of the agent.
+    quarantine_s
+        Time from now in which nothing is admitted, in seconds.
 
     Attributes
     ----------
     endpoint
-        The endpoint as it last announced itself.
+        The endpoint as it last announced itself; `None` where it has not, or lapsed.
     held
-        Permits by the connection and call that asked for them.
-    keys
-        When each key is forgotten, in seconds on the loop's clock.
+        Permits by name.
+    leaving
+        Whether the agent takes no new work.
     """
 
-    def __init__(self, now_s: Callable[[], float]) -> None:
+    def __init__(
+        self, now_s: Callable[[], float], name: str = "", quarantine_s: float = 0.0
+    ) -> None:
         self.now_s = now_s
+        self.opens_s = now_s() + quarantine_s
         self.endpoint: EndpointState | None = None
-        self.held: dict[Hashable, Permit] = {}
-        self.keys: dict[str, float] = {}
-
-    def announce(self, endpoint: EndpointState | None) -> None:
+        self.expires_s = 0.0
+        self.running: frozenset[str] | None = None
+        self.held: dict[str, Permit] = {}
+        self.keys: OrderedDict[str, None] = OrderedDict()
+        self.shares = Shares(name, now_s)
+        self.leaving = False
+
+    def announce(self, endpoint: EndpointState | None, expires_s: float = float("inf")) -> None:
         """Take the state that the endpoint announced; `None` when its lease lapsed."""
         self.endpoint = endpoint
-
-    def admit(self, holder: Hashable, call: Admit) -> Admitted | NotAdmitted:
+        self.expires_s = expires_s
+        if endpoint is None:
+            self.running = None
+            return
+        for permit in self.held.values():
+            permit.loose |= permit.incarnation != endpoint.incarnation
+
+    def report(self, running: tuple[str, ...]) -> None:
+        """Take the names of the permits whose requests the endpoint works on."""
+        first = self.running is None
+        self.running = frozenset(running)
+        if first or self.now_s() < self.opens_s:
+            self._adopt()
+        latest_s = self.now_s() - GRACE_S
+        for permit in [permit for permit in self.held.values() if permit.loose]:
+            if permit.permit_id not in self.running and permit.start_by_s <= latest_s:
+                self._free(permit)
+
+    def admit(self, entry: EntryHello, call: Admit) -> Admitted | NotAdmitted:
         """Hold a slot for a request, or say why not."""
         self.expire()
+        self.shares.ask(call.customer, call.share)
         reason = self._refusal(call)
         if reason is not None:
             return NotAdmitted(
-                call_id=call.call_id, reason=reason.code, ran=reason is Reason.KEY_IN_USE
+                call_id=call.call_id,
+                reason=reason.code,
+                ran=reason is Reason.KEY_IN_USE,
+                slots_in_use=len(self.held),
             )
-        self.held[holder, call.call_id] = Permit(call.key, self.now_s() + call.deadline_s)
-        if call.key:
-            self.keys[call.key] = self.now_s() + KEY_TTL_S
-        return Admitted(call_id=call.call_id, start_within_s=START_WITHIN_S)
-
-    def release(self, holder: Hashable, call: Release) -> None:
-        """Free the slot of a request; forget its key only if it was never sent."""
-        permit = self.held.pop((holder, call.call_id), None)
-        if permit is not None and not call.started:
+        self._hold(entry, call)
+        return Admitted(
+            call_id=call.call_id, start_within_s=START_WITHIN_S, slots_in_use=len(self.held)
+        )
+
+    def release(self, entry: EntryHello, call: Release) -> None:
+        """Free the slot of a request, unless the endpoint may still work on it."""
+        permit = self.held.get(_permit_id(entry, call.permit))
+        if permit is None:
+            return
+        if not call.started:
             self.keys.pop(permit.key, None)
+        if call.started and not call.finished:
+            permit.loose = True
+        else:
+            self._free(permit)
+
+    def lose_entry(self, entry: EntryHello) -> None:
+        """Expect no more releases from an entry over the connection that was lost."""
+        for permit in self.held.values():
+            permit.loose |= permit.holder == _holder(entry)
 
     def expire(self) -> None:
-        """Free the slots and forget the keys whose time has passed."""
+        """Free the slots whose time has passed and that the endpoint does not report."""
         now_s = self.now_s()
-        for holder in [name for name, permit in self.held.items() if permit.expires_s <= now_s]:
-            del self.held[holder]
-        for key in [key for key, expires_s in self.keys.items() if expires_s <= now_s]:
-            del self.keys[key]
+        if self.expires_s <= now_s:
+            self.announce(None)
+        for permit in [permit for permit in self.held.values() if permit.expires_s <= now_s]:
+            if self.running is None or permit.permit_id not in self.running:
+                self._free(permit)
+        self.shares.forget_idle()
+
+    def state(self) -> EndpointState | None:
+        """Return the endpoint with its load and whether it takes new work."""
+        if self.endpoint is None or self.now_s() < self.opens_s:
+            return None
+        leaving = self.endpoint.leaving or self.leaving
+        return msgspec.structs.replace(self.endpoint, slots_in_use=len(self.held), leaving=leaving)
 
     def _refusal(self, call: Admit) -> Reason | None:
-        if self.endpoint is None:
+        if self.endpoint is None or self.now_s() < self.opens_s:
             return Reason.NO_ENDPOINT
         if self.endpoint.incarnation != call.incarnation:
             return Reason.ENDPOINT_REPLACED
         if call.key and call.key in self.keys:
             return Reason.KEY_IN_USE
-        if self.endpoint.leaving:
+        if self.endpoint.leaving or self.leaving:
             return Reason.ENDPOINT_LEAVING
-        if len(self.held) >= min(self.endpoint.slots, self.endpoint.connections):
+        slots = min(self.endpoint.slots, self.endpoint.connections)
+        if not self.shares.may_take(call.customer, slots, len(self.held)):
             return Reason.ENDPOINTS_BUSY
         return None
+
+    def _hold(self, entry: EntryHello, call: Admit) -> None:
+        now_s = self.now_s()
+        permit = Permit(
+            permit_id=_permit_id(entry, call.permit),
+            holder=_holder(entry),
+            customer=call.customer,
+            key=call.key,
+            incarnation=call.incarnation,
+            start_by_s=now_s + START_WITHIN_S,
+            expires_s=now_s + call.deadline_s + GRACE_S,
+        )
+        self.held[permit.permit_id] = permit
+        self.shares.take(call.customer)
+        if call.key:
+            self.keys[call.key] = None
+            if len(self.keys) > KEY_LIMIT:
+                self.keys.popitem(last=False)
+
+    def _adopt(self) -> None:
+        for permit_id in self.running - self.held.keys():
+            now_s = self.now_s()
+            permit = Permit(permit_id, "", "", "", 0, now_s, now_s, loose=True)
+            self.held[permit_id] = permit
+            self.shares.take(permit.customer)
+
+    def _free(self, permit: Permit) -> None:
+        del self.held[permit.permit_id]
+        self.shares.give_back(permit.customer)
+
+
+def _holder(entry: EntryHello) -> str:
+    return f"{entry.entry_id}/{entry.incarnation}"
+
+
+def _permit_id(entry: EntryHello, number: int) -> str:
+    return f"{_holder(entry)}/{number}"
--- a/packages/agent/briardeal_agent/structure/_agent.py
+++ b/packages/agent/briardeal_agent/structure/_agent.py
@@ -9,8 +9,8 @@
 from mode import Service
 
 from briardeal_agent.announcements import Announcements
-from briardeal_agent.links import EntryLink
-from briardeal_agent.permits import Permits
+from briardeal_agent.links import EntryLinks
+from briardeal_agent.permits import QUARANTINE_S, Permits
 from briardeal_agent.tasks import TaskTable
 from briardeal_core.clock import WallClock
 from briardeal_core.events import Event, log_event
@@ -30,10 +30,17 @@
 
 if TYPE_CHECKING:
     from briardeal_agent.config import AgentSettings
+    from briardeal_agent.links import EntryLink
     from briardeal_agent.workers import Worker
     from briardeal_core.clock import Clock
     from briardeal_protocol.connections import Network
-    from briardeal_protocol.messages import AgentMessage, EndpointState, EntryMessage, TaskStatus
+    from briardeal_protocol.messages import (
+        AgentMessage,
+        EndpointState,
+        EntryHello,
+        EntryMessage,
+        TaskStatus,
+    )
 
 TASK_POLL_S = 0.5
 DRAIN_POLL_S = 0.1
@@ -71,13 +78,12 @@
         self.rng = rng or random.Random()
         self.incarnation = int(self.clock.now_s() * 1000)
         self.metrics = Metrics()
-        self.permits = Permits(_loop_time)
+        self.permits = Permits(_loop_time, settings.agent_id, QUARANTINE_S)
         self.announcements = Announcements(self.permits, settings.endpoint_lease_s)
         self.tasks: TaskTable | None = None
         if worker is not None:
             self.tasks = TaskTable(worker, settings.accelerators, _loop_time)
-        self.links: dict[str, EntryLink] = {}
-        self.link_tasks: list[asyncio.Task[None]] = []
+        self.links = EntryLinks(self, network, self.rng, settings.entries)
         self.leaving = False
 
     async def on_start(self) -> None:
@@ -88,13 +94,11 @@
     async def on_stop(self) -> None:
         """Take no new work, finish what is held and close the links."""
         self.leaving = True
+        self.permits.leaving = True
         log_event(Event.PROCESS_STOPPING, name=self.settings.agent_id)
         await self._tell_all(AgentLeaving())
         await self._drain()
-        for task in self.link_tasks:
-            task.cancel()
-        for link in self.links.values():
-            await link.close()
+        await self.links.close()
         log_event(Event.PROCESS_STOPPED, name=self.settings.agent_id)
 
     @Service.task
@@ -102,7 +106,7 @@
         while not self.should_stop:
             await self.sleep(self.settings.endpoint_lease_s / 3)
             self.announcements.expire()
-            self.permits.expire()
+            self.links.forget_lost()
 
     @Service.task
     async def _watch_tasks(self) -> None:
@@ -126,22 +130,22 @@
 
     def endpoint(self) -> EndpointState | None:
         """Return the state of the endpoint."""
-        return self.permits.endpoint
+        return self.permits.state()
 
     def learn_entries(self, addresses: tuple[str, ...]) -> None:
         """Open a link to every entry that is not linked yet."""
-        for address in addresses:
-            if address not in self.links:
-                link = EntryLink(self, self.network, address, self.rng)
-                self.links[address] = link
-                self.link_tasks.append(asyncio.create_task(link.run()))
+        self.links.learn(addresses)
+
+    def lose_entry(self, entry: EntryHello) -> None:
+        """Take note that the connection to an entry was lost."""
+        self.permits.lose_entry(entry)
 
     async def answer(self, link: EntryLink, message: EntryMessage) -> AgentMessage | None:
         """Carry out an order and return the answer."""
         if isinstance(message, Admit):
-            return self.permits.admit(link.address, message)
+            return self.permits.admit(link.entry, message)
         if isinstance(message, Release):
-            self.permits.release(link.address, message)
+            self.permits.release(link.entry, message)
             return None
         if self.tasks is None:
             return None
@@ -160,7 +164,7 @@
         return Tasks(tasks=statuses, fence=self.tasks.fence, call_id=call_id)
 
     async def _tell_all(self, message: AgentMessage) -> None:
-        await asyncio.gather(*(link.send(message) for link in self.links.values()))
+        await self.links.tell_all(message)
 
     async def _drain(self) -> None:
         deadline_s = _loop_time() + self.settings.drain_timeout_s
--- a/packages/core/briardeal_core/events/_catalogue.py
+++ b/packages/core/briardeal_core/events/_catalogue.py
@@ -18,6 +18,7 @@
     AGENT_REPLACED = (203, "An agent came back with a newer incarnation.")
     LINK_OPENED = (210, "A connection to a peer was opened.")
     LINK_LOST = (211, "A connection to a peer was lost or went silent.")
+    ENDPOINT_EJECTED = (220, "An endpoint fails more often than the others and is left out.")
     REQUEST_REFUSED = (300, "A request was refused; the reason says why.")
     REQUEST_RETRIED = (301, "A request was sent again; the reason says why.")
     REQUEST_UNKNOWN = (302, "It is not known whether a request ran.")
--- a/packages/core/briardeal_core/reasons/_catalogue.py
+++ b/packages/core/briardeal_core/reasons/_catalogue.py
@@ -26,6 +26,12 @@
     JOB_UNKNOWN = "No job of this name is known."
     JOB_NEVER_FITS = "No set of VMs that exists can hold a job of this shape."
     LOG_UNAVAILABLE = "The platform's log does not answer, so nothing can be accepted for keeping."
+    AGENT_SILENT = "The agent beside the endpoint did not answer."
+    ENDPOINT_DECLINED = "The endpoint declined the request before it began to work on it."
+    ENTRY_DELAYED = "This entry was held up and did not send the request in time."
+    KEY_MISMATCH = "The idempotency key was used for another request."
+    KEY_ANSWER_DROPPED = "The request ran, but its answer is no longer kept."
+    KEYS_FULL = "Too many idempotency keys are remembered to take another request with one."
 
     @property
     def code(self) -> str:
--- a/packages/entry/briardeal/api/_replies.py
+++ b/packages/entry/briardeal/api/_replies.py
@@ -19,6 +19,8 @@
     Reason.KEY_NOT_ISSUED: 400,
     Reason.JOB_UNKNOWN: 404,
     Reason.KEY_IN_USE: 409,
+    Reason.KEY_MISMATCH: 422,
+    Reason.KEY_ANSWER_DROPPED: 410,
     Reason.KEY_EXPIRED: 410,
     Reason.KEY_HOME_LOST: 410,
     Reason.JOB_NEVER_FITS: 422,
--- a/packages/entry/briardeal/api/_requests.py
+++ b/packages/entry/briardeal/api/_requests.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 import msgspec
-from aiohttp import web
+from aiohttp import hdrs, web
 
 from briardeal.api._replies import reply_json, reply_refusal
 from briardeal.requests import Answer, Request
@@ -15,6 +16,8 @@
 if TYPE_CHECKING:
     from briardeal.structure import Entry
 
+DEFAULT_TYPE = "application/octet-stream"
+
 
 class KeyBody(msgspec.Struct, frozen=True):
     """Body of the answer to a call for a key."""
@@ -50,9 +53,7 @@
         request = await self._read(http)
         outcome = request if isinstance(request, Refusal) else await self.entry.handle(request)
         if isinstance(outcome, Answer):
-            return web.Response(
-                body=outcome.body, status=outcome.status, content_type=outcome.content_type
-            )
+            return _reply_answer(outcome)
         return reply_refusal(outcome)
 
     async def _read(self, http: web.Request) -> Request | Refusal:
@@ -67,17 +68,23 @@
             service=http.match_info["service"],
             customer=http.headers.get("Briardeal-Customer", ""),
             body=body,
-            content_type=http.content_type,
+            content_type=http.headers.get(hdrs.CONTENT_TYPE, DEFAULT_TYPE),
             deadline_s=asyncio.get_running_loop().time() + timeout_s,
             idempotent=http.headers.get("Briardeal-Idempotent", "true").lower() != "false",
             key=http.headers.get("Idempotency-Key", ""),
         )
 
 
+def _reply_answer(answer: Answer) -> web.Response:
+    headers = {hdrs.CONTENT_TYPE: answer.content_type or DEFAULT_TYPE}
+    return web.Response(body=answer.body, status=answer.status, headers=headers)
+
+
 def _parse_timeout(text: str | None) -> float | None:
     if text is None:
         return None
     try:
-        return float(text)
+        timeout_s = float(text)
     except ValueError:
         return -1.0
+    return timeout_s if math.isfinite(timeout_s) else -1.0
--- a/packages/entry/briardeal/membership/_listener.py
+++ b/packages/entry/briardeal/membership/_listener.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING, Protocol
 
 from mode import Service
 
 from briardeal_core.events import Event, log_event
-from briardeal_protocol.connections import Link
+from briardeal_protocol.connections import Closed, Link
 from briardeal_protocol.messages import (
     AgentHello,
     AgentLeaving,
@@ -22,6 +23,9 @@
     from briardeal_protocol.connections import Connection, Listener, Network
     from briardeal_protocol.messages import AgentMessage
 
+HELLO_TIMEOUT_S = 3.0
+"""Time in which a connected agent must name itself."""
+
 
 class Watcher(Protocol):
     """Hears of agents and of the tasks that they report."""
@@ -68,6 +72,7 @@
         self.table = table
         self.watcher = watcher
         self.listener: Listener | None = None
+        self.closing: set[asyncio.Task[None]] = set()
 
     async def on_start(self) -> None:
         """Listen for agents."""
@@ -91,25 +96,40 @@
 
     async def serve(self, connection: Connection) -> None:
         """Serve one connection until it ends."""
-        hello = await connection.receive()
-        link = Link(connection)
-        entry = self.table.join(hello, link) if isinstance(hello, AgentHello) else None
+        hello = await _receive_hello(connection)
+        entry = self._join(hello, Link(connection)) if isinstance(hello, AgentHello) else None
         if entry is None:
             await connection.close()
             return
-        log_event(Event.AGENT_JOINED, agent=entry.agent_id, incarnation=hello.incarnation)
         await connection.send(self.hello)
         self.watcher.agent_joined(entry)
         await self._read(entry)
         await connection.close()
-        self.table.remove(entry)
-        self.watcher.agent_lost(entry)
+        if self.table.remove(entry):
+            self.watcher.agent_lost(entry)
+
+    def _join(self, hello: AgentHello, link: Link) -> AgentEntry | None:
+        known = self.table.agents.get(hello.agent_id)
+        entry = self.table.join(hello, link)
+        if entry is None:
+            return None
+        if known is not None:
+            self._replace(known, entry)
+        log_event(Event.AGENT_JOINED, agent=entry.agent_id, incarnation=hello.incarnation)
+        return entry
+
+    def _replace(self, known: AgentEntry, entry: AgentEntry) -> None:
+        if known.hello.incarnation != entry.hello.incarnation:
+            log_event(Event.AGENT_REPLACED, agent=entry.agent_id)
+        closing = asyncio.create_task(known.link.connection.close())
+        self.closing.add(closing)
+        closing.add_done_callback(self.closing.discard)
 
     async def _read(self, entry: AgentEntry) -> None:
         async def handle(message: AgentMessage) -> None:
             entry.heard_s = self.table.now_s()
             if isinstance(message, Heartbeat):
-                entry.endpoint = message.endpoint or entry.endpoint
+                self._take_heartbeat(entry, message)
                 await entry.link.connection.send(HeartbeatAck(sequence=message.sequence))
             elif isinstance(message, AgentLeaving):
                 entry.leaving = True
@@ -118,3 +138,18 @@
                 self.watcher.tasks_changed(entry, message)
 
         await entry.link.run(handle)
+
+    def _take_heartbeat(self, entry: AgentEntry, heartbeat: Heartbeat) -> None:
+        if heartbeat.without_endpoint:
+            entry.endpoint = None
+            return
+        entry.endpoint = heartbeat.endpoint or entry.endpoint
+        entry.take_load(heartbeat.slots_in_use, self.table.now_s())
+
+
+async def _receive_hello(connection: Connection) -> AgentMessage | Closed:
+    try:
+        async with asyncio.timeout(HELLO_TIMEOUT_S):
+            return await connection.receive()
+    except TimeoutError:
+        return Closed("no hello")
--- a/packages/entry/briardeal/requests/__init__.py
+++ b/packages/entry/briardeal/requests/__init__.py
@@ -1,18 +1,32 @@
 """Requests of callers, carried to endpoints."""
 
-from briardeal.requests._endpoint import EndpointClient, HttpEndpointClient, NotSent, SentInVain
-from briardeal.requests._keys import IssuedKey, Keys
+from briardeal.requests._admission import Admissions
+from briardeal.requests._choice import Chooser, RegionalChooser, endpoint_name
+from briardeal.requests._endpoint import Dispatch, EndpointClient, NotSent, SentInVain
+from briardeal.requests._health import Health, Standing
+from briardeal.requests._http import HttpEndpointClient
+from briardeal.requests._keys import KEY_TTL_S, IssuedKey, Keys
+from briardeal.requests._memory import KeyMemory
 from briardeal.requests._request import Answer, Request
 from briardeal.requests._router import Router
 
 __all__ = [
+    "KEY_TTL_S",
+    "Admissions",
     "Answer",
+    "Chooser",
+    "Dispatch",
     "EndpointClient",
+    "Health",
     "HttpEndpointClient",
     "IssuedKey",
+    "KeyMemory",
     "Keys",
     "NotSent",
+    "RegionalChooser",
     "Request",
     "Router",
     "SentInVain",
+    "Standing",
+    "endpoint_name",
 ]
--- a/packages/entry/briardeal/requests/_endpoint.py
+++ b/packages/entry/briardeal/requests/_endpoint.py
@@ -1,26 +1,58 @@
-"""Requests to endpoints over HTTP."""
+"""What an endpoint is sent, and the outcomes of sending it."""
 
 from __future__ import annotations
 
-import asyncio
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
-import aiohttp
-
-from briardeal.requests._request import Answer
+import attrs
 
 if TYPE_CHECKING:
-    from briardeal.requests._request import Request
+    from briardeal.requests._request import Answer, Request
+
 
-REQUEST_PATH = "/v1/requests"
+@attrs.frozen
+class Dispatch:
+    """One request on its way to one endpoint.
+
+    Parameters
+    ----------
+    address
+        `IP:PORT` of the endpoint.
+    incarnation
+        Incarnation that the request is meant for; another one must not run it.
+    permit_id
+        Name of the slot that is held for the request.
+    request
+        The request.
+    start_by_s
+        Until when it may be sent, on the loop's clock.
+    """
+
+    address: str
+    incarnation: int
+    permit_id: str
+    request: Request
+    start_by_s: float
 
 
 @dataclass(frozen=True)
 class NotSent:
-    """No connection could be opened; the endpoint has not seen the request."""
+    """It is certain that the request did not run.
+
+    Parameters
+    ----------
+    detail
+        What happened.
+    late
+        Whether this entry was too late to send it.
+    refused
+        Whether the endpoint took the request in and refused to run it.
+    """
 
     detail: str
+    late: bool = False
+    refused: bool = False
 
 
 @dataclass(frozen=True)
@@ -33,58 +65,17 @@
         What happened.
     cut
         Whether an answer had begun.
+    timed_out
+        Whether the deadline of the request passed.
     """
 
     detail: str
     cut: bool = False
+    timed_out: bool = False
 
 
 class EndpointClient(Protocol):
     """Sends requests to endpoints."""
 
-    async def send(
-        self, address: str, request: Request, timeout_s: float
-    ) -> Answer | NotSent | SentInVain:
-        """Send a request and wait for the whole answer."""
-
-
-class HttpEndpointClient:
-    """Sends requests over HTTP, each on a new connection.
-
-    A new connection tells for certain whether the endpoint can have seen the request, and can't
-    have gone silent while it lay unused.
-    """
-
-    def __init__(self) -> None:
-        connector = aiohttp.TCPConnector(force_close=True, limit=0)
-        self.session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
-
-    async def close(self) -> None:
-        """Close all connections."""
-        await self.session.close()
-
-    async def send(
-        self, address: str, request: Request, timeout_s: float
-    ) -> Answer | NotSent | SentInVain:
-        """Send a request and wait for the whole answer."""
-        begun = False
-        try:
-            async with asyncio.timeout(timeout_s), self._post(address, request) as response:
-                begun = True
-                body = await response.read()
-                return Answer(response.status, body, response.content_type)
-        except aiohttp.ClientConnectorError as error:
-            return NotSent(str(error))
-        except (aiohttp.ClientError, OSError) as error:
-            return SentInVain(f"{type(error).__name__}: {error}", cut=begun)
-
-    def _post(self, address: str, request: Request) -> aiohttp.client._RequestContextManager:
-        return self.session.post(
-            f"http://{address}{REQUEST_PATH}",
-            data=request.body,
-            headers={
-                "Content-Type": request.content_type,
-                "Briardeal-Customer": request.customer,
-                "Idempotency-Key": request.key,
-            },
-        )
+    async def send(self, dispatch: Dispatch) -> Answer | NotSent | SentInVain:
+        """Send a request and wait for the whole answer, until the deadline of the request."""
--- /dev/null
+++ b/packages/entry/briardeal/requests/_http.py
@@ -0,0 +1,126 @@
+"""Requests to endpoints over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import aiohttp
+import attrs
+from aiohttp import hdrs
+
+from briardeal.requests._endpoint import NotSent, SentInVain
+from briardeal.requests._request import Answer
+
+if TYPE_CHECKING:
+    from types import SimpleNamespace
+
+    from briardeal.requests._endpoint import Dispatch
+
+REQUEST_PATH = "/v1/requests"
+RUN_STATE_HEADER = "Briardeal-Run-State"
+NOT_RUN = "not_run"
+BODILESS_STATUSES = {204, 304}
+
+
+class _TooLateError(Exception):
+    """The connection was open only after the time for sending had passed."""
+
+
+@attrs.define
+class _Progress:
+    """How far one dispatch has come."""
+
+    start_by_s: float
+    connected: bool = False
+    answered: bool = False
+
+
+class HttpEndpointClient:
+    """Sends requests over HTTP, each on a new connection.
+
+    A new connection tells for certain whether the endpoint can have seen the request, and can't
+    have gone silent while it lay unused.
+    """
+
+    def __init__(self) -> None:
+        connector = aiohttp.TCPConnector(force_close=True, limit=0)
+        tracing = aiohttp.TraceConfig()
+        tracing.on_connection_create_end.append(_check_start)
+        self.session = aiohttp.ClientSession(
+            connector=connector,
+            auto_decompress=False,
+            timeout=aiohttp.ClientTimeout(),
+            trace_configs=[tracing],
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.session.close()
+
+    async def send(self, dispatch: Dispatch) -> Answer | NotSent | SentInVain:
+        """Send a request and wait for the whole answer, until the deadline of the request."""
+        progress = _Progress(dispatch.start_by_s)
+        try:
+            async with asyncio.timeout_at(dispatch.request.deadline_s):
+                return await self._send(dispatch, progress)
+        except _TooLateError:
+            return NotSent("the time for sending has passed", late=True)
+        except TimeoutError:
+            if not progress.connected:
+                return NotSent("no connection in time")
+            return SentInVain("no answer in time", cut=progress.answered, timed_out=True)
+        except (aiohttp.ClientError, OSError) as error:
+            detail = f"{type(error).__name__}: {error}"
+            if not progress.connected:
+                return NotSent(detail)
+            return SentInVain(detail, cut=progress.answered)
+
+    async def _send(self, dispatch: Dispatch, progress: _Progress) -> Answer | NotSent | SentInVain:
+        async with self._post(dispatch, progress) as response:
+            progress.answered = True
+            if not _shows_its_end(response):
+                return SentInVain("the answer does not show where it ends", cut=True)
+            body = await response.read()
+        if not response.ok and response.headers.get(RUN_STATE_HEADER) == NOT_RUN:
+            return NotSent(f"the endpoint answered {response.status}, not run", refused=True)
+        return Answer(response.status, body, response.headers.get(hdrs.CONTENT_TYPE, ""))
+
+    def _post(
+        self, dispatch: Dispatch, progress: _Progress
+    ) -> aiohttp.client._RequestContextManager:
+        request = dispatch.request
+        left_s = request.deadline_s - asyncio.get_running_loop().time()
+        return self.session.post(
+            f"http://{dispatch.address}{REQUEST_PATH}",
+            data=request.body,
+            allow_redirects=False,
+            trace_request_ctx=progress,
+            headers={
+                hdrs.CONTENT_TYPE: request.content_type,
+                hdrs.ACCEPT_ENCODING: "identity",
+                "Idempotency-Key": request.key,
+                "Briardeal-Customer": request.customer,
+                "Briardeal-Incarnation": str(dispatch.incarnation),
+                "Briardeal-Permit": dispatch.permit_id,
+                "Briardeal-Timeout-S": f"{max(0.0, left_s):.3f}",
+            },
+        )
+
+
+async def _check_start(
+    session: aiohttp.ClientSession,
+    context: SimpleNamespace,
+    params: aiohttp.TraceConnectionCreateEndParams,
+) -> None:
+    progress: _Progress = context.trace_request_ctx
+    if asyncio.get_running_loop().time() >= progress.start_by_s:
+        raise _TooLateError
+    progress.connected = True
+
+
+def _shows_its_end(response: aiohttp.ClientResponse) -> bool:
+    if response.status in BODILESS_STATUSES:
+        return True
+    chunked = "chunked" in response.headers.get(hdrs.TRANSFER_ENCODING, "").lower()
+    return chunked or hdrs.CONTENT_LENGTH in response.headers
--- a/packages/entry/briardeal/requests/_keys.py
+++ b/packages/entry/briardeal/requests/_keys.py
@@ -3,24 +3,30 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
 import secrets
 from typing import TYPE_CHECKING
 
 import attrs
 
-from briardeal.requests._request import Answer
+from briardeal.requests._memory import KeyMemory, Outcome
 from briardeal_core.reasons import Reason, Refusal, RunState
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from briardeal.requests._request import Request
+
 KEY_TTL_S = 600.0
+"""How long a key is remembered after it was issued."""
+
 KEY_VERSION = "k1"
-KEY_RANDOM_BYTES = 9
+KEY_RANDOM_BYTES = 6
+SECRET_BYTES = 32
+MAC_BYTES = 9
+FINGERPRINT_BYTES = 12
 IN_USE_RETRY_S = 1.0
 
-Outcome = Answer | Refusal
-
 
 @attrs.frozen
 class IssuedKey:
@@ -34,42 +40,35 @@
         When it was issued, in whole seconds since the epoch.
     random
         Text that makes it unique.
+    mac
+        Code by which the entry that issued it knows it again.
     """
 
     entry_id: str
     incarnation: int
     issued_s: int
     random: str
+    mac: str = ""
 
     def __str__(self) -> str:
+        return f"{self.signed_text}~{self.mac}"
+
+    @property
+    def signed_text(self) -> str:
+        """The text that the code is made from."""
         parts = (KEY_VERSION, self.entry_id, self.incarnation, self.issued_s, self.random)
         return "~".join(str(part) for part in parts)
 
     @classmethod
     def parse(cls, text: str) -> IssuedKey | None:
         """Return the key in a text, or `None` where it is none of ours."""
-        parts = text.split("~")
-        if len(parts) != 5 or parts[0] != KEY_VERSION:
+        parts = text.rsplit("~", 4)
+        version, _, entry_id = parts[0].partition("~")
+        if len(parts) != 5 or version != KEY_VERSION or not entry_id:
             return None
-        if not (parts[2].isdigit() and parts[3].isdigit()):
+        if not (_is_number(parts[1]) and _is_number(parts[2])):
             return None
-        return cls(parts[1], int(parts[2]), int(parts[3]), parts[4])
-
-
-@attrs.define
-class KeyRecord:
-    """What became of a key.
-
-    Parameters
-    ----------
-    expires_s
-        When it is forgotten, on the wall clock.
-    outcome
-        The final outcome; `None` while the request runs.
-    """
-
-    expires_s: float
-    outcome: Outcome | None = None
+        return cls(entry_id, int(parts[1]), int(parts[2]), parts[3], parts[4])
 
 
 class Keys:
@@ -81,49 +80,75 @@
         This entry.
     now_s
         Wall time in seconds.
+    memory
+        What became of the keys.
     """
 
-    def __init__(self, entry_id: str, incarnation: int, now_s: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        entry_id: str,
+        incarnation: int,
+        now_s: Callable[[], float],
+        memory: KeyMemory | None = None,
+    ) -> None:
         self.entry_id = entry_id
         self.incarnation = incarnation
         self.now_s = now_s
-        self.records: dict[str, KeyRecord] = {}
+        self.memory = memory or KeyMemory()
+        self._secret = secrets.token_bytes(SECRET_BYTES)
 
     def issue(self) -> IssuedKey:
         """Return a new key."""
-        random = secrets.token_urlsafe(KEY_RANDOM_BYTES).replace("~", "-")
-        return IssuedKey(self.entry_id, self.incarnation, int(self.now_s()), random)
+        random = secrets.token_hex(KEY_RANDOM_BYTES)
+        key = IssuedKey(self.entry_id, self.incarnation, int(self.now_s()), random)
+        return attrs.evolve(key, mac=self._mac(key))
 
     def is_home(self, key: IssuedKey) -> bool:
-        """Return whether this entry, in this incarnation, issued the key."""
+        """Return whether this entry, in this incarnation, is the one that the key names."""
         return (key.entry_id, key.incarnation) == (self.entry_id, self.incarnation)
 
-    async def run_once(self, key: IssuedKey, run: Callable[[], Awaitable[Outcome]]) -> Outcome:
+    async def run_once(
+        self, key: IssuedKey, request: Request, run: Callable[[], Awaitable[Outcome]]
+    ) -> Outcome:
         """Run a request unless its key was used; give a repeated key the same outcome."""
-        self._expire()
-        if key.issued_s + KEY_TTL_S <= self.now_s():
-            return Refusal(Reason.KEY_EXPIRED, RunState.UNKNOWN)
-        record = self.records.get(str(key))
-        if record is not None and record.outcome is None:
-            return Refusal(Reason.KEY_IN_USE, RunState.UNKNOWN, IN_USE_RETRY_S)
+        if not secrets.compare_digest(key.mac.encode(), self._mac(key).encode()):
+            return Refusal(Reason.KEY_NOT_ISSUED, RunState.NOT_RUN)
+        self.memory.forget(self.now_s())
+        fingerprint = _fingerprint(request)
+        record = self.memory.records.get(str(key))
+        if record is not None and record.fingerprint != fingerprint:
+            return Refusal(Reason.KEY_MISMATCH, RunState.NOT_RUN)
         if record is not None:
-            return record.outcome
-        return await asyncio.shield(asyncio.create_task(self._run(str(key), key, run)))
-
-    async def _run(
-        self, name: str, key: IssuedKey, run: Callable[[], Awaitable[Outcome]]
-    ) -> Outcome:
-        record = KeyRecord(key.issued_s + KEY_TTL_S)
-        self.records[name] = record
-        outcome = await run()
-        if isinstance(outcome, Refusal) and outcome.run_state is RunState.NOT_RUN:
-            del self.records[name]
-        else:
-            record.outcome = outcome
+            return record.outcome or Refusal(Reason.KEY_IN_USE, RunState.UNKNOWN, IN_USE_RETRY_S)
+        expires_s = key.issued_s + KEY_TTL_S
+        if expires_s <= self.now_s():
+            return Refusal(Reason.KEY_EXPIRED, RunState.UNKNOWN)
+        if self.memory.is_full:
+            retry_after_s = self.memory.next_expiry_s() - self.now_s()
+            return Refusal(Reason.KEYS_FULL, RunState.NOT_RUN, max(1.0, retry_after_s))
+        self.memory.begin(str(key), fingerprint, expires_s)
+        return await asyncio.shield(asyncio.create_task(self._run(str(key), run)))
+
+    async def _run(self, name: str, run: Callable[[], Awaitable[Outcome]]) -> Outcome:
+        outcome: Outcome = Refusal(Reason.ENDPOINT_FAILED, RunState.UNKNOWN)
+        try:
+            outcome = await run()
+        finally:
+            self.memory.finish(name, outcome)
         return outcome
 
-    def _expire(self) -> None:
-        now_s = self.now_s()
-        for name in [name for name, record in self.records.items() if record.expires_s <= now_s]:
-            if self.records[name].outcome is not None:
-                del self.records[name]
+    def _mac(self, key: IssuedKey) -> str:
+        text = key.signed_text.encode()
+        return hashlib.blake2b(text, key=self._secret, digest_size=MAC_BYTES).hexdigest()
+
+
+def _fingerprint(request: Request) -> bytes:
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for part in (request.service, request.customer, request.content_type):
+        digest.update(f"{len(part)}:{part}".encode())
+    digest.update(request.body)
+    return digest.digest()
+
+
+def _is_number(text: str) -> bool:
+    return text.isascii() and text.isdigit()
--- a/packages/entry/briardeal/requests/_request.py
+++ b/packages/entry/briardeal/requests/_request.py
@@ -1,4 +1,4 @@
-"""A caller's request and its answer."""
+"""A caller's request, its answer and what is told where there is none."""
 
 from __future__ import annotations
 
@@ -6,6 +6,8 @@
 
 import attrs
 
+SERVER_ERROR_STATUS = 500
+
 
 @attrs.frozen
 class Request:
@@ -20,7 +22,7 @@
     body
         Content.
     content_type
-        Type of the content.
+        Type of the content, with its parameters.
     deadline_s
         When the caller gives up, on the loop's clock.
     idempotent
@@ -49,9 +51,14 @@
     body
         Content, whole.
     content_type
-        Type of the content.
+        Type of the content, with its parameters.
     """
 
     status: int
     body: bytes
     content_type: str
+
+    @property
+    def failed(self) -> bool:
+        """Whether the endpoint says that it could not do the work."""
+        return self.status >= SERVER_ERROR_STATUS
--- a/packages/entry/briardeal/requests/_router.py
+++ b/packages/entry/briardeal/requests/_router.py
@@ -1,23 +1,49 @@
-"""Choice of an endpoint for each request, and what follows when it fails."""
+"""The way of a request to an endpoint and of its answer back."""
 
 from __future__ import annotations
 
 import asyncio
+import random
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from briardeal.requests._endpoint import NotSent, SentInVain
+from briardeal.requests._admission import Admissions, Permit
+from briardeal.requests._attempts import Attempts
+from briardeal.requests._budget import RetryBudget
+from briardeal.requests._choice import RegionalChooser, endpoint_name
+from briardeal.requests._endpoint import Dispatch, NotSent, SentInVain
+from briardeal.requests._health import Health
+from briardeal.requests._lines import WAIT_MAX_S, Lines, TooLong
 from briardeal.requests._request import Answer
+from briardeal_core.events import Event, log_event
 from briardeal_core.reasons import Reason, Refusal, RunState
-from briardeal_protocol.messages import Admit, Admitted, NotAdmitted, Release
 
 if TYPE_CHECKING:
     from briardeal.membership import AgentEntry, AgentTable
+    from briardeal.requests._choice import Chooser
     from briardeal.requests._endpoint import EndpointClient
+    from briardeal.requests._lines import Line, Waiter
     from briardeal.requests._request import Request
+    from briardeal_core.configuration import Configuration
     from briardeal_core.metrics import Metrics
 
-ADMIT_TIMEOUT_S = 1.0
-BUSY_RETRY_S = 1.0
+ADMISSIONS_MAX = 4
+"""Most agents that are asked in a row before the request waits."""
+
+BACKOFF_MIN_S = 0.025
+BACKOFF_MAX_S = 1.0
+POLL_MIN_S = 0.05
+POLL_MAX_S = 0.4
+NO_ENDPOINT_RETRY_S = 1.0
+BUDGET_RETRY_S = 1.0
+ASK_ANOTHER = {
+    Reason.AGENT_SILENT,
+    Reason.NO_ENDPOINT,
+    Reason.ENDPOINT_LEAVING,
+    Reason.ENDPOINT_REPLACED,
+    Reason.ENDPOINTS_BUSY,
+}
+"""Reasons of an agent after which another agent is asked."""
 
 
 class Router:
@@ -31,77 +57,229 @@
         Sends requests to endpoints.
     metrics
         Counts refusals and retries.
+    admissions
+        Asks agents for slots.
+    region
+        Region of this entry.
+    rng
+        Source of chance.
+
+    Attributes
+    ----------
+    health
+        Evidence on failures of endpoints.
+    chooser
+        Chooses an endpoint.
     """
 
-    def __init__(self, table: AgentTable, client: EndpointClient, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        table: AgentTable,
+        client: EndpointClient,
+        metrics: Metrics,
+        admissions: Admissions,
+        region: str,
+        rng: random.Random | None = None,
+    ) -> None:
         self.table = table
         self.client = client
         self.metrics = metrics
-        self.in_flight: dict[str, int] = {}
+        self.admissions = admissions
+        self.region = region
+        self.rng = rng or random.Random()
+        self.health = Health(table.now_s, self.rng)
+        self.chooser: Chooser = RegionalChooser(region, self.health, self.rng)
+        self.lines = Lines(table.now_s)
+        self.budget = RetryBudget()
+        self.shares: dict[str, float] = {}
+        self.cross_region_bytes = metrics.counter(
+            "briardeal_request_cross_region_bytes_total",
+            "Bytes of requests and answers between this entry and endpoints of other regions.",
+        )
+
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Take the guaranteed shares of customers."""
+        self.shares = {c.name: c.request_share for c in configuration.customers}
 
     async def route(self, request: Request) -> Answer | Refusal:
         """Return the whole answer to a request, or why there is none."""
-        tried: set[str] = set()
-        refusal = Refusal(Reason.NO_ENDPOINT, RunState.NOT_RUN, BUSY_RETRY_S)
-        while (agent := self._choose(request, tried)) is not None:
-            tried.add(agent.agent_id)
-            outcome = await self._try(agent, request)
-            if isinstance(outcome, Answer) or not _may_retry(request, outcome):
+        self.budget.add_request()
+        attempts = Attempts(request)
+        while True:
+            outcome = await self._attempt(attempts)
+            attempts.outcomes.append(outcome)
+            if not attempts.may_retry():
+                return attempts.final()
+            backoff_s = self._backoff_s(len(attempts.outcomes))
+            if self.table.now_s() + backoff_s >= request.deadline_s:
+                return attempts.final()
+            if not self.budget.take_retry():
+                return self._budget_spent(attempts)
+            self._count_retry(request, outcome)
+            await asyncio.sleep(backoff_s)
+
+    def forget_idle(self) -> None:
+        """Forget customers and endpoints that were not met for long."""
+        self.lines.forget_idle()
+        self.health.forget_idle()
+
+    async def _attempt(self, attempts: Attempts) -> Answer | Refusal:
+        request = attempts.request
+        line = self.lines.line(
+            request.service, request.customer, self.shares.get(request.customer, 0.0)
+        )
+        admitted = await self._admit(attempts, line)
+        if isinstance(admitted, Refusal):
+            return admitted
+        self.lines.take_slot(line)
+        try:
+            outcome = await self._send(admitted, request)
+        finally:
+            self.lines.give_back_slot(line, request.service)
+        if isinstance(outcome, SentInVain) or (isinstance(outcome, Answer) and outcome.failed):
+            attempts.failed.add(admitted.agent.agent_id)
+        return _explain(outcome, request, self.table.now_s())
+
+    async def _admit(self, attempts: Attempts, line: Line) -> Permit | Refusal:
+        """Ask for a slot, and wait in line for one where all are held."""
+        if not line.waiters:
+            outcome = await self._ask_agents(attempts, line)
+            if isinstance(outcome, Permit) or outcome.reason is not Reason.ENDPOINTS_BUSY:
+                return outcome
+        left_s = attempts.request.deadline_s - self.table.now_s()
+        waiter = self.lines.enter(line, left_s)
+        if isinstance(waiter, TooLong):
+            return Refusal(Reason.ENDPOINTS_BUSY, RunState.NOT_RUN, waiter.retry_after_s)
+        try:
+            return await self._wait_for_slot(attempts, waiter)
+        finally:
+            self.lines.leave(waiter)
+
+    async def _wait_for_slot(self, attempts: Attempts, waiter: Waiter) -> Permit | Refusal:
+        until_s = min(attempts.request.deadline_s, self.table.now_s() + WAIT_MAX_S)
+        poll_s = POLL_MIN_S
+        while (left_s := until_s - self.table.now_s()) > 0:
+            await waiter.wait(min(left_s, poll_s * self.rng.uniform(0.75, 1.25)))
+            poll_s = min(2 * poll_s, POLL_MAX_S)
+            if not waiter.is_first:
+                continue
+            outcome = await self._ask_agents(attempts, waiter.line)
+            if isinstance(outcome, Permit) or outcome.reason is not Reason.ENDPOINTS_BUSY:
+                return outcome
+        if self.table.now_s() >= attempts.request.deadline_s:
+            return Refusal(Reason.DEADLINE_PASSED, RunState.NOT_RUN)
+        retry_after_s = self.lines.retry_after_s(waiter.line)
+        return Refusal(Reason.ENDPOINTS_BUSY, RunState.NOT_RUN, retry_after_s)
+
+    async def _ask_agents(self, attempts: Attempts, line: Line) -> Permit | Refusal:
+        asked: set[str] = set()
+        refusal = Refusal(Reason.NO_ENDPOINT, RunState.NOT_RUN, NO_ENDPOINT_RETRY_S)
+        for _ in range(ADMISSIONS_MAX):
+            if self.table.now_s() >= attempts.request.deadline_s:
+                return Refusal(Reason.DEADLINE_PASSED, RunState.NOT_RUN)
+            agent = self._choose(attempts, asked)
+            if agent is None:
+                break
+            asked.add(agent.agent_id)
+            outcome = await self._ask(agent, attempts.request, line)
+            if isinstance(outcome, Permit) or outcome.reason not in ASK_ANOTHER:
                 return outcome
-            refusal = outcome
             self.metrics.count_retry(outcome.reason)
-        return refusal
-
-    def _choose(self, request: Request, tried: set[str]) -> AgentEntry | None:
-        agents = [a for a in self.table.endpoints(request.service) if a.agent_id not in tried]
-        return min(agents, key=lambda agent: self.in_flight.get(agent.agent_id, 0), default=None)
-
-    async def _try(self, agent: AgentEntry, request: Request) -> Answer | Refusal:
-        admit = self._admission(agent, request)
-        reply = await agent.link.call(admit, ADMIT_TIMEOUT_S)
-        if not isinstance(reply, Admitted):
-            return _not_admitted(reply)
-        self.in_flight[agent.agent_id] = self.in_flight.get(agent.agent_id, 0) + 1
+            if refusal.reason is not Reason.ENDPOINTS_BUSY:
+                refusal = outcome
+        return replace(refusal, retry_after_s=NO_ENDPOINT_RETRY_S)
+
+    async def _ask(self, agent: AgentEntry, request: Request, line: Line) -> Permit | Refusal:
+        name = endpoint_name(agent)
+        self.health.begin(name)
+        outcome = await self.admissions.admit(agent, request, line.share)
+        if isinstance(outcome, Refusal):
+            self.health.cancel(name)
+        return outcome
+
+    def _choose(self, attempts: Attempts, asked: set[str]) -> AgentEntry | None:
+        request = attempts.request
+        agents = [a for a in self.table.endpoints(request.service) if a.agent_id not in asked]
+        responsive = [agent for agent in agents if agent.is_responsive]
+        fresh = [agent for agent in responsive if agent.agent_id not in attempts.failed]
+        return self.chooser.choose(fresh or responsive or agents, request.idempotent)
+
+    async def _send(self, permit: Permit, request: Request) -> Answer | NotSent | SentInVain:
+        name = f"{permit.agent.agent_id}/{permit.incarnation}"
+        outcome: Answer | NotSent | SentInVain = SentInVain("given up")
         try:
-            outcome = await self._send(agent, request)
+            outcome = await self._dispatch(permit, request)
         finally:
-            self.in_flight[agent.agent_id] -= 1
-        started = not isinstance(outcome, NotSent)
-        await agent.link.connection.send(Release(call_id=admit.call_id, started=started))
-        return _to_refusal(outcome)
-
-    async def _send(self, agent: AgentEntry, request: Request) -> Answer | NotSent | SentInVain:
-        left_s = request.deadline_s - asyncio.get_running_loop().time()
-        if left_s <= 0:
-            return NotSent("the deadline has passed")
-        return await self.client.send(agent.endpoint.address, request, left_s)
-
-    def _admission(self, agent: AgentEntry, request: Request) -> Admit:
-        left_s = max(0.0, request.deadline_s - asyncio.get_running_loop().time())
-        return Admit(
-            call_id=agent.link.next_call_id(),
-            key=request.key,
-            incarnation=agent.endpoint.incarnation,
-            deadline_s=left_s,
-            customer=request.customer,
+            self.admissions.release(
+                permit,
+                request,
+                started=not isinstance(outcome, NotSent),
+                finished=not isinstance(outcome, SentInVain),
+            )
+        self._count_bytes(permit.agent, request, outcome)
+        if isinstance(outcome, NotSent) and (outcome.late or outcome.refused):
+            self.health.cancel(name)
+            return outcome
+        failed = not isinstance(outcome, Answer) or outcome.failed
+        peers = [endpoint_name(agent) for agent in self.table.endpoints(request.service)]
+        if self.health.finish(name, failed, peers):
+            log_event(Event.ENDPOINT_EJECTED, agent=permit.agent.agent_id)
+        return outcome
+
+    async def _dispatch(self, permit: Permit, request: Request) -> Answer | NotSent | SentInVain:
+        if self.table.now_s() >= min(permit.start_by_s, request.deadline_s):
+            return NotSent("the time for sending has passed", late=True)
+        endpoint = permit.agent.endpoint
+        if endpoint is None or endpoint.incarnation != permit.incarnation:
+            return NotSent("the endpoint was replaced", refused=True)
+        dispatch = Dispatch(
+            address=endpoint.address,
+            incarnation=permit.incarnation,
+            permit_id=permit.permit_id,
+            request=request,
+            start_by_s=permit.start_by_s,
         )
+        return await self.client.send(dispatch)
 
+    def _count_bytes(
+        self, agent: AgentEntry, request: Request, outcome: Answer | NotSent | SentInVain
+    ) -> None:
+        if agent.hello.region == self.region or isinstance(outcome, NotSent):
+            return
+        answered = len(outcome.body) if isinstance(outcome, Answer) else 0
+        self.cross_region_bytes.add({"region": agent.hello.region}, len(request.body) + answered)
 
-def _not_admitted(reply: object) -> Refusal:
-    if isinstance(reply, NotAdmitted):
-        run_state = RunState.UNKNOWN if reply.ran else RunState.NOT_RUN
-        return Refusal(Reason[reply.reason.upper()], run_state, BUSY_RETRY_S)
-    return Refusal(Reason.NO_ENDPOINT, RunState.NOT_RUN, BUSY_RETRY_S)
+    def _backoff_s(self, attempts: int) -> float:
+        longest_s = min(BACKOFF_MIN_S * 2**attempts, BACKOFF_MAX_S)
+        return self.rng.uniform(0, longest_s)
 
+    def _budget_spent(self, attempts: Attempts) -> Answer | Refusal:
+        final = attempts.final()
+        if isinstance(final, Answer):
+            return final
+        detail = f"Before that: {final.sentence}"
+        return Refusal(Reason.RETRY_BUDGET_SPENT, final.run_state, BUDGET_RETRY_S, detail)
 
-def _to_refusal(outcome: Answer | NotSent | SentInVain) -> Answer | Refusal:
-    if isinstance(outcome, NotSent):
-        return Refusal(Reason.ENDPOINT_FAILED, RunState.NOT_RUN, BUSY_RETRY_S, outcome.detail)
-    if isinstance(outcome, SentInVain):
-        reason = Reason.ANSWER_CUT if outcome.cut else Reason.ENDPOINT_FAILED
-        return Refusal(reason, RunState.UNKNOWN, None, outcome.detail)
-    return outcome
+    def _count_retry(self, request: Request, outcome: Answer | Refusal) -> None:
+        reason = Reason.ENDPOINT_FAILED if isinstance(outcome, Answer) else outcome.reason
+        self.metrics.count_retry(reason)
+        log_event(Event.REQUEST_RETRIED, reason=reason.code, service=request.service)
 
 
-def _may_retry(request: Request, refusal: Refusal) -> bool:
-    return request.idempotent or refusal.run_state is RunState.NOT_RUN
+def _explain(
+    outcome: Answer | NotSent | SentInVain, request: Request, now_s: float
+) -> Answer | Refusal:
+    if isinstance(outcome, Answer):
+        return outcome
+    state = RunState.NOT_RUN if isinstance(outcome, NotSent) else RunState.UNKNOWN
+    if now_s >= request.deadline_s:
+        return Refusal(Reason.DEADLINE_PASSED, state)
+    return Refusal(_failure(outcome), state, detail=f"{outcome.detail}.")
+
+
+def _failure(outcome: NotSent | SentInVain) -> Reason:
+    if isinstance(outcome, SentInVain):
+        return Reason.ANSWER_CUT if outcome.cut else Reason.ENDPOINT_FAILED
+    if outcome.late:
+        return Reason.ENTRY_DELAYED
+    return Reason.ENDPOINT_DECLINED if outcome.refused else Reason.ENDPOINT_FAILED
--- a/packages/entry/briardeal/structure/_entry.py
+++ b/packages/entry/briardeal/structure/_entry.py
@@ -9,7 +9,7 @@
 
 from briardeal.jobs import JobBoard, JobService
 from briardeal.membership import AgentListener, AgentTable
-from briardeal.requests import Answer, IssuedKey, Keys, Router
+from briardeal.requests import Admissions, Answer, IssuedKey, Keys, Router
 from briardeal_core.clock import WallClock
 from briardeal_core.events import Event, log_event
 from briardeal_core.metrics import Metrics
@@ -17,6 +17,8 @@
 from briardeal_protocol.messages import EntryHello
 
 if TYPE_CHECKING:
+    import random
+
     from briardeal.config import EntrySettings
     from briardeal.requests import EndpointClient, Request
     from briardeal_core.clock import Clock
@@ -25,6 +27,11 @@
 
 SHUTDOWN_RETRY_S = 0.5
 DRAIN_POLL_S = 0.1
+BALANCER_NOTICE_S = 2.0
+"""Time in which the balancer notices that the entry is no longer ready."""
+
+FORGET_INTERVAL_S = 10.0
+RELEASE_TIMEOUT_S = 2.0
 
 
 class Entry(Service):
@@ -42,6 +49,15 @@
         Sends requests to endpoints.
     clock
         Wall time.
+    rng
+        Source of chance.
+
+    Attributes
+    ----------
+    ready
+        Whether the balancer may send callers here.
+    accepting
+        Whether new requests are taken, also for a while after the balancer was told otherwise.
     """
 
     def __init__(
@@ -51,6 +67,7 @@
         log: Log,
         client: EndpointClient,
         clock: Clock | None = None,
+        rng: random.Random | None = None,
     ) -> None:
         super().__init__()
         self.settings = settings
@@ -59,12 +76,16 @@
         self.metrics = Metrics()
         self.table = AgentTable(settings.agent_lease_s, _loop_time)
         self.keys = Keys(settings.entry_id, self.incarnation, self.clock.now_s)
-        self.router = Router(self.table, client, self.metrics)
+        self.admissions = Admissions(settings.entry_id, self.incarnation, self.table, _loop_time)
+        self.router = Router(
+            self.table, client, self.metrics, self.admissions, settings.region, rng
+        )
         self.board = JobBoard()
         self.jobs = JobService(log, self.board, self.table)
         hello = EntryHello(entry_id=settings.entry_id, incarnation=self.incarnation)
         self.agents = AgentListener(network, settings.agent_listen, hello, self.table, self.jobs)
         self.ready = False
+        self.accepting = False
         self.in_flight = 0
 
     def on_init_dependencies(self) -> list[Service]:
@@ -74,15 +95,25 @@
     async def on_started(self) -> None:
         """Tell the balancer that callers may come."""
         self.ready = True
+        self.accepting = True
         log_event(Event.PROCESS_STARTED, name=self.settings.entry_id)
 
+    @Service.task
+    async def _forget_idle(self) -> None:
+        while not self.should_stop:
+            await self.sleep(FORGET_INTERVAL_S)
+            self.router.forget_idle()
+
     async def drain(self) -> None:
-        """Take no new requests and finish those that are held."""
+        """Tell the balancer, then take no new requests and finish those that are held."""
         self.ready = False
         log_event(Event.PROCESS_STOPPING, name=self.settings.entry_id)
+        await asyncio.sleep(BALANCER_NOTICE_S)
+        self.accepting = False
         deadline_s = _loop_time() + self.settings.drain_timeout_s
         while self.in_flight and _loop_time() < deadline_s:
             await asyncio.sleep(DRAIN_POLL_S)
+        await self.admissions.flush(RELEASE_TIMEOUT_S)
 
     async def on_shutdown(self) -> None:
         """Log the end of the process."""
@@ -90,7 +121,7 @@
 
     async def handle(self, request: Request) -> Answer | Refusal:
         """Return the whole answer to a request, or why there is none."""
-        if not self.ready:
+        if not self.accepting:
             return self._refuse(
                 Refusal(Reason.SHUTTING_DOWN, RunState.NOT_RUN, SHUTDOWN_RETRY_S), request
             )
@@ -111,7 +142,7 @@
             return Refusal(Reason.KEY_NOT_ISSUED, RunState.NOT_RUN)
         if not self.keys.is_home(key):
             return Refusal(Reason.KEY_HOME_LOST, RunState.UNKNOWN)
-        return await self.keys.run_once(key, lambda: self.router.route(request))
+        return await self.keys.run_once(key, request, lambda: self.router.route(request))
 
     def _refuse(self, refusal: Refusal, request: Request) -> Refusal:
         self.metrics.count_refusal(refusal.reason)
--- a/packages/protocol/briardeal_protocol/messages/_agent.py
+++ b/packages/protocol/briardeal_protocol/messages/_agent.py
@@ -123,25 +123,52 @@
     tasks: tuple[TaskStatus, ...] = ()
 
 
-class Heartbeat(msgspec.Struct, frozen=True, tag="heartbeat", kw_only=True):
-    """Renews the lease of an agent; tells the endpoint's state where it changed."""
+class Heartbeat(msgspec.Struct, frozen=True, tag="heartbeat", kw_only=True, omit_defaults=True):
+    """Renews the lease of an agent.
+
+    Parameters
+    ----------
+    sequence
+        Number of the heartbeat on its connection.
+    endpoint
+        State of the endpoint, where anything but its load has changed.
+    slots_in_use
+        Slots of the endpoint that are held.
+    without_endpoint
+        Whether the agent has no endpoint beside it at present.
+    """
 
     sequence: int
     endpoint: EndpointState | None = None
+    slots_in_use: int = 0
+    without_endpoint: bool = False
 
 
 class AgentLeaving(msgspec.Struct, frozen=True, tag="agent_leaving", kw_only=True):
     """The agent's endpoint takes no new work from now on."""
 
 
-class Admitted(msgspec.Struct, frozen=True, tag="admitted", kw_only=True):
-    """A slot is held for the request; it must be sent before `start_within_s` has passed."""
+class Admitted(msgspec.Struct, frozen=True, tag="admitted", kw_only=True, omit_defaults=True):
+    """A slot is held for the request.
+
+    Parameters
+    ----------
+    call_id
+        Call that this answers.
+    start_within_s
+        Time in which the request must be sent, in seconds from before the call was made.
+    slots_in_use
+        Slots of the endpoint that are held, this one among them.
+    """
 
     call_id: int
     start_within_s: float
+    slots_in_use: int = 0
 
 
-class NotAdmitted(msgspec.Struct, frozen=True, tag="not_admitted", kw_only=True):
+class NotAdmitted(
+    msgspec.Struct, frozen=True, tag="not_admitted", kw_only=True, omit_defaults=True
+):
     """No slot is held for the request, and it has not run on this endpoint because of this call.
 
     Parameters
@@ -152,11 +179,14 @@
         Code of the reason.
     ran
         Whether an earlier call with the same key was admitted here.
+    slots_in_use
+        Slots of the endpoint that are held.
     """
 
     call_id: int
     reason: str
     ran: bool = False
+    slots_in_use: int = 0
 
 
 class Tasks(msgspec.Struct, frozen=True, tag="tasks", kw_only=True):
--- a/packages/protocol/briardeal_protocol/messages/_entry.py
+++ b/packages/protocol/briardeal_protocol/messages/_entry.py
@@ -28,7 +28,9 @@
     heartbeat_interval_s: float = 1.0
 
 
-class HeartbeatAck(msgspec.Struct, frozen=True, tag="heartbeat_ack", kw_only=True):
+class HeartbeatAck(
+    msgspec.Struct, frozen=True, tag="heartbeat_ack", kw_only=True, omit_defaults=True
+):
     """Answers a heartbeat, so that the agent finds a silent connection.
 
     Parameters
@@ -43,43 +45,52 @@
     entries: tuple[str, ...] = ()
 
 
-class Admit(msgspec.Struct, frozen=True, tag="admit", kw_only=True):
+class Admit(msgspec.Struct, frozen=True, tag="admit", kw_only=True, omit_defaults=True):
     """Asks for a slot for one request.
 
     Parameters
     ----------
     call_id
         Number of this call on the connection.
-    key
-        Identifies the request for at-most-once execution; empty for idempotent requests.
     incarnation
         Incarnation of the endpoint that the request is meant for.
     deadline_s
         Time until the caller gives up, in seconds from now.
+    permit
+        Number of the slot that is asked for, unique within the incarnation of the entry.
+    key
+        Identifies the request for at-most-once execution; empty for idempotent requests.
     customer
         Customer that the slot is for.
+    share
+        Share of the slots that is guaranteed to the customer, between 0 and 1.
     """
 
     call_id: int
-    key: str
     incarnation: int
     deadline_s: float
+    permit: int = 0
+    key: str = ""
     customer: str = ""
+    share: float = 0.0
 
 
-class Release(msgspec.Struct, frozen=True, tag="release", kw_only=True):
-    """Gives back the slot of an admitted request.
+class Release(msgspec.Struct, frozen=True, tag="release", kw_only=True, omit_defaults=True):
+    """Gives back the slot of a request.
 
     Parameters
     ----------
-    call_id
-        Call that was admitted.
+    permit
+        Number of the slot, as in `Admit`.
     started
         Whether the request may have reached the endpoint.
+    finished
+        Whether it is certain that the endpoint no longer works on the request.
     """
 
-    call_id: int
-    started: bool
+    permit: int
+    started: bool = True
+    finished: bool = True
 
 
 class ReserveTask(msgspec.Struct, frozen=True, tag="reserve_task", kw_only=True):
--- a/packages/standins/briardeal_standins/endpoint/_endpoint.py
+++ b/packages/standins/briardeal_standins/endpoint/_endpoint.py
@@ -10,9 +10,11 @@
 from aiohttp import web
 from mode import Service
 
-from briardeal_protocol.messages import EndpointState
+from briardeal_agent.announcements import Announcement
 
 ANNOUNCE_INTERVAL_S = 0.5
+LEAVING_NOTICE_S = 1.5
+"""Time between the announcement of leaving and the end of listening."""
 
 
 class Execution(msgspec.Struct, frozen=True):
@@ -49,6 +51,8 @@
         How often each key was run; requests without a key count under the empty one.
     most_at_once
         Most requests that ran at once.
+    permits
+        Permits of the requests that run.
     """
 
     def __init__(
@@ -65,12 +69,12 @@
         self.name = name
         self.address = address
         self.agent = agent
-        self.announced = EndpointState(
+        self.announced = Announcement(
             service=service, address=address, incarnation=incarnation, slots=slots, connections=64
         )
         self.work_s = work_s
         self.executions: dict[str, int] = {}
-        self.running = 0
+        self.permits: list[str] = []
         self.most_at_once = 0
         self._runner: web.AppRunner | None = None
 
@@ -86,20 +90,28 @@
         await web.TCPSite(self._runner, host, int(port)).start()
 
     async def on_stop(self) -> None:
-        """Finish what runs."""
+        """Announce the leaving, then finish what runs."""
+        self.announced = msgspec.structs.replace(self.announced, leaving=True)
+        async with aiohttp.ClientSession() as session:
+            await self._announce_once(session)
+        await asyncio.sleep(LEAVING_NOTICE_S)
         await self._runner.cleanup()
 
     async def run(self, http: web.Request) -> web.Response:
-        """Run one request."""
+        """Run one request, if it is meant for this incarnation."""
+        incarnation = http.headers.get("Briardeal-Incarnation")
+        if incarnation not in (None, str(self.announced.incarnation)):
+            return web.Response(status=421, headers={"Briardeal-Run-State": "not_run"})
         key = http.headers.get("Idempotency-Key", "")
         body = await http.text()
         self.executions[key] = self.executions.get(key, 0) + 1
-        self.running += 1
-        self.most_at_once = max(self.most_at_once, self.running)
+        permit = http.headers.get("Briardeal-Permit", "")
+        self.permits.append(permit)
+        self.most_at_once = max(self.most_at_once, len(self.permits))
         try:
             await asyncio.sleep(self.work_s)
         finally:
-            self.running -= 1
+            self.permits.remove(permit)
         answer = msgspec.json.encode(Execution(self.name, key, body))
         return web.Response(body=answer, content_type="application/json")
 
@@ -111,8 +123,12 @@
     async def _announce(self) -> None:
         async with aiohttp.ClientSession() as session:
             while not self.should_stop:
-                with contextlib.suppress(aiohttp.ClientError):
-                    url = f"http://{self.agent}/v1/endpoint"
-                    async with session.put(url, data=msgspec.json.encode(self.announced)):
-                        pass
+                await self._announce_once(session)
                 await self.sleep(ANNOUNCE_INTERVAL_S)
+
+    async def _announce_once(self, session: aiohttp.ClientSession) -> None:
+        announcement = msgspec.structs.replace(self.announced, running=tuple(self.permits))
+        url = f"http://{self.agent}/v1/endpoint"
+        with contextlib.suppress(aiohttp.ClientError):
+            async with session.put(url, data=msgspec.json.encode(announcement)):
+                pass
