--- /dev/null
+++ b/tests/checkers/site.py
@@ -0,0 +1,265 @@
+"""Entries, agents and endpoints of one region in one event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+import attrs
+
+from briardeal.config import EntrySettings
+from briardeal.requests import Answer, Request
+from briardeal.structure import Entry
+from briardeal_agent.config import AgentSettings
+from briardeal_agent.structure import Agent
+from briardeal_core.clock import WallClock
+from briardeal_protocol.connections import MemoryNetwork
+from briardeal_standins.endpoint import MemoryEndpoint, MemoryEndpointClient
+from briardeal_standins.log import MemoryLog
+from tests.checkers.requests import Call, find_violations
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+SERVICE = "sampling"
+REGION = "ljubljana"
+SETTLE_S = 5.0
+EPOCH_S = 1_000_000_000.0
+
+
+@attrs.define(eq=False)
+class Site:
+    """The system under test, with a history of what callers were told.
+
+    Parameters
+    ----------
+    entries, endpoints
+        How many of each.
+    seed
+        Seed of every choice.
+    slots
+        Slots of each endpoint.
+    work_s
+        Returns how long a request takes, in seconds.
+    """
+
+    entries: int = 2
+    endpoints: int = 3
+    seed: int = 1
+    slots: int = 8
+    work_s: Callable[[], float] = lambda: 0.05
+    network: MemoryNetwork = attrs.field(factory=MemoryNetwork)
+    calls: list[Call] = attrs.field(factory=list)
+    left_s: dict[str, float] = attrs.field(factory=dict)
+    running: dict[str, Entry] = attrs.field(factory=dict)
+    clients: dict[str, MemoryEndpointClient] = attrs.field(factory=dict)
+    agents: dict[str, Agent] = attrs.field(factory=dict)
+    vms: dict[str, MemoryEndpoint] = attrs.field(factory=dict)
+    tasks: dict[str, list[asyncio.Task[Call]]] = attrs.field(factory=dict)
+    under_way: dict[str, list[Call]] = attrs.field(factory=dict)
+    log: MemoryLog = attrs.field(factory=MemoryLog)
+    rng: random.Random = attrs.field(init=False)
+
+    async def __aenter__(self) -> Site:
+        """Start everything and wait until requests can be routed."""
+        self.rng = random.Random(self.seed)
+        for number in range(self.entries):
+            await self.start_entry(f"entry-{number}")
+        for number in range(self.endpoints):
+            self.add_endpoint(f"vm-{number}")
+            await self.start_agent(f"vm-{number}")
+        await asyncio.sleep(SETTLE_S)
+        return self
+
+    async def __aexit__(self, *exception: object) -> None:
+        """Stop everything."""
+        for vm in self.vms.values():
+            if vm.is_up:
+                vm.kill()
+        for name in list(self.agents):
+            self.kill_agent(name)
+        for entry in self.running.values():
+            await entry.stop()
+
+    async def kill_entry(self, name: str) -> None:
+        """End an entry without warning, and with it all that it is sending."""
+        self.halt_calls(name)
+        self.network.cut(f"{name}:1")
+        for task in self.tasks.pop(name, []):
+            task.cancel()
+        entry = self.running.pop(name)
+        entry.ready = False
+        await entry.stop()
+        self.network.unreachable.discard(f"{name}:1")
+
+    def pause_entry(self, name: str) -> None:
+        """Halt the requests that an entry is sending, and its connections to agents."""
+        self.running[name].ready = False
+        self.clients[name].awake.clear()
+        self.network.silence(f"{name}:1")
+
+    def resume_entry(self, name: str) -> None:
+        """Let an entry go on."""
+        self.halt_calls(name)
+        self.clients[name].awake.set()
+        self.running[name].ready = True
+
+    def halt_calls(self, name: str) -> None:
+        """Take note that the calls under way at an entry can't be answered in time."""
+        for call in self.under_way.get(name, ()):
+            call.entry_halted = True
+
+    async def start_entry(self, name: str) -> Entry:
+        """Start an entry, or one that takes the place of an earlier one."""
+        settings = EntrySettings(
+            entry_id=name,
+            region=REGION,
+            failure_domain="lj-1",
+            listen="caller:0",
+            agent_listen=f"{name}:1",
+            peer_listen=f"{name}:2",
+            peers=(),
+            log="log:1",
+            agent_lease_s=3.0,
+            request_timeout_s=30.0,
+            drain_timeout_s=60.0,
+        )
+        addresses = {address: vm for vm in self.vms.values() for address in [vm.address]}
+        self.clients[name] = MemoryEndpointClient(addresses)
+        rng = random.Random(self.rng.random())
+        entry = Entry(settings, self.network, self.log, self.clients[name], self.clock(), rng)
+        self.running[name] = entry
+        await entry.start()
+        return entry
+
+    def add_endpoint(self, name: str) -> None:
+        """Add a VM with an endpoint."""
+        vm = MemoryEndpoint(
+            name, SERVICE, f"{name}:80", lambda: self._announcements(name), self.slots, self.work_s
+        )
+        self.vms[name] = vm
+        for client in self.clients.values():
+            client.endpoints[vm.address] = vm
+        vm.start()
+
+    async def start_agent(self, name: str) -> Agent:
+        """Start the agent of a VM, or one that takes the place of an earlier one."""
+        settings = AgentSettings(
+            agent_id=name,
+            region=REGION,
+            failure_domain="lj-1",
+            rack="rack",
+            listen=f"{name}:70",
+            entries=tuple(f"{entry}:1" for entry in self.running),
+            worker=None,
+            accelerators=0,
+            endpoint_lease_s=3.0,
+            drain_timeout_s=30.0,
+        )
+        rng = random.Random(self.rng.random())
+        agent = Agent(settings, self.network, None, self.clock(), rng)
+        self.agents[name] = agent
+        await agent.start()
+        return agent
+
+    def kill_agent(self, name: str) -> None:
+        """End an agent without warning."""
+        agent = self.agents.pop(name)
+        agent.set_shutdown()
+        for task in agent.links.tasks.values():
+            task.cancel()
+
+    def silence(self, agent: str, entry: str) -> None:
+        """Let the open connection between an agent and an entry go silent."""
+        connection = self.agents[agent].links.links[f"{entry}:1"].connection
+        connection.silent = connection.other.silent = True
+
+    async def send(
+        self,
+        entry: str,
+        body: bytes,
+        *,
+        timeout_s: float = 5.0,
+        key: str = "",
+        customer: str = "audit",
+    ) -> Call:
+        """Send a request and note what the caller is told."""
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + timeout_s
+        request = Request(SERVICE, customer, body, "text/plain", deadline_s, not key, key)
+        call = Call(body, not key, deadline_s)
+        self.calls.append(call)
+        self.under_way.setdefault(entry, []).append(call)
+        outcome = await self.running[entry].handle(request)
+        self.under_way[entry].remove(call)
+        call.ended_s = loop.time()
+        if isinstance(outcome, Answer):
+            call.told = "answer" if not outcome.failed else "ran"
+            call.answer = outcome.body
+        else:
+            call.told = outcome.run_state.value
+            call.reason = outcome.reason.code
+        return call
+
+    def key(self, entry: str) -> str:
+        """Return a key issued by an entry."""
+        return str(self.running[entry].keys.issue())
+
+    def leave(self, name: str) -> None:
+        """Let an endpoint say that it leaves."""
+        self.left_s[name] = asyncio.get_running_loop().time()
+        self.vms[name].leave()
+
+    def violations(self) -> list[str]:
+        """Return a line for each promise that was broken."""
+        return find_violations(self.calls, self.vms.values(), self.left_s)
+
+    def clock(self) -> WallClock:
+        """Return wall time that starts at the same moment in every run."""
+        return WallClock(EPOCH_S)
+
+    def _announcements(self, name: str) -> object | None:
+        agent = self.agents.get(name)
+        return None if agent is None else agent.announcements
+
+
+async def drive(
+    site: Site, *, seconds: float, per_second: float, keyed: float = 0.0, timeout_s: float = 5.0
+) -> None:
+    """Send requests at random moments through random entries and wait for what they are told.
+
+    Parameters
+    ----------
+    site
+        The system under test.
+    seconds
+        How long to send.
+    per_second
+        Mean rate.
+    keyed
+        Share of requests that are not idempotent; a quarter of them is sent twice.
+    timeout_s
+        Deadline of each request, in seconds.
+    """
+    loop = asyncio.get_running_loop()
+    until_s = loop.time() + seconds
+    sending: list[asyncio.Task[Call]] = []
+    while loop.time() < until_s:
+        await asyncio.sleep(site.rng.expovariate(per_second))
+        ready = [name for name, entry in site.running.items() if entry.ready]
+        if not ready:
+            continue
+        name = site.rng.choice(ready)
+        body = f"{site.seed}-{len(site.calls)}".encode()
+        key = site.key(name) if site.rng.random() < keyed else ""
+        copies = 2 if key and site.rng.random() < 0.25 else 1
+        for _ in range(copies):
+            call = site.send(name, body, timeout_s=timeout_s, key=key)
+            sending.append(asyncio.create_task(call))
+            site.tasks.setdefault(name, []).append(sending[-1])
+    if sending:
+        await asyncio.wait(sending)
+    broken = [task.exception() for task in sending if not task.cancelled() and task.exception()]
+    if broken:
+        raise broken[0]
