--- a/packages/core/briardeal_core/reasons/_catalogue.py
+++ b/packages/core/briardeal_core/reasons/_catalogue.py
@@ -33,6 +33,12 @@
     CONFIGURATION_CONFLICT = "Another operator changed the configuration first."
     CONFIGURATION_NOT_LOST = "Nothing is missing from the platform's log, so nothing was replaced."
     CONFIGURATION_VERSION_UNKNOWN = "No configuration of this version is kept any more."
+    AGENT_SILENT = "The agent beside the endpoint did not answer."
+    ENDPOINT_DECLINED = "The endpoint declined the request before it began to work on it."
+    ENTRY_DELAYED = "This entry was held up and did not send the request in time."
+    KEY_MISMATCH = "The idempotency key was used for another request."
+    KEY_ANSWER_DROPPED = "The request ran, but its answer is no longer kept."
+    KEYS_FULL = "Too many idempotency keys are remembered to take another request with one."
 
     @property
     def code(self) -> str:
--- a/packages/entry/briardeal/structure/_entry.py
+++ b/packages/entry/briardeal/structure/_entry.py
@@ -10,7 +10,7 @@
 
 from briardeal.jobs import JobBoard, JobService
 from briardeal.membership import AgentListener, AgentTable
-from briardeal.requests import Answer, IssuedKey, Keys, Router
+from briardeal.requests import Admissions, Answer, IssuedKey, Keys, Router
 from briardeal_core.clock import WallClock
 from briardeal_core.configuration.store import ConfigurationStore
 from briardeal_core.events import Event, log_event
@@ -29,6 +29,11 @@
 
 SHUTDOWN_RETRY_S = 0.5
 DRAIN_POLL_S = 0.1
+BALANCER_NOTICE_S = 2.0
+"""Time in which the balancer notices that the entry is no longer ready."""
+
+FORGET_INTERVAL_S = 10.0
+RELEASE_TIMEOUT_S = 2.0
 
 
 class Entry(Service):
@@ -48,6 +53,13 @@
         Wall time.
     rng
         Source of identifiers and jitter.
+
+    Attributes
+    ----------
+    ready
+        Whether the balancer may send callers here.
+    accepting
+        Whether new requests are taken, also for a while after the balancer was told otherwise.
     """
 
     def __init__(
@@ -62,12 +74,15 @@
         super().__init__()
         self.settings = settings
         self.clock = clock or WallClock()
-        self.rng = rng or random.SystemRandom()
+        self.rng = rng or random.Random()
         self.incarnation = int(self.clock.now_s() * 1000)
         self.metrics = Metrics()
         self.table = AgentTable(settings.agent_lease_s, _loop_time)
         self.keys = Keys(settings.entry_id, self.incarnation, self.clock.now_s)
-        self.router = Router(self.table, client, self.metrics)
+        self.admissions = Admissions(settings.entry_id, self.incarnation, self.table, _loop_time)
+        self.router = Router(
+            self.table, client, self.metrics, self.admissions, settings.region, self.rng
+        )
         self.budget = AppendBudget()
         self.configuration = ConfigurationStore(
             log, settings.entry_id, self.budget, self.rng, self.clock
@@ -77,6 +92,7 @@
         hello = EntryHello(entry_id=settings.entry_id, incarnation=self.incarnation)
         self.agents = AgentListener(network, settings.agent_listen, hello, self.table, self.jobs)
         self.ready = False
+        self.accepting = False
         self.in_flight = 0
 
     def on_init_dependencies(self) -> list[Service]:
@@ -86,15 +102,25 @@
     async def on_started(self) -> None:
         """Tell the balancer that callers may come."""
         self.ready = True
+        self.accepting = True
         log_event(Event.PROCESS_STARTED, name=self.settings.entry_id)
 
+    @Service.task
+    async def _forget_idle(self) -> None:
+        while not self.should_stop:
+            await self.sleep(FORGET_INTERVAL_S)
+            self.router.forget_idle()
+
     async def drain(self) -> None:
-        """Take no new requests and finish those that are held."""
+        """Tell the balancer, then take no new requests and finish those that are held."""
         self.ready = False
         log_event(Event.PROCESS_STOPPING, name=self.settings.entry_id)
+        await asyncio.sleep(BALANCER_NOTICE_S)
+        self.accepting = False
         deadline_s = _loop_time() + self.settings.drain_timeout_s
         while self.in_flight and _loop_time() < deadline_s:
             await asyncio.sleep(DRAIN_POLL_S)
+        await self.admissions.flush(RELEASE_TIMEOUT_S)
 
     async def on_shutdown(self) -> None:
         """Log the end of the process."""
@@ -106,7 +132,7 @@
 
     async def handle(self, request: Request) -> Answer | Refusal:
         """Return the whole answer to a request, or why there is none."""
-        if not self.ready:
+        if not self.accepting:
             return self._refuse(
                 Refusal(Reason.SHUTTING_DOWN, RunState.NOT_RUN, SHUTDOWN_RETRY_S), request
             )
@@ -127,7 +153,7 @@
             return Refusal(Reason.KEY_NOT_ISSUED, RunState.NOT_RUN)
         if not self.keys.is_home(key):
             return Refusal(Reason.KEY_HOME_LOST, RunState.UNKNOWN)
-        return await self.keys.run_once(key, lambda: self.router.route(request))
+        return await self.keys.run_once(key, request, lambda: self.router.route(request))
 
     def _refuse(self, refusal: Refusal, request: Request) -> Refusal:
         self.metrics.count_refusal(refusal.reason)
