--- a/packages/core/briardeal_core/reasons/_catalogue.py
+++ b/packages/core/briardeal_core/reasons/_catalogue.py
@@ -26,6 +26,9 @@
     JOB_UNKNOWN = "No job of this name is known."
     JOB_NEVER_FITS = "No set of VMs that exists can hold a job of this shape."
     LOG_UNAVAILABLE = "The platform's log does not answer, so nothing can be accepted for keeping."
+    ENTRY_UNREACHABLE = "The entry that has to answer is out of reach at the moment."
+    FORWARD_LOST = "The request was passed on to another entry, and no answer came back."
+    FORWARD_LIMIT = "The request was passed on between entries too often."
 
     @property
     def code(self) -> str:
--- /dev/null
+++ b/packages/entry/briardeal/peers/_dialing.py
@@ -0,0 +1,91 @@
+"""Choice of the addresses to connect to."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+import attrs
+
+from briardeal.peers._carriers import DomainName, rank
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterator
+
+    from briardeal.peers._table import PeerTable
+
+RETRY_INTERVAL_S = 1.0
+"""Time between attempts at one address; short, so that a healed cut is noticed in a lease."""
+
+
+@attrs.define
+class Dialer:
+    """Keeps the list of addresses to connect to.
+
+    Within a region, the entry with the lower name dials. Between two failure domains of different
+    regions, the carrier of the lower one dials.
+
+    Parameters
+    ----------
+    table
+        Links and members.
+    seeds
+        Peer addresses from the settings.
+    rng
+        Source of jitter.
+    """
+
+    table: PeerTable
+    seeds: tuple[str, ...]
+    rng: random.Random
+    dialing: set[str] = attrs.field(factory=set)
+    retry_s: dict[str, float] = attrs.field(factory=dict)
+    failures: dict[DomainName, int] = attrs.field(factory=lambda: defaultdict(int))
+
+    def due(self) -> list[str]:
+        """Return the addresses to dial now."""
+        now_s = self.table.now_s()
+        wanted = set(self._wanted())
+        self.retry_s = {a: at_s for a, at_s in self.retry_s.items() if at_s > now_s}
+        return sorted(a for a in wanted if a not in self.dialing and a not in self.retry_s)
+
+    def failed(self, address: str) -> None:
+        """Wait before an address is dialed again, and try another of its failure domain."""
+        jitter = self.rng.uniform(0.75, 1.25)
+        self.retry_s[address] = self.table.now_s() + RETRY_INTERVAL_S * jitter
+        for member in self.table.book.members():
+            if member.peer_address == address:
+                self.failures[DomainName.of(member)] += 1
+
+    def wants_stream(self, remote: DomainName) -> bool:
+        """Return whether this entry has to open the stream to a failure domain."""
+        streams = self.table.streams()
+        is_open = any(link.domain == remote and not link.leaving for link in streams)
+        return self.carries(remote) and not is_open
+
+    def carries(self, remote: DomainName) -> bool:
+        """Return whether this entry opens and keeps the stream to a failure domain."""
+        own = DomainName.of(self.table.myself)
+        names = [member.entry_id for member in self.table.domain_members()]
+        return own < remote and names and rank(own, remote, names)[0] == self.table.myself.entry_id
+
+    def _wanted(self) -> Iterator[str]:
+        myself = self.table.myself
+        for member in self.table.out_of_reach():
+            if myself.entry_id < member.entry_id:
+                yield member.peer_address
+        for remote, addresses in self._remote_addresses().items():
+            if self.wants_stream(remote):
+                names = rank(DomainName.of(myself), remote, addresses)
+                yield addresses[names[self.failures[remote] % len(names)]]
+        known = {member.peer_address for member in self.table.book.members()}
+        yield from set(self.seeds) - known - {myself.peer_address}
+
+    def _remote_addresses(self) -> dict[DomainName, dict[str, str]]:
+        leaving = {link.member.entry_id for link in self.table.links.values() if link.leaving}
+        addresses: dict[DomainName, dict[str, str]] = defaultdict(dict)
+        for member in self.table.book.members():
+            if not self.table.is_near(member) and member.entry_id not in leaving:
+                addresses[DomainName.of(member)][member.entry_id] = member.peer_address
+        return addresses
--- a/packages/protocol/briardeal_protocol/peers/_framing.py
+++ b/packages/protocol/briardeal_protocol/peers/_framing.py
@@ -61,10 +61,9 @@
         data = encode(message)
         if len(data) > MESSAGE_LIMIT_BYTES:
             return Closed("the message is too large")
-        for frame in self._split(data):
-            if not await self._write(frame):
-                return Broken("the connection broke")
-        return None
+        # A caller that gives up leaves no part of a message behind at the other end.
+        sending = asyncio.create_task(self._send_frames(self._split(data)))
+        return await asyncio.shield(sending)
 
     async def receive(self) -> PeerMessage | Closed:
         """Wait for the next message that this version knows."""
@@ -97,6 +96,12 @@
             encode(Fragment(number, index, index == last, part)) for index, part in enumerate(parts)
         ]
 
+    async def _send_frames(self, frames: list[bytes]) -> Broken | None:
+        for frame in frames:
+            if not await self._write(frame):
+                return Broken("the connection broke")
+        return None
+
     async def _write(self, frame: bytes) -> bool:
         async with self._writing:
             if self.closed or not await self.pipe.write(frame):
--- a/packages/protocol/briardeal_protocol/peers/_grpc.py
+++ b/packages/protocol/briardeal_protocol/peers/_grpc.py
@@ -34,6 +34,7 @@
     def __init__(self, channel: grpc.aio.Channel) -> None:
         self.channel = channel
         self.call = channel.stream_stream(f"/{SERVICE}/{METHOD}")()
+        self.closed = False
 
     async def write(self, frame: bytes) -> bool:
         """Write one byte string; return whether the stream still holds."""
@@ -41,6 +42,9 @@
             await self.call.write(frame)
         except (grpc.RpcError, asyncio.InvalidStateError):
             return False
+        except asyncio.CancelledError:
+            self._raise_unless_closed()
+            return False
         return True
 
     async def read(self) -> bytes | None:
@@ -49,13 +53,22 @@
             frame = await self.call.read()
         except (grpc.RpcError, asyncio.InvalidStateError):
             return None
+        except asyncio.CancelledError:
+            self._raise_unless_closed()
+            return None
         return None if frame is grpc.aio.EOF else frame
 
     async def close(self) -> None:
         """End the stream and its channel."""
+        self.closed = True
         self.call.cancel()
         await self.channel.close()
 
+    def _raise_unless_closed(self) -> None:
+        # The library raises the same error for a cancelled call as for a cancelled task.
+        if not self.closed:
+            raise
+
 
 class ServerPipe:
     """The accepting end of a stream."""
--- a/packages/protocol/briardeal_protocol/peers/_messages.py
+++ b/packages/protocol/briardeal_protocol/peers/_messages.py
@@ -133,7 +133,7 @@
     workers, accelerators
         Workers that are alive and their accelerators.
     jobs_waiting
-        Jobs that wait for accelerators.
+        Jobs that wait for accelerators, in the whole region.
     """
 
     services: tuple[ServiceLoad, ...] = ()
@@ -232,7 +232,9 @@
     origin, origin_incarnation, number
         Identify the forward among all, so that a copy of it is not run again.
     target
-        Entry that is to answer; empty for any entry of the failure domain's region.
+        Entry that is to answer; empty for any entry of the region.
+    region, failure_domain
+        Where any entry may answer, and the failure domain through which it is reached.
     hops
         Connections that it may still cross, this one included.
     deadline_s
@@ -246,6 +248,8 @@
     origin_incarnation: int
     number: int
     target: str
+    region: str
+    failure_domain: str
     hops: int
     deadline_s: float
     service: str
