--- a/packages/entry/briardeal/peers/_link.py
+++ b/packages/entry/briardeal/peers/_link.py
@@ -11,6 +11,7 @@
 from briardeal_protocol.peers import Broken, Forwarded, ForwardRefused, PeerHeartbeat
 
 if TYPE_CHECKING:
+    from briardeal.peers._table import RemoteDomain
     from briardeal_protocol.peers import Forward, Member, PeerConnection, PeerMessage
 
     Reply = Forwarded | ForwardRefused
@@ -41,6 +42,8 @@
         The last heartbeat heard.
     leaving
         Whether the other end takes no new work.
+    domains
+        Failure domains of other regions that the other end tells of.
     counted_sent, counted_received
         Bytes that the metrics have counted.
     """
@@ -55,6 +58,7 @@
         self.heartbeat_s = self.heard_s
         self.leaving = False
         self.sequence = 0
+        self.domains: dict[DomainName, RemoteDomain] = {}
         self.counted_sent = 0
         self.counted_received = 0
         self.calls: dict[int, asyncio.Future[Reply | Closed]] = {}
--- a/packages/entry/briardeal/peers/_service.py
+++ b/packages/entry/briardeal/peers/_service.py
@@ -9,7 +9,6 @@
 import attrs
 from mode import Service
 
-from briardeal.peers._carriers import DomainName
 from briardeal.peers._configuration import ConfigurationExchange
 from briardeal.peers._dialing import Dialer
 from briardeal.peers._forwarding import Forwarder
@@ -110,6 +109,7 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.listener: PeerListener | None = None
         self.told_entries: tuple[str, ...] = ()
+        self.told_live: frozenset[tuple[str, int]] = frozenset()
 
     async def on_start(self) -> None:
         """Listen for other entries."""
@@ -135,10 +135,13 @@
         while any(link.busy for link in self.sessions) and _loop_time() < deadline_s:
             await asyncio.sleep(TICK_S)
 
-    def state_changed(self) -> None:
-        """Tell of a change among the entries that are alive at once."""
-        for link in self.sessions:
-            link.wake()
+    def state_changed(self, keep_s: float = LEASE_S) -> None:
+        """Take in a change, and tell of it at once where it is among the live entries."""
+        self.table.merge_domains(keep_s)
+        if self.table.live() != self.told_live:
+            self.told_live = self.table.live()
+            for link in self.sessions:
+                link.wake()
         entries = self.table.agent_addresses()
         if entries != self.told_entries:
             self.told_entries = entries
@@ -184,7 +187,7 @@
         for member in self.table.remote_members():
             self.book.saw(member)
         self.book.forget()
-        if self.table.expire_domains():
+        if any(domain.expires_s is not None for domain in self.table.domains.values()):
             self.state_changed()
 
     def _close_streams(self) -> None:
@@ -306,14 +309,7 @@
         near = self.table.is_near(link.member)
         event = Event.PEER_LOST if near else Event.STREAM_CLOSED
         log_event(event, peer=link.member.entry_id, region=link.member.region)
-        if self.table.release_source(link.member.entry_id, keep_s):
-            self._ask_neighbours()
-        self.state_changed()
-
-    def _ask_neighbours(self) -> None:
-        for link, session in self.sessions.items():
-            if link.domain == DomainName.of(self.myself):
-                session.ask_resync()
+        self.state_changed(keep_s)
 
     def _log_opened(self, link: PeerLink, known: PeerLink | None) -> None:
         event = Event.PEER_JOINED if self.table.is_near(link.member) else Event.STREAM_OPENED
--- a/packages/entry/briardeal/peers/_session.py
+++ b/packages/entry/briardeal/peers/_session.py
@@ -29,6 +29,7 @@
 
     from briardeal.peers._link import PeerLink
     from briardeal.peers._service import PeerService
+    from briardeal.peers._table import RemoteDomain
     from briardeal_protocol.peers import PeerMessage
 
 MEMBERS_INTERVAL_S = 2.0
@@ -51,7 +52,7 @@
         self.link = link
         self.table = service.table
         self.teller = StateTeller()
-        self.reader = StateReader(service.table, link.member.entry_id)
+        self.reader = StateReader(link, service.table.is_near(link.member))
         self.members_told_s = -MEMBERS_INTERVAL_S
         self.resync_asked_s = -RESYNC_INTERVAL_S
 
@@ -75,6 +76,7 @@
         self._start(self.link.send(Resync()))
 
     async def _speak(self) -> None:
+        await self.link.send(self._heartbeat())
         while True:
             update = self.teller.next_update(self._views(), set(self.table.domains))
             if update is not None:
@@ -106,13 +108,21 @@
             return {own: self._own_view(own)}
         if self.link.domain != own:
             return {}
-        near = {member.entry_id for member in self.table.region_members()}
         return {
             name: DomainView(dict(domain.members), domain.load, dict(domain.services))
             for name, domain in self.table.domains.items()
-            if domain.source not in near
+            if self._is_told(domain)
         }
 
+    def _is_told(self, domain: RemoteDomain) -> bool:
+        """Return whether this entry tells a neighbour of a failure domain.
+
+        One that may soon be forgotten is not told to those who have not heard of it.
+        """
+        if domain.expires_s is not None and domain.name not in self.teller.told:
+            return False
+        return not domain.relayed
+
     def _own_view(self, own: DomainName) -> DomainView:
         with_entries = {member.failure_domain for member in self.table.region_members()}
         with_entries.add(own.failure_domain)
@@ -153,7 +163,7 @@
             self.ask_resync()
 
     def _take_update(self, update: StateUpdate) -> None:
-        if not self.reader.take(update):
+        if not self.reader.take(update, self.table.now_s()):
             self.ask_resync()
         self.service.state_changed()
 
--- a/packages/entry/briardeal/peers/_table.py
+++ b/packages/entry/briardeal/peers/_table.py
@@ -7,6 +7,7 @@
 import attrs
 
 from briardeal.peers._carriers import DomainName
+from briardeal.peers._link import LEASE_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -51,6 +52,8 @@
         The failure domain.
     source
         Name of the entry that tells of it.
+    relayed
+        Whether that entry is a neighbour, which has the stream to the failure domain.
     members
         Entries that are alive, by name.
     load
@@ -65,10 +68,11 @@
 
     name: DomainName
     source: str
+    relayed: bool
     members: dict[str, Member]
     load: DomainLoad
     services: dict[str, ServiceLoad]
-    heard_s: float
+    heard_s: float = 0.0
     expires_s: float | None = None
 
 
@@ -157,30 +161,28 @@
                 return self.links.get(domain.source)
         return None
 
-    def release_source(self, source: str, keep_s: float) -> bool:
-        """Keep what a lost entry told of other regions for a while, until another tells of it.
+    def merge_domains(self, keep_s: float = LEASE_S) -> None:
+        """Gather what the links tell of failure domains, a stream before a neighbour.
 
-        Returns
-        -------
-        bool
-            Whether it told of any.
+        Parameters
+        ----------
+        keep_s
+            How long one that nobody tells of any more is kept, until another entry does.
         """
-        released = [domain for domain in self.domains.values() if domain.source == source]
-        for domain in released:
-            domain.expires_s = domain.expires_s or self.now_s() + keep_s
-        return bool(released)
-
-    def expire_domains(self) -> bool:
-        """Forget the failure domains that nobody tells of; return whether there were any."""
+        merged: dict[DomainName, RemoteDomain] = {}
+        for link in self.links.values():
+            for name, domain in link.domains.items():
+                if name not in merged or (merged[name].relayed and not domain.relayed):
+                    merged[name] = domain
         now_s = self.now_s()
-        lapsed = [
-            name
-            for name, domain in self.domains.items()
-            if domain.expires_s is not None and domain.expires_s <= now_s
-        ]
-        for name in lapsed:
-            del self.domains[name]
-        return bool(lapsed)
+        for name, domain in self.domains.items():
+            if name in merged:
+                continue
+            if domain.expires_s is None:
+                domain.expires_s = now_s + keep_s
+            if domain.expires_s > now_s:
+                merged[name] = domain
+        self.domains = merged
 
     def _log_state(self, link: PeerLink) -> LogState:
         heard_age_s = self.now_s() - link.heartbeat_s
--- a/packages/entry/briardeal/peers/_updates.py
+++ b/packages/entry/briardeal/peers/_updates.py
@@ -8,12 +8,11 @@
 import msgspec
 
 from briardeal.peers._carriers import DomainName
-from briardeal.peers._link import LEASE_S
 from briardeal.peers._table import RemoteDomain
 from briardeal_protocol.peers import DomainLoad, DomainLost, DomainUpdate, Member, StateUpdate
 
 if TYPE_CHECKING:
-    from briardeal.peers._table import PeerTable
+    from briardeal.peers._link import PeerLink
     from briardeal_protocol.peers import ServiceLoad
 
 SLOTS_STEP = 1 / 8
@@ -107,44 +106,43 @@
 
 
 class StateReader:
-    """Takes the updates of one link into the table.
+    """Takes the updates of one link.
 
     Parameters
     ----------
-    table
-        The table.
-    source
-        Name of the entry at the other end.
+    link
+        The link, which holds the failure domains that its other end tells of.
+    relayed
+        Whether the other end is a neighbour, which has the streams to them.
     """
 
-    def __init__(self, table: PeerTable, source: str) -> None:
-        self.table = table
-        self.source = source
+    def __init__(self, link: PeerLink, relayed: bool) -> None:
+        self.link = link
+        self.relayed = relayed
         self.sequence = 0
 
-    def take(self, update: StateUpdate) -> bool:
+    def take(self, update: StateUpdate, now_s: float) -> bool:
         """Take an update; return `False` where something is missing before it."""
         if update.full:
-            self._drop_unlisted(update)
+            self.link.domains.clear()
         elif update.sequence <= self.sequence:
             return True
         elif update.sequence != self.sequence + 1:
             return False
         self.sequence = update.sequence
-        known = [self._apply(change) for change in update.domains]
         for lost in update.lost:
-            self._lose(lost)
-        return all(known)
+            self._lose(lost, now_s)
+        return all([self._apply(change, now_s) for change in update.domains])
 
-    def _apply(self, change: DomainUpdate) -> bool:
+    def _apply(self, change: DomainUpdate, now_s: float) -> bool:
         name = DomainName(change.region, change.failure_domain)
-        domain = self.table.domains.get(name)
         load = change.load or DomainLoad()
         if change.whole:
-            domain = RemoteDomain(name, self.source, {}, load, {}, self.table.now_s())
-            self.table.domains[name] = domain
-        elif domain is None or domain.source != self.source:
-            return domain is not None and domain.expires_s is None
+            source = self.link.member.entry_id
+            self.link.domains[name] = RemoteDomain(name, source, self.relayed, {}, load, {})
+        domain = self.link.domains.get(name)
+        if domain is None:
+            return False
         domain.members.update((member.entry_id, member) for member in change.members)
         domain.services.update((service.service, service) for service in load.services)
         for entry_id in change.gone:
@@ -152,25 +150,14 @@
         for service in change.services_gone:
             domain.services.pop(service, None)
         domain.load = msgspec.structs.replace(load, services=())
-        domain.heard_s = self.table.now_s()
-        domain.expires_s = None
+        domain.heard_s = now_s
         return True
 
-    def _lose(self, lost: DomainLost) -> None:
+    def _lose(self, lost: DomainLost, now_s: float) -> None:
         name = DomainName(lost.region, lost.failure_domain)
-        domain = self.table.domains.get(name)
-        if domain is None or domain.source != self.source:
-            return
-        if lost.handover:
-            domain.expires_s = self.table.now_s() + LEASE_S
-        else:
-            del self.table.domains[name]
-
-    def _drop_unlisted(self, update: StateUpdate) -> None:
-        listed = {DomainName(change.region, change.failure_domain) for change in update.domains}
-        for name, domain in list(self.table.domains.items()):
-            if domain.source == self.source and name not in listed:
-                del self.table.domains[name]
+        domain = self.link.domains.pop(name, None)
+        if domain is not None and not lost.handover:
+            domain.expires_s = now_s
 
 
 def _moved(told: dict[str, ServiceLoad], new: ServiceLoad) -> bool:
