--- a/packages/protocol/briardeal_protocol/peers/_grpc.py
+++ b/packages/protocol/briardeal_protocol/peers/_grpc.py
@@ -135,8 +135,10 @@
         channel = grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                await channel.channel_ready()
+                ready = await _wait_ready(channel)
         except TimeoutError:
+            ready = False
+        if not ready:
             await channel.close()
             return Closed(f"{address} does not answer")
         return FramedConnection(ClientPipe(channel))
@@ -166,3 +168,14 @@
         port = server.add_insecure_port(address)
         await server.start()
         return GrpcPeerListener(server, f"{host}:{port}")
+
+
+async def _wait_ready(channel: grpc.aio.Channel) -> bool:
+    """Wait for the connection; return `False` as soon as an attempt has failed."""
+    state = channel.get_state(try_to_connect=True)
+    while state is not grpc.ChannelConnectivity.READY:
+        if state is grpc.ChannelConnectivity.TRANSIENT_FAILURE:
+            return False
+        await channel.wait_for_state_change(state)
+        state = channel.get_state(try_to_connect=True)
+    return True
--- a/packages/protocol/briardeal_protocol/peers/_memory.py
+++ b/packages/protocol/briardeal_protocol/peers/_memory.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import functools
+from collections import deque
 from typing import TYPE_CHECKING
 
 from briardeal_protocol.connections import Closed
@@ -35,6 +37,7 @@
         self.silent = False
         self.ended = False
         self._frames: asyncio.Queue[bytes | None] = asyncio.Queue()
+        self._transit: deque[Callable[[], None]] = deque()
 
     async def write(self, frame: bytes) -> bool:
         """Write one byte string; it arrives after the latency between the two addresses."""
@@ -62,7 +65,12 @@
 
     def _deliver(self, take: Callable[..., None], *arguments: bytes) -> None:
         delay_s = self.fabric.delays.get((self.source, self.target), self.fabric.latency_s)
-        asyncio.get_running_loop().call_later(delay_s, take, *arguments)
+        self._transit.append(functools.partial(take, *arguments))
+        asyncio.get_running_loop().call_later(delay_s, self._arrive)
+
+    def _arrive(self) -> None:
+        # Timers that are due at the same time fire in any order.
+        self._transit.popleft()()
 
     def _take(self, frame: bytes) -> None:
         if not self.ended:
