--- a/packages/core/briardeal_core/reasons/_catalogue.py
+++ b/packages/core/briardeal_core/reasons/_catalogue.py
@@ -39,6 +39,9 @@
     KEY_MISMATCH = "The idempotency key was used for another request."
     KEY_ANSWER_DROPPED = "The request ran, but its answer is no longer kept."
     KEYS_FULL = "Too many idempotency keys are remembered to take another request with one."
+    ENTRY_UNREACHABLE = "The entry that has to answer is out of reach at the moment."
+    FORWARD_LOST = "The request was passed on to another entry, and no answer came back."
+    FORWARD_LIMIT = "The request was passed on between entries too often."
 
     @property
     def code(self) -> str:
