Join entries to each other

Cause: a key used through another entry was answered as unknown, and a request found no endpoint of another region. Change: requests pass through a gateway that hands keys to their home and, where the region has no endpoint, to another region; entries exchange the configuration and tell agents of each other.

--- a/packages/entry/briardeal/commands/serve.py
+++ b/packages/entry/briardeal/commands/serve.py
@@ -15,6 +15,7 @@
 from briardeal_core.events import log_to_file
 from briardeal_core.log.client import HttpLog
 from briardeal_protocol.connections import TcpNetwork
+from briardeal_protocol.peers import GrpcPeerNetwork
 
 if TYPE_CHECKING:
     from briardeal.config import EntrySettings
@@ -29,7 +30,7 @@
 async def _serve(settings: EntrySettings) -> None:
     client = HttpEndpointClient()
     log = HttpLog(f"http://{settings.log}")
-    entry = Entry(settings, TcpNetwork(), log, client)
+    entry = Entry(settings, TcpNetwork(), log, client, peer_network=GrpcPeerNetwork())
     stopped = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stopped.set)
--- a/packages/entry/briardeal/membership/_listener.py
+++ b/packages/entry/briardeal/membership/_listener.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Protocol
 
+import msgspec
 from mode import Service
 
 from briardeal_core.events import Event, log_event
@@ -72,6 +73,7 @@
         self.table = table
         self.watcher = watcher
         self.listener: Listener | None = None
+        self.untold: set[str] = set()
         self.closing: set[asyncio.Task[None]] = set()
 
     async def on_start(self) -> None:
@@ -94,6 +96,11 @@
                 await entry.link.connection.close()
                 self.watcher.agent_lost(entry)
 
+    def set_entries(self, addresses: tuple[str, ...]) -> None:
+        """Tell the agents of all entries of the region, those linked with their next heartbeat."""
+        self.hello = msgspec.structs.replace(self.hello, entries=addresses)
+        self.untold = set(self.table.agents)
+
     async def serve(self, connection: Connection) -> None:
         """Serve one connection until it ends."""
         hello = await _receive_hello(connection)
@@ -130,7 +137,7 @@
             entry.heard_s = self.table.now_s()
             if isinstance(message, Heartbeat):
                 self._take_heartbeat(entry, message)
-                await entry.link.connection.send(HeartbeatAck(sequence=message.sequence))
+                await entry.link.connection.send(self._acknowledge(entry, message))
             elif isinstance(message, AgentLeaving):
                 entry.leaving = True
                 log_event(Event.AGENT_LEFT, agent=entry.agent_id)
@@ -139,6 +146,13 @@
 
         await entry.link.run(handle)
 
+    def _acknowledge(self, entry: AgentEntry, heartbeat: Heartbeat) -> HeartbeatAck:
+        untold = entry.agent_id in self.untold
+        self.untold.discard(entry.agent_id)
+        return HeartbeatAck(
+            sequence=heartbeat.sequence, entries=self.hello.entries if untold else ()
+        )
+
     def _take_heartbeat(self, entry: AgentEntry, heartbeat: Heartbeat) -> None:
         if heartbeat.without_endpoint:
             entry.endpoint = None
--- a/packages/entry/briardeal/structure/_entry.py
+++ b/packages/entry/briardeal/structure/_entry.py
@@ -10,24 +10,28 @@
 
 from briardeal.jobs import JobBoard, JobService
 from briardeal.membership import AgentListener, AgentTable
-from briardeal.requests import Admissions, Answer, IssuedKey, Keys, Router
+from briardeal.peers import AgentLoads, PeerHooks, PeerService
+from briardeal.requests import Admissions, Keys, Router
+from briardeal.structure._gateway import Gateway
+from briardeal.structure._sources import ReadLog, StoredConfiguration
 from briardeal_core.clock import WallClock
 from briardeal_core.configuration.store import ConfigurationStore
 from briardeal_core.events import Event, log_event
 from briardeal_core.log import AppendBudget
 from briardeal_core.metrics import Metrics
-from briardeal_core.reasons import Reason, Refusal, RunState
 from briardeal_protocol.messages import EntryHello
+from briardeal_protocol.peers import Member
 
 if TYPE_CHECKING:
     from briardeal.config import EntrySettings
-    from briardeal.requests import EndpointClient, Request
+    from briardeal.requests import Answer, EndpointClient, Request
     from briardeal_core.clock import Clock
     from briardeal_core.jobs import WorkerShape
     from briardeal_core.log import Log
+    from briardeal_core.reasons import Refusal
     from briardeal_protocol.connections import Network
+    from briardeal_protocol.peers import PeerNetwork
 
-SHUTDOWN_RETRY_S = 0.5
 DRAIN_POLL_S = 0.1
 BALANCER_NOTICE_S = 2.0
 """Time in which the balancer notices that the entry is no longer ready."""
@@ -53,13 +57,15 @@
         Wall time.
     rng
         Source of identifiers and jitter.
+    peer_network
+        Opens and takes connections of other entries; `None` for an entry that stands alone.
 
     Attributes
     ----------
     ready
         Whether the balancer may send callers here.
-    accepting
-        Whether new requests are taken, also for a while after the balancer was told otherwise.
+    gateway
+        Takes requests, also for a while after the balancer was told otherwise.
     """
 
     def __init__(
@@ -70,6 +76,7 @@
         client: EndpointClient,
         clock: Clock | None = None,
         rng: random.Random | None = None,
+        peer_network: PeerNetwork | None = None,
     ) -> None:
         super().__init__()
         self.settings = settings
@@ -87,22 +94,23 @@
         self.configuration = ConfigurationStore(
             log, settings.entry_id, self.budget, self.rng, self.clock
         )
+        self.gateway = Gateway(self.keys, self.router, self.metrics)
         self.board = JobBoard()
         self.jobs = JobService(log, self.board, self.table)
         hello = EntryHello(entry_id=settings.entry_id, incarnation=self.incarnation)
         self.agents = AgentListener(network, settings.agent_listen, hello, self.table, self.jobs)
+        self.peers = self._create_peers(peer_network)
+        self.gateway.forwarder = self.peers.forwarder
         self.ready = False
-        self.accepting = False
-        self.in_flight = 0
 
     def on_init_dependencies(self) -> list[Service]:
         """Return the services that start and stop with the entry."""
-        return [self.configuration, self.agents, self.jobs]
+        return [self.configuration, self.agents, self.jobs, self.peers]
 
     async def on_started(self) -> None:
         """Tell the balancer that callers may come."""
         self.ready = True
-        self.accepting = True
+        self.gateway.accepting = True
         log_event(Event.PROCESS_STARTED, name=self.settings.entry_id)
 
     @Service.task
@@ -116,56 +124,46 @@
         self.ready = False
         log_event(Event.PROCESS_STOPPING, name=self.settings.entry_id)
         await asyncio.sleep(BALANCER_NOTICE_S)
-        self.accepting = False
+        self.gateway.accepting = False
         deadline_s = _loop_time() + self.settings.drain_timeout_s
-        while self.in_flight and _loop_time() < deadline_s:
+        while self.gateway.in_flight and _loop_time() < deadline_s:
             await asyncio.sleep(DRAIN_POLL_S)
+        await self.peers.leave(max(0.0, deadline_s - _loop_time()))
         await self.admissions.flush(RELEASE_TIMEOUT_S)
 
     async def on_shutdown(self) -> None:
         """Log the end of the process."""
         log_event(Event.PROCESS_STOPPED, name=self.settings.entry_id)
 
+    async def handle(self, request: Request) -> Answer | Refusal:
+        """Return the whole answer to a caller's request, or why there is none."""
+        return await self.gateway.handle(request)
+
+    def _create_peers(self, network: PeerNetwork | None) -> PeerService:
+        settings = self.settings
+        myself = Member(
+            entry_id=settings.entry_id,
+            incarnation=self.incarnation,
+            region=settings.region,
+            failure_domain=settings.failure_domain,
+            peer_address=settings.peer_listen,
+            agent_address=settings.agent_listen,
+        )
+        hooks = PeerHooks(
+            handler=self.gateway,
+            configuration=StoredConfiguration(self.configuration),
+            log_status=ReadLog(self.configuration),
+            loads=AgentLoads(
+                self.table, lambda: len(self.board.waiting()), settings.failure_domain
+            ),
+            entries_changed=self.agents.set_entries,
+        )
+        return PeerService(myself, network, settings.peers, hooks, self.rng, self.metrics)
+
     def known_workers(self) -> list[WorkerShape]:
         """Return the workers that configuration is checked against."""
         return [entry.hello.worker.shape for entry in self.table.workers()]
 
-    async def handle(self, request: Request) -> Answer | Refusal:
-        """Return the whole answer to a request, or why there is none."""
-        if not self.accepting:
-            return self._refuse(
-                Refusal(Reason.SHUTTING_DOWN, RunState.NOT_RUN, SHUTDOWN_RETRY_S), request
-            )
-        self.in_flight += 1
-        try:
-            outcome = await self._handle(request)
-        finally:
-            self.in_flight -= 1
-        return self._refuse(outcome, request) if isinstance(outcome, Refusal) else outcome
-
-    async def _handle(self, request: Request) -> Answer | Refusal:
-        if request.idempotent:
-            return await self.router.route(request)
-        if not request.key:
-            return Refusal(Reason.KEY_REQUIRED, RunState.NOT_RUN)
-        key = IssuedKey.parse(request.key)
-        if key is None:
-            return Refusal(Reason.KEY_NOT_ISSUED, RunState.NOT_RUN)
-        if not self.keys.is_home(key):
-            return Refusal(Reason.KEY_HOME_LOST, RunState.UNKNOWN)
-        return await self.keys.run_once(key, request, lambda: self.router.route(request))
-
-    def _refuse(self, refusal: Refusal, request: Request) -> Refusal:
-        self.metrics.count_refusal(refusal.reason)
-        log_event(
-            Event.REQUEST_REFUSED,
-            reason=refusal.reason.code,
-            service=request.service,
-            customer=request.customer,
-            run_state=refusal.run_state.value,
-        )
-        return refusal
-
 
 def _loop_time() -> float:
     return asyncio.get_running_loop().time()
--- /dev/null
+++ b/packages/entry/briardeal/structure/_gateway.py
@@ -0,0 +1,102 @@
+"""The way of a request: from callers and from other entries, here and to other entries."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from briardeal.requests import Answer, IssuedKey
+from briardeal_core.events import Event, log_event
+from briardeal_core.reasons import Reason, Refusal, RunState
+
+if TYPE_CHECKING:
+    from briardeal.peers import Forwarder
+    from briardeal.requests import Keys, Request, Router
+    from briardeal_core.metrics import Metrics
+
+SHUTDOWN_RETRY_S = 0.5
+
+
+class Gateway:
+    """Takes requests and answers each whole or with a reason.
+
+    Parameters
+    ----------
+    keys
+        Idempotency keys that this entry issued.
+    router
+        Carries requests to endpoints of the region.
+    metrics
+        Counts refusals.
+
+    Attributes
+    ----------
+    forwarder
+        Passes requests on to other entries.
+    accepting
+        Whether callers' requests are taken.
+    in_flight
+        Callers' requests that are held.
+    """
+
+    def __init__(self, keys: Keys, router: Router, metrics: Metrics) -> None:
+        self.keys = keys
+        self.router = router
+        self.metrics = metrics
+        self.forwarder: Forwarder | None = None
+        self.accepting = False
+        self.in_flight = 0
+
+    async def handle(self, request: Request) -> Answer | Refusal:
+        """Return the whole answer to a caller's request, or why there is none."""
+        if not self.accepting:
+            return self._refuse(
+                Refusal(Reason.SHUTTING_DOWN, RunState.NOT_RUN, SHUTDOWN_RETRY_S), request
+            )
+        self.in_flight += 1
+        try:
+            outcome = await self._handle(request)
+        finally:
+            self.in_flight -= 1
+        return self._refuse(outcome, request) if isinstance(outcome, Refusal) else outcome
+
+    async def answer_homed(self, request: Request) -> Answer | Refusal:
+        """Run a request whose idempotency key this entry issued, at most once."""
+        key = IssuedKey.parse(request.key)
+        if key is None:
+            return Refusal(Reason.KEY_NOT_ISSUED, RunState.NOT_RUN)
+        if not self.keys.is_home(key):
+            return Refusal(Reason.KEY_HOME_LOST, RunState.UNKNOWN)
+        return await self.keys.run_once(key, request, lambda: self._route(request))
+
+    async def answer_delegated(self, request: Request) -> Answer | Refusal:
+        """Run a request of another region, whose entry sees to its key."""
+        return await self.router.route(request)
+
+    async def _handle(self, request: Request) -> Answer | Refusal:
+        if request.idempotent:
+            return await self._route(request)
+        if not request.key:
+            return Refusal(Reason.KEY_REQUIRED, RunState.NOT_RUN)
+        key = IssuedKey.parse(request.key)
+        if key is None or key.entry_id == self.keys.entry_id:
+            return await self.answer_homed(request)
+        return await self.forwarder.to_home(request, key.entry_id, key.incarnation)
+
+    async def _route(self, request: Request) -> Answer | Refusal:
+        outcome = await self.router.route(request)
+        if isinstance(outcome, Answer) or outcome.reason is not Reason.NO_ENDPOINT:
+            return outcome
+        if outcome.run_state is not RunState.NOT_RUN:
+            return outcome
+        return await self.forwarder.to_region(request) or outcome
+
+    def _refuse(self, refusal: Refusal, request: Request) -> Refusal:
+        self.metrics.count_refusal(refusal.reason)
+        log_event(
+            Event.REQUEST_REFUSED,
+            reason=refusal.reason.code,
+            service=request.service,
+            customer=request.customer,
+            run_state=refusal.run_state.value,
+        )
+        return refusal
