Make agents the authority for the tasks of their worker

Cause: a lost answer of the platform, a restarted agent or a member whose gang broke up left accelerators held or tasks running that nobody knew of. Change: the agent settles an unanswered start by listing, rebuilds its table from what the platform keeps (job, attempt, workers, token), stops strays, and gives the platform a lease that never outlives the last confirmation of the gang. Two messages are new: TakeInventory raises the fence, GangsWhole answers a numbered report.

--- a/packages/agent/briardeal_agent/links/_entry.py
+++ b/packages/agent/briardeal_agent/links/_entry.py
@@ -10,12 +10,14 @@
 from briardeal_protocol.messages import (
     Admit,
     EntryHello,
+    GangsWhole,
     Heartbeat,
     HeartbeatAck,
     Release,
     ReserveTask,
     StartTask,
     StopTask,
+    TakeInventory,
 )
 
 if TYPE_CHECKING:
@@ -27,6 +29,7 @@
 SILENCE_TIMEOUT_S = 3.0
 RECONNECT_MIN_S = 0.2
 RECONNECT_MAX_S = 3.0
+ORDERS = Admit | Release | ReserveTask | StartTask | StopTask | TakeInventory | GangsWhole
 
 
 class Host(Protocol):
@@ -142,7 +145,7 @@
             self.host.learn_entries(message.entries)
         elif isinstance(message, HeartbeatAck):
             self.host.learn_entries(message.entries)
-        elif isinstance(message, Admit | Release | ReserveTask | StartTask | StopTask):
+        elif isinstance(message, ORDERS):
             task = asyncio.create_task(self._answer(message))
             self.orders.add(task)
             task.add_done_callback(self.orders.discard)
--- a/packages/agent/briardeal_agent/structure/_agent.py
+++ b/packages/agent/briardeal_agent/structure/_agent.py
@@ -11,7 +11,7 @@
 from briardeal_agent.announcements import Announcements
 from briardeal_agent.links import EntryLink
 from briardeal_agent.permits import Permits
-from briardeal_agent.tasks import TaskTable
+from briardeal_agent.tasks import Reports, TaskTable
 from briardeal_core.clock import WallClock
 from briardeal_core.events import Event, log_event
 from briardeal_core.jobs import WorkerShape
@@ -20,10 +20,12 @@
     Admit,
     AgentHello,
     AgentLeaving,
+    GangsWhole,
     Release,
     ReserveTask,
     StartTask,
     StopTask,
+    TakeInventory,
     Tasks,
     WorkerState,
 )
@@ -76,13 +78,17 @@
         self.tasks: TaskTable | None = None
         if worker is not None:
             self.tasks = TaskTable(worker, settings.accelerators, _loop_time)
+            self.reports = Reports(self.tasks)
         self.links: dict[str, EntryLink] = {}
         self.link_tasks: list[asyncio.Task[None]] = []
         self.leaving = False
 
     async def on_start(self) -> None:
-        """Connect to the entries."""
-        self.learn_entries(self.settings.entries)
+        """Connect to the entries, once the tasks that the platform runs are known."""
+        if self.tasks is not None:
+            self.add_future(self._run_tasks())
+        else:
+            self.learn_entries(self.settings.entries)
         log_event(Event.PROCESS_STARTED, name=self.settings.agent_id)
 
     async def on_stop(self) -> None:
@@ -104,13 +110,18 @@
             self.announcements.expire()
             self.permits.expire()
 
-    @Service.task
-    async def _watch_tasks(self) -> None:
-        while self.tasks is not None and not self.should_stop:
+    async def _run_tasks(self) -> None:
+        while not await self.tasks.restore():
+            await self.sleep(TASK_POLL_S)
+        self.learn_entries(self.settings.entries)
+        while not self.should_stop:
             await self.sleep(TASK_POLL_S)
             changed = await self.tasks.poll()
             if changed:
                 await self._tell_all(self._task_message(*changed))
+            report = self.reports.due()
+            if report is not None:
+                await self._tell_all(report)
 
     def hello(self) -> AgentHello:
         """Return the first message of a connection."""
@@ -145,6 +156,12 @@
             return None
         if self.tasks is None:
             return None
+        if isinstance(message, GangsWhole):
+            self.reports.confirm(message)
+            return None
+        if isinstance(message, TakeInventory):
+            statuses = self.tasks.raise_fence(message)
+            return self._task_message(*statuses, call_id=message.call_id)
         status = await self._answer_task(message)
         return self._task_message(status, call_id=message.call_id)
 
--- a/packages/agent/briardeal_agent/workers/_worker.py
+++ b/packages/agent/briardeal_agent/workers/_worker.py
@@ -29,6 +29,12 @@
         What it runs.
     detail
         Why it failed.
+    job_id, attempt
+        The job and the number of its start.
+    workers
+        All workers of the gang.
+    token
+        Fencing token of the owner that ordered the start.
     """
 
     task_id: str
@@ -38,6 +44,10 @@
     checkpoint: str = ""
     command: str = ""
     detail: str = ""
+    job_id: str = ""
+    attempt: int = 0
+    workers: tuple[str, ...] = ()
+    token: int = 0
 
 
 @dataclass(frozen=True)
--- a/packages/protocol/briardeal_protocol/messages/__init__.py
+++ b/packages/protocol/briardeal_protocol/messages/__init__.py
@@ -16,12 +16,14 @@
 from briardeal_protocol.messages._entry import (
     Admit,
     EntryHello,
+    GangsWhole,
     HeartbeatAck,
     Release,
     ReserveTask,
     StartTask,
     StopMode,
     StopTask,
+    TakeInventory,
 )
 
 __all__ = [
@@ -33,6 +35,7 @@
     "EndpointState",
     "EntryHello",
     "EntryMessage",
+    "GangsWhole",
     "Heartbeat",
     "HeartbeatAck",
     "Message",
@@ -42,6 +45,7 @@
     "StartTask",
     "StopMode",
     "StopTask",
+    "TakeInventory",
     "TaskState",
     "TaskStatus",
     "Tasks",
--- a/packages/protocol/briardeal_protocol/messages/_agent.py
+++ b/packages/protocol/briardeal_protocol/messages/_agent.py
@@ -56,6 +56,7 @@
     """Where one task of a job stands on its agent."""
 
     RESERVED = "reserved"
+    STARTING = "starting"
     RUNNING = "running"
     STOPPING = "stopping"
     FINISHED = "finished"
@@ -85,6 +86,8 @@
         How long the task has run, in seconds.
     detail
         Why it failed or was refused.
+    ran
+        Whether the task may have run, be it for a moment.
     """
 
     job_id: str
@@ -95,6 +98,7 @@
     checkpoint: str = ""
     run_s: float = 0.0
     detail: str = ""
+    ran: bool = False
 
 
 class AgentHello(msgspec.Struct, frozen=True, tag="agent_hello", kw_only=True):
@@ -170,8 +174,14 @@
         Highest fencing token that the agent has seen.
     call_id
         Order that this answers; 0 for news.
+    sequence
+        Number of a report on which the entry is to answer with `GangsWhole`; 0 for none.
+    live
+        Names of all tasks that may run, in such a report.
     """
 
     tasks: tuple[TaskStatus, ...]
     fence: int
     call_id: int = 0
+    sequence: int = 0
+    live: tuple[str, ...] = ()
--- a/packages/protocol/briardeal_protocol/messages/_codec.py
+++ b/packages/protocol/briardeal_protocol/messages/_codec.py
@@ -24,6 +24,8 @@
     | _entry.ReserveTask
     | _entry.StartTask
     | _entry.StopTask
+    | _entry.TakeInventory
+    | _entry.GangsWhole
 )
 """What an entry sends."""
 
--- a/packages/protocol/briardeal_protocol/messages/_entry.py
+++ b/packages/protocol/briardeal_protocol/messages/_entry.py
@@ -144,3 +144,25 @@
     job_id: str
     attempt: int
     mode: StopMode = StopMode.STOP
+
+
+class TakeInventory(msgspec.Struct, frozen=True, tag="take_inventory", kw_only=True):
+    """Raises the fence of an agent and asks for all its tasks."""
+
+    call_id: int
+    token: int
+
+
+class GangsWhole(msgspec.Struct, frozen=True, tag="gangs_whole", kw_only=True):
+    """Confirms tasks whose gang is whole, as an answer to a report of an agent.
+
+    Parameters
+    ----------
+    sequence
+        Number of the report.
+    tasks
+        Names of the tasks whose whole gang is in reach and live.
+    """
+
+    sequence: int
+    tasks: tuple[str, ...]
--- a/packages/standins/briardeal_standins/worker/_worker.py
+++ b/packages/standins/briardeal_standins/worker/_worker.py
@@ -32,12 +32,33 @@
         When it finishes by itself.
     lease_until_s
         When the platform stops it unless its lease is renewed.
+    ended_s
+        When it ended; `None` while it runs.
     """
 
     task: PlatformTask
     started_s: float
     ends_s: float
     lease_until_s: float
+    ended_s: float | None = None
+
+    def end(self, state: TaskState, at_s: float) -> None:
+        """Note that the task runs no more."""
+        self.ended_s = at_s
+        run_s = at_s - self.started_s
+        self.task = msgspec.structs.replace(self.task, state=state, run_s=run_s)
+
+    def advance(self, now_s: float) -> None:
+        """Let the task end where its time or its lease is over."""
+        if self.ended_s is not None:
+            return
+        if min(self.ends_s, self.lease_until_s) > now_s:
+            run_s = now_s - self.started_s
+            self.task = msgspec.structs.replace(self.task, run_s=run_s)
+        elif self.lease_until_s < self.ends_s or self.task.state is TaskState.STOPPING:
+            self.end(TaskState.STOPPED, min(self.ends_s, self.lease_until_s))
+        else:
+            self.end(TaskState.FINISHED, self.ends_s)
 
 
 class StandinWorker:
@@ -53,7 +74,11 @@
     Attributes
     ----------
     down
-        Whether the platform gives no answers.
+        Whether the platform gives no answers and does nothing that is asked.
+    lost_answers
+        How many of the next starts and stops take effect but are not answered.
+    delay_s
+        Time added to every call, in seconds.
     starts
         How often each task was started.
     """
@@ -61,71 +86,78 @@
     def __init__(self, now_s: Callable[[], float] | None = None) -> None:
         self.now_s = now_s or _loop_time
         self.down = False
+        self.lost_answers = 0
+        self.delay_s = 0.0
         self.running: dict[str, RunningTask] = {}
         self.starts: dict[str, int] = {}
 
     async def start(self, task: PlatformTask, lease_s: float) -> WorkerDown | None:
         """Start a task, once for each name."""
+        await asyncio.sleep(self.delay_s)
         if self.down:
             return WorkerDown("down")
         if task.task_id not in self.running:
-            now_s = self.now_s()
-            self.starts[task.task_id] = self.starts.get(task.task_id, 0) + 1
-            state = TaskState.FAILED if task.command == "fail" else TaskState.RUNNING
-            self.running[task.task_id] = RunningTask(
-                msgspec.structs.replace(task, state=state),
-                now_s,
-                now_s + _run_s(task.command),
-                now_s + lease_s,
-            )
-        return None
+            self._start(task, lease_s)
+        return self._answer()
 
     async def renew(self, task_id: str, lease_s: float) -> WorkerDown | None:
-        """Renew the lease of a task."""
+        """Renew the lease of a task that still runs."""
+        await asyncio.sleep(self.delay_s)
         if self.down:
             return WorkerDown("down")
-        if task_id in self.running:
-            self.running[task_id].lease_until_s = self.now_s() + lease_s
+        held = self.running.get(task_id)
+        if held is not None:
+            held.advance(self.now_s())
+            held.lease_until_s = self.now_s() + lease_s
         return None
 
     async def stop(self, task_id: str, mode: StopMode) -> WorkerDown | None:
         """Stop, checkpoint or throttle a task."""
+        await asyncio.sleep(self.delay_s)
         if self.down:
             return WorkerDown("down")
         held = self.running.get(task_id)
-        if held is not None and held.task.state is TaskState.RUNNING:
+        if held is not None:
+            held.advance(self.now_s())
             self._stop(held, mode)
-        return None
+        return self._answer()
 
     async def tasks(self) -> list[PlatformTask] | WorkerDown:
         """Return all tasks."""
+        await asyncio.sleep(self.delay_s)
         if self.down:
             return WorkerDown("down")
         for held in self.running.values():
-            self._advance(held)
+            held.advance(self.now_s())
         return [held.task for held in self.running.values()]
 
+    def _start(self, task: PlatformTask, lease_s: float) -> None:
+        now_s = self.now_s()
+        self.starts[task.task_id] = self.starts.get(task.task_id, 0) + 1
+        running = msgspec.structs.replace(task, state=TaskState.RUNNING)
+        ends_s = now_s + _run_s(task.command)
+        held = RunningTask(running, now_s, ends_s, now_s + lease_s)
+        if task.command == "fail":
+            held.end(TaskState.FAILED, now_s)
+        self.running[task.task_id] = held
+
     def _stop(self, held: RunningTask, mode: StopMode) -> None:
+        now_s = self.now_s()
+        if held.ended_s is not None:
+            return
         if mode is StopMode.STOP:
-            held.task = msgspec.structs.replace(held.task, state=TaskState.STOPPED)
-        elif mode is StopMode.CHECKPOINT:
+            held.end(TaskState.STOPPED, now_s)
+        elif mode is StopMode.CHECKPOINT and held.task.state is not TaskState.STOPPING:
             held.task = msgspec.structs.replace(
-                held.task, state=TaskState.STOPPING, checkpoint=f"at-{self.now_s():.3f}"
+                held.task, state=TaskState.STOPPING, checkpoint=f"at-{now_s:.3f}"
             )
-            held.ends_s = self.now_s() + CHECKPOINT_S
+            held.ends_s = now_s + CHECKPOINT_S
 
-    def _advance(self, held: RunningTask) -> None:
-        now_s = self.now_s()
-        if held.task.state is TaskState.STOPPING and held.ends_s <= now_s:
-            held.task = msgspec.structs.replace(held.task, state=TaskState.STOPPED)
-        if held.task.state is not TaskState.RUNNING:
-            return
-        state = TaskState.RUNNING
-        if held.ends_s <= now_s:
-            state = TaskState.FINISHED
-        elif held.lease_until_s <= now_s:
-            state = TaskState.STOPPED
-        held.task = msgspec.structs.replace(held.task, state=state, run_s=now_s - held.started_s)
+    def _answer(self) -> WorkerDown | None:
+        if self.lost_answers > 0:
+            self.lost_answers -= 1
+            return WorkerDown("no answer")
+        return None
 
 
 def _run_s(command: str) -> float:
