Add the scheduler with guarantees, gangs, holes and evidence

Change: a Scheduler without I/O, driven by an explicit time, over an index of VMs, a ledger of bookings for guarantees, learned run times, evidence on failures and a record of each decision.

--- /dev/null
+++ b/packages/scheduling/briardeal_scheduling/_admission.py
@@ -0,0 +1,92 @@
+"""Whether a job can ever run."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from briardeal_core.configuration import Guarantee
+from briardeal_core.reasons import Reason, Refusal, RunState
+from briardeal_scheduling.decisions import Cause
+from briardeal_scheduling.fleet import groups_of
+from briardeal_scheduling.guarantees import GuaranteeKey, Want, make_plan
+from briardeal_scheduling.placement import fits_empty
+
+if TYPE_CHECKING:
+    from briardeal_core.jobs import JobRequest, WorkerShape
+    from briardeal_scheduling._state import State
+
+
+def check_request(state: State, request: JobRequest) -> Refusal | None:
+    """Return why a job can never run, or `None` where it can."""
+    return (
+        _check_names(state, request) or _check_quota(state, request) or _check_room(state, request)
+    )
+
+
+def _check_names(state: State, request: JobRequest) -> Refusal | None:
+    if request.customer not in state.customers:
+        detail = Cause.REFUSED_UNKNOWN_CUSTOMER.say(customer=request.customer)
+        return _refuse(Reason.REQUEST_INVALID, detail)
+    if request.job_class not in state.classes:
+        detail = Cause.REFUSED_UNKNOWN_CLASS.say(job_class=request.job_class)
+        return _refuse(Reason.REQUEST_INVALID, detail)
+    return None
+
+
+def _check_quota(state: State, request: JobRequest) -> Refusal | None:
+    quota = state.customers[request.customer].quota_accelerators
+    needed = request.tasks * request.accelerators_per_task
+    if quota is None or needed <= quota:
+        return None
+    detail = Cause.REFUSED_QUOTA.say(needed=needed, customer=request.customer, quota=quota)
+    return _refuse(Reason.JOB_NEVER_FITS, detail)
+
+
+def _check_room(state: State, request: JobRequest) -> Refusal | None:
+    shapes = [worker.shape for worker in state.fleet.workers.values()]
+    shapes.extend(state.fleet.absent.values())
+    if not fits_empty(shapes, request):
+        detail = Cause.REFUSED_NEVER_FITS.say(
+            vms=request.tasks, accelerators=request.accelerators_per_task
+        )
+        return _refuse(Reason.JOB_NEVER_FITS, detail)
+    pinned = request.accelerators_per_task and not (request.idempotent and request.checkpointable)
+    if pinned and not _fits_beside_guarantees(state, request, shapes):
+        return _refuse(Reason.JOB_NEVER_FITS, Cause.REFUSED_GUARANTEES.say())
+    return None
+
+
+def _fits_beside_guarantees(state: State, request: JobRequest, shapes: list[WorkerShape]) -> bool:
+    """Return whether work that can't be preempted has room beside all guarantees, or in its own."""
+    for booking in state.ledger.by_customer.get(request.customer, ()):
+        guarantee = booking.guarantee
+        if (
+            guarantee.job_class == request.job_class
+            and guarantee.vms >= request.tasks
+            and guarantee.accelerators_per_vm >= request.accelerators_per_task
+        ):
+            return True
+    key = (state.fleet.version, request.tasks, request.accelerators_per_task, request.adjacency)
+    if key not in state.ledger.admitted:
+        state.ledger.admitted[key] = _plans_beside(state, request, shapes)
+    return state.ledger.admitted[key]
+
+
+def _plans_beside(state: State, request: JobRequest, shapes: list[WorkerShape]) -> bool:
+    rooms = {shape.worker_id: shape.accelerators for shape in shapes}
+    groups = {shape.worker_id: groups_of(shape) for shape in shapes}
+    wants = [Want(booking.key, booking.guarantee) for booking in state.ledger.bookings.values()]
+    job = Guarantee(
+        job_class=request.job_class,
+        vms=request.tasks,
+        accelerators_per_vm=request.accelerators_per_task,
+        adjacency=request.adjacency,
+    )
+    without = make_plan(rooms, groups, wants, state.ledger.margin_vms)
+    together = [*wants, Want(GuaranteeKey("", 0), job)]
+    beside = make_plan(rooms, groups, together, state.ledger.margin_vms)
+    return beside.whole and (beside.margin_held or not without.margin_held)
+
+
+def _refuse(reason: Reason, detail: str) -> Refusal:
+    return Refusal(reason, RunState.NOT_RUN, detail=detail)
--- /dev/null
+++ b/packages/scheduling/briardeal_scheduling/_state.py
@@ -0,0 +1,122 @@
+"""Everything that the decisions are taken from."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+import attrs
+
+from briardeal_core.configuration import Configuration, JobClass
+from briardeal_scheduling.fleet import Fleet
+from briardeal_scheduling.guarantees import Ledger
+from briardeal_scheduling.health import Evidence
+from briardeal_scheduling.predictions import History, Prediction
+from briardeal_scheduling.queue import JobPhase, JobTable
+
+if TYPE_CHECKING:
+    from briardeal_core.configuration import Customer
+    from briardeal_scheduling.decisions import Placement, Record
+    from briardeal_scheduling.queue import Job
+
+ENDED_RECORDS_LIMIT = 5000
+"""Jobs that are over and can still be explained."""
+
+PREDICTION_TTL_S = 60.0
+"""How long a prediction is used before it is made again."""
+
+
+@attrs.define(eq=False)
+class State:
+    """Workers, guarantees, jobs, and what was learned of them.
+
+    Attributes
+    ----------
+    ended
+        Records of jobs that are over, oldest first.
+    """
+
+    configuration: Configuration = attrs.field(factory=Configuration)
+    classes: dict[str, JobClass] = attrs.field(factory=dict)
+    customers: dict[str, Customer] = attrs.field(factory=dict)
+    fleet: Fleet = attrs.field(factory=Fleet)
+    ledger: Ledger = attrs.field(factory=Ledger)
+    table: JobTable = attrs.field(factory=JobTable)
+    history: History = attrs.field(factory=History)
+    evidence: Evidence = attrs.field(factory=Evidence)
+    ended: OrderedDict[str, Record] = attrs.field(factory=OrderedDict)
+    predictions: dict[str, tuple[float, Prediction]] = attrs.field(factory=dict)
+
+    def predict(self, job: Job, now_s: float) -> Prediction:
+        """Return the expected run time of a job in all."""
+        made_s, prediction = self.predictions.get(job.job_id, (-PREDICTION_TTL_S, None))
+        if prediction is None or now_s - made_s >= PREDICTION_TTL_S:
+            request = job.request
+            prediction = self.history.predict(
+                request.customer, request.job_class, request.declared_run_s
+            )
+            self.predictions[job.job_id] = (now_s, prediction)
+        return prediction
+
+    def occupy(self, job: Job, placement: Placement) -> None:
+        """Put a job on VMs that are free."""
+        self.table.hold(job)
+        self._place(job, placement)
+        self.fleet.occupy(job.job_id, placement, job.pins)
+
+    def hold(self, job: Job, placement: Placement) -> None:
+        """Keep VMs for a job until others have left them."""
+        self.table.hold(job)
+        self._place(job, placement)
+        self.fleet.hold(placement)
+        if job.pins:
+            self.fleet.pin(placement)
+        job.phase = JobPhase.OPENING
+        self.table.file(job)
+
+    def fill(self, job: Job) -> None:
+        """Put a job on the VMs that were kept for it."""
+        self.fleet.hold(job.placement, -1)
+        if job.pins:
+            self.fleet.pin(job.placement, -1)
+        self.fleet.occupy(job.job_id, job.placement, job.pins)
+
+    def vacate(self, job: Job) -> None:
+        """Take a job from the VMs that it holds, or that are kept for it."""
+        if job.placement is None:
+            return
+        if job.phase is JobPhase.OPENING:
+            self.fleet.hold(job.placement, -1)
+            if job.pins:
+                self.fleet.pin(job.placement, -1)
+        else:
+            if job.leaving:
+                self.fleet.leave(job.placement, -1)
+            self.fleet.vacate(job.job_id, job.placement, job.pins)
+        self.ledger.release(job.job_id)
+        self.table.hold(job, -1)
+        job.pins = False
+
+    def requeue(self, job: Job) -> None:
+        """Let a job wait again."""
+        self.vacate(job)
+        job.wait()
+        self.table.file(job)
+
+    def end(self, job: Job) -> None:
+        """Forget a job that is over, except for its record."""
+        self.vacate(job)
+        self.table.remove(job)
+        self.predictions.pop(job.job_id, None)
+        self.evidence.forget_job(job.job_id)
+        request = job.request
+        self.history.forget_overdue(request.customer, request.job_class, job.job_id)
+        self.ended[job.job_id] = job.record
+        while len(self.ended) > ENDED_RECORDS_LIMIT:
+            self.ended.popitem(last=False)
+
+    def _place(self, job: Job, placement: Placement) -> None:
+        job.placement = placement
+        job.hole = None
+        claimed = job.job_id in self.ledger.by_job
+        job.pins = bool(placement.accelerators) and not claimed and not job.preemptible
--- /dev/null
+++ b/packages/scheduling/briardeal_scheduling/decisions/_record.py
@@ -0,0 +1,78 @@
+"""The record of what was decided on one job."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from briardeal_scheduling.decisions._causes import Cause
+
+RECORD_LIMIT = 32
+"""Entries kept for one job; the oldest go first."""
+
+
+@attrs.frozen
+class Entry:
+    """One decision.
+
+    Parameters
+    ----------
+    at_s
+        When it was taken.
+    cause
+        Why.
+    fields
+        What fills the gaps of the sentence.
+    until_s
+        When it is expected to be over, or `None`.
+    """
+
+    at_s: float
+    cause: Cause
+    fields: dict[str, object]
+    until_s: float | None = None
+
+    def say(self, now_s: float) -> str:
+        """Return the sentence as told at the given time."""
+        fields = self.fields
+        if self.until_s is not None:
+            fields = {**fields, "until": say_duration(self.until_s - now_s)}
+        return self.cause.say(**fields)
+
+
+@attrs.define
+class Record:
+    """The decisions on one job, oldest first."""
+
+    entries: list[Entry] = attrs.field(factory=list)
+
+    def add(
+        self, at_s: float, cause: Cause, until_s: float | None = None, **fields: object
+    ) -> Entry:
+        """Record a decision; the same cause again replaces the entry before."""
+        entry = Entry(at_s, cause, fields, until_s)
+        if self.entries and self.entries[-1].cause is cause:
+            entry = attrs.evolve(entry, at_s=self.entries[-1].at_s)
+            self.entries.pop()
+        self.entries.append(entry)
+        del self.entries[:-RECORD_LIMIT]
+        return entry
+
+    def say(self, now_s: float) -> list[str]:
+        """Return one sentence for each decision, with how long ago it was taken."""
+        return [
+            f"{say_duration(now_s - entry.at_s)} ago: {entry.say(now_s)}" for entry in self.entries
+        ]
+
+
+def say_duration(seconds: float) -> str:
+    """Return a duration in words."""
+    if seconds < 1:
+        return "a moment"
+    if seconds < 90:
+        return f"{seconds:.0f} seconds"
+    if seconds < 5400:
+        return f"{seconds / 60:.0f} minutes"
+    return f"{seconds / 3600:.1f} hours"
--- /dev/null
+++ b/packages/scheduling/briardeal_scheduling/fleet/_fleet.py
@@ -0,0 +1,127 @@
+"""All worker VMs with the indexes over them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from briardeal_scheduling.fleet._index import CapacityIndex
+from briardeal_scheduling.fleet._worker import Worker, groups_of
+
+if TYPE_CHECKING:
+    from briardeal_core.configuration import Adjacency
+    from briardeal_core.jobs import WorkerShape
+    from briardeal_scheduling.decisions import Placement
+    from briardeal_scheduling.fleet._worker import Group
+
+
+@attrs.define
+class Fleet:
+    """The worker VMs that are up.
+
+    Attributes
+    ----------
+    free
+        Free accelerators of each VM.
+    room
+        Free accelerators of each VM that pinned work may take without touching a guarantee.
+    spare
+        Accelerators of each VM that neither a guarantee nor pinned work takes.
+    slots
+        Places of each VM for tasks without accelerators.
+    absent
+        Shapes of VMs that were lost; they may come back.
+    version
+        Number that changes with the VMs.
+    """
+
+    workers: dict[str, Worker] = attrs.field(factory=dict)
+    groups: dict[str, dict[Adjacency, Group]] = attrs.field(factory=dict)
+    free: CapacityIndex = attrs.field(factory=CapacityIndex)
+    room: CapacityIndex = attrs.field(factory=CapacityIndex)
+    spare: CapacityIndex = attrs.field(factory=CapacityIndex)
+    slots: CapacityIndex = attrs.field(factory=CapacityIndex)
+    absent: dict[str, WorkerShape] = attrs.field(factory=dict)
+    version: int = 0
+
+    def add(self, shape: WorkerShape) -> None:
+        """Add a VM that came up."""
+        self.workers[shape.worker_id] = Worker(shape)
+        self.groups[shape.worker_id] = groups_of(shape)
+        self.absent.pop(shape.worker_id, None)
+        self.version += 1
+        self.refresh(shape.worker_id)
+
+    def remove(self, worker_id: str) -> None:
+        """Take out a VM that was lost."""
+        worker = self.workers.pop(worker_id)
+        self.absent[worker_id] = worker.shape
+        groups = list(self.groups.pop(worker_id).values())
+        for index in (self.free, self.room, self.spare, self.slots):
+            index.remove(worker_id, groups)
+        self.version += 1
+
+    def refresh(self, worker_id: str) -> None:
+        """Bring the indexes up to date with a VM."""
+        worker = self.workers[worker_id]
+        groups = list(self.groups[worker_id].values())
+        free = worker.balance if worker.usable else 0
+        self.free.set(worker_id, groups, free)
+        self.room.set(worker_id, groups, min(free, worker.unbooked))
+        self.spare.set(worker_id, groups, worker.unbooked if worker.usable else 0)
+        self.slots.set(worker_id, groups, worker.slots - worker.slots_used if worker.usable else 0)
+
+    def occupy(self, job_id: str, placement: Placement, pinned: bool) -> None:
+        """Put the tasks of a job on their VMs."""
+        self._change(job_id, placement, 1, pinned)
+
+    def vacate(self, job_id: str, placement: Placement, pinned: bool) -> None:
+        """Take the tasks of a job from those of its VMs that are still up."""
+        self._change(job_id, placement, -1, pinned)
+
+    def hold(self, placement: Placement, sign: int = 1) -> None:
+        """Keep accelerators for a job that waits for others to leave, or let go of them."""
+        for worker_id in placement.workers:
+            if worker_id in self.workers:
+                self.workers[worker_id].held += sign * placement.accelerators
+                self.refresh(worker_id)
+
+    def pin(self, placement: Placement, sign: int = 1) -> None:
+        """Count a running placement as pinned work outside guarantees, or no longer."""
+        for worker_id in placement.workers:
+            if worker_id in self.workers:
+                self.workers[worker_id].pinned += sign * placement.accelerators
+                self.refresh(worker_id)
+
+    def set_usable(self, worker_id: str, usable: bool) -> None:
+        """Let new work come to a VM, or keep it away."""
+        if worker_id in self.workers:
+            self.workers[worker_id].usable = usable
+            self.refresh(worker_id)
+            self.version += 1
+
+    def leave(self, placement: Placement, sign: int = 1) -> None:
+        """Count a running placement as one that was told to leave, or no longer."""
+        for worker_id in placement.workers:
+            if worker_id in self.workers:
+                self.workers[worker_id].leaving += sign * placement.accelerators
+
+    def members(self, group: Group) -> list[str]:
+        """Return the VMs of a group."""
+        buckets = self.free.buckets.get(group, {})
+        return [worker_id for bucket in buckets.values() for worker_id in bucket]
+
+    def _change(self, job_id: str, placement: Placement, sign: int, pinned: bool) -> None:
+        for worker_id in placement.workers:
+            worker = self.workers.get(worker_id)
+            if worker is None:
+                continue
+            if sign > 0:
+                worker.tasks[job_id] = placement.accelerators
+            elif worker.tasks.pop(job_id, None) is None:
+                continue
+            worker.accelerators_used += sign * placement.accelerators
+            worker.slots_used += sign * (placement.accelerators == 0)
+            worker.pinned += sign * placement.accelerators * pinned
+            self.refresh(worker_id)
--- /dev/null
+++ b/packages/scheduling/briardeal_scheduling/fleet/_index.py
@@ -0,0 +1,67 @@
+"""An index of VMs by group and by a number, such as their free accelerators."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from briardeal_core.configuration import Adjacency
+    from briardeal_scheduling.fleet._worker import Group
+
+
+@attrs.define
+class CapacityIndex:
+    """VMs sorted into buckets by their number, for every group that they belong to.
+
+    Attributes
+    ----------
+    examined
+        VMs looked at since the start, for measuring the cost of decisions.
+    """
+
+    numbers: dict[str, int] = attrs.field(factory=dict)
+    buckets: dict[Group, dict[int, dict[str, None]]] = attrs.field(factory=dict)
+    by_adjacency: dict[Adjacency, list[Group]] = attrs.field(factory=dict)
+    totals: dict[Group, int] = attrs.field(factory=dict)
+    examined: int = 0
+
+    def set(self, worker_id: str, groups: list[Group], number: int) -> None:
+        """Set the number of a VM."""
+        number = max(0, number)
+        before = self.numbers.get(worker_id)
+        if before == number:
+            return
+        self.remove(worker_id, groups)
+        self.numbers[worker_id] = number
+        for group in groups:
+            if group not in self.buckets:
+                self.buckets[group] = {}
+                self.by_adjacency.setdefault(group.adjacency, []).append(group)
+            self.buckets[group].setdefault(number, {})[worker_id] = None
+            self.totals[group] = self.totals.get(group, 0) + number
+
+    def remove(self, worker_id: str, groups: list[Group]) -> None:
+        """Take a VM out."""
+        number = self.numbers.pop(worker_id, None)
+        if number is None:
+            return
+        for group in groups:
+            bucket = self.buckets[group][number]
+            del bucket[worker_id]
+            if not bucket:
+                del self.buckets[group][number]
+            self.totals[group] -= number
+
+    def count(self, group: Group, need: int) -> int:
+        """Return how many VMs of a group have at least the needed number."""
+        return sum(len(vms) for number, vms in self.buckets[group].items() if number >= need)
+
+    def ascending(self, group: Group, need: int) -> Iterator[tuple[int, dict[str, None]]]:
+        """Yield the buckets with at least the needed number, smallest first."""
+        buckets = self.buckets[group]
+        for number in sorted(number for number in buckets if number >= need):
+            yield number, buckets[number]
--- /dev/null
+++ b/packages/scheduling/briardeal_scheduling/guarantees/_plan.py
@@ -0,0 +1,252 @@
+"""Search for VMs that hold every guaranteed shape at once."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+import attrs
+
+from briardeal_core.configuration import Adjacency
+from briardeal_scheduling.guarantees._margin import margin_holds
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from briardeal_core.configuration import Guarantee
+    from briardeal_scheduling.fleet import Group
+
+FINENESS = [Adjacency.RACK, Adjacency.FAILURE_DOMAIN, Adjacency.REGION]
+SEARCH_LIMIT = 400_000
+"""VMs looked at before a search is given up."""
+
+
+@attrs.frozen(order=True)
+class GuaranteeKey:
+    """A guarantee, by its customer and its position there."""
+
+    customer: str
+    position: int
+
+
+@attrs.frozen
+class Want:
+    """A guarantee to find VMs for.
+
+    Parameters
+    ----------
+    key, guarantee
+        The guarantee.
+    claims
+        VMs where its customer uses it already, with the job; these stay.
+    """
+
+    key: GuaranteeKey
+    guarantee: Guarantee
+    claims: dict[str, str] = attrs.field(factory=dict)
+
+
+@attrs.define
+class Plan:
+    """VMs for each guarantee.
+
+    Parameters
+    ----------
+    slots
+        The VMs by guarantee; fewer than wanted where `whole` is false.
+    whole
+        Whether every guarantee has all its VMs.
+    margin_held
+        Whether that stays so when as many VMs fail as the margin says.
+    """
+
+    slots: dict[GuaranteeKey, list[str]]
+    whole: bool
+    margin_held: bool
+
+
+def make_plan(
+    rooms: Mapping[str, int],
+    groups: Mapping[str, Mapping[Adjacency, Group]],
+    wants: list[Want],
+    margin_vms: int,
+) -> Plan:
+    """Set VMs aside for all guarantees.
+
+    Parameters
+    ----------
+    rooms
+        Accelerators of each VM that guarantees may take.
+    groups
+        Groups of each VM.
+    wants
+        The guarantees.
+    margin_vms
+        VMs that may fail.
+
+    Returns
+    -------
+    Plan
+        With the margin where possible, else without, else shared by the smallest part met.
+    """
+    if margin_vms:
+        slots = _Search(rooms, groups, wants, margin_vms).run()
+        if slots is not None:
+            return Plan(slots, whole=True, margin_held=True)
+    slots = _Search(rooms, groups, wants, 0).run()
+    if slots is not None:
+        return Plan(slots, whole=True, margin_held=not margin_vms)
+    return Plan(_share(rooms, groups, wants), whole=False, margin_held=False)
+
+
+class _Search:
+    """Depth-first search over the group of each guarantee."""
+
+    def __init__(
+        self,
+        rooms: Mapping[str, int],
+        groups: Mapping[str, Mapping[Adjacency, Group]],
+        wants: list[Want],
+        margin_vms: int,
+    ) -> None:
+        self.rooms = dict(rooms)
+        self.groups = groups
+        self.margin_vms = margin_vms
+        self.members = _members(groups)
+        self.slots: dict[GuaranteeKey, list[str]] = {}
+        self.examined = 0
+        self.wants = sorted(wants, key=_difficulty)
+        for want in wants:
+            for worker_id in want.claims:
+                self.rooms[worker_id] -= want.guarantee.accelerators_per_vm
+
+    def run(self) -> dict[GuaranteeKey, list[str]] | None:
+        """Return the VMs for each guarantee, or `None` where none were found."""
+        return self.slots if self._extend(0) else None
+
+    def _extend(self, position: int) -> bool:
+        if position == len(self.wants):
+            return self._margin_holds()
+        want = self.wants[position]
+        for chosen in self._choices(want):
+            if self.examined > SEARCH_LIMIT:
+                return False
+            self._take(chosen, want.guarantee.accelerators_per_vm)
+            self.slots[want.key] = [*want.claims, *chosen]
+            if self._extend(position + 1):
+                return True
+            self._take(chosen, -want.guarantee.accelerators_per_vm)
+        return False
+
+    def _choices(self, want: Want) -> list[list[str]]:
+        guarantee = want.guarantee
+        missing = guarantee.vms - len(want.claims)
+        choices = []
+        for group in _groups_for(want, self.members, self.groups):
+            self.examined += len(self.members[group])
+            fitting = [
+                (self.rooms[worker_id], worker_id)
+                for worker_id in self.members[group]
+                if worker_id not in want.claims
+                and self.rooms[worker_id] >= guarantee.accelerators_per_vm
+            ]
+            if len(fitting) >= missing:
+                fitting.sort()
+                choices.append((len(fitting), [vm for _, vm in fitting[:missing]]))
+        choices.sort()
+        return [chosen for _, chosen in choices]
+
+    def _take(self, workers: list[str], accelerators: int) -> None:
+        for worker_id in workers:
+            self.rooms[worker_id] -= accelerators
+
+    def _margin_holds(self) -> bool:
+        if not self.margin_vms:
+            return True
+        booked: dict[str, int] = defaultdict(int)
+        finest: dict[str, Adjacency] = {}
+        for want in self.wants:
+            for worker_id in self.slots[want.key]:
+                booked[worker_id] += want.guarantee.accelerators_per_vm
+                finest[worker_id] = min(
+                    finest.get(worker_id, Adjacency.REGION),
+                    want.guarantee.adjacency,
+                    key=FINENESS.index,
+                )
+        return margin_holds(self.rooms, self.members, self.groups, booked, finest, self.margin_vms)
+
+
+def _share(
+    rooms: Mapping[str, int],
+    groups: Mapping[str, Mapping[Adjacency, Group]],
+    wants: list[Want],
+) -> dict[GuaranteeKey, list[str]]:
+    """Give VMs one at a time to the guarantee of which the smallest part is met."""
+    left = dict(rooms)
+    members = _members(groups)
+    slots = {want.key: list(want.claims) for want in wants}
+    for want in wants:
+        for worker_id in want.claims:
+            left[worker_id] -= want.guarantee.accelerators_per_vm
+    homes: dict[GuaranteeKey, Group] = {}
+    open_wants = [want for want in wants if len(want.claims) < want.guarantee.vms]
+    while open_wants:
+        want = min(open_wants, key=lambda want: _part_met(want, slots))
+        worker_id = _next_vm(want, slots[want.key], left, members, groups, homes)
+        if worker_id is None:
+            open_wants.remove(want)
+            continue
+        slots[want.key].append(worker_id)
+        left[worker_id] -= want.guarantee.accelerators_per_vm
+        if len(slots[want.key]) == want.guarantee.vms:
+            open_wants.remove(want)
+    return slots
+
+
+def _next_vm(
+    want: Want,
+    taken: list[str],
+    left: dict[str, int],
+    members: Mapping[Group, list[str]],
+    groups: Mapping[str, Mapping[Adjacency, Group]],
+    homes: dict[GuaranteeKey, Group],
+) -> str | None:
+    need = want.guarantee.accelerators_per_vm
+    if want.key not in homes:
+        found = _groups_for(want, members, groups)
+        if not found:
+            return None
+        homes[want.key] = max(
+            found, key=lambda group: sum(left[vm] >= need for vm in members[group])
+        )
+    fitting = [vm for vm in members[homes[want.key]] if left[vm] >= need and vm not in taken]
+    return min(fitting, key=lambda vm: (left[vm], vm), default=None)
+
+
+def _part_met(want: Want, slots: dict[GuaranteeKey, list[str]]) -> tuple[float, GuaranteeKey]:
+    return len(slots[want.key]) / want.guarantee.vms, want.key
+
+
+def _difficulty(want: Want) -> tuple[int, int, int, GuaranteeKey]:
+    guarantee = want.guarantee
+    fineness = FINENESS.index(guarantee.adjacency)
+    return fineness, -guarantee.accelerators_per_vm, -guarantee.vms, want.key
+
+
+def _groups_for(
+    want: Want,
+    members: Mapping[Group, list[str]],
+    groups: Mapping[str, Mapping[Adjacency, Group]],
+) -> list[Group]:
+    adjacency = want.guarantee.adjacency
+    if want.claims:
+        return [groups[next(iter(want.claims))][adjacency]]
+    return [group for group in members if group.adjacency is adjacency]
+
+
+def _members(groups: Mapping[str, Mapping[Adjacency, Group]]) -> dict[Group, list[str]]:
+    members: dict[Group, list[str]] = defaultdict(list)
+    for worker_id, own in groups.items():
+        for group in own.values():
+            members[group].append(worker_id)
+    return members
--- /dev/null
+++ b/packages/scheduling/briardeal_scheduling/placement/__init__.py
@@ -0,0 +1,15 @@
+"""The choice of VMs for a job."""
+
+from briardeal_scheduling.placement._fit import Need, choose_workers, fits_empty
+from briardeal_scheduling.placement._holes import find_hole
+from briardeal_scheduling.placement._victims import Opening, open_room, open_room_anywhere
+
+__all__ = [
+    "Need",
+    "Opening",
+    "choose_workers",
+    "find_hole",
+    "fits_empty",
+    "open_room",
+    "open_room_anywhere",
+]
--- /dev/null
+++ b/packages/scheduling/briardeal_scheduling/placement/_fit.py
@@ -0,0 +1,124 @@
+"""Best fit by VM and rack."""
+
+from __future__ import annotations
+
+import heapq
+from typing import TYPE_CHECKING
+
+import attrs
+
+from briardeal_core.configuration import Adjacency
+from briardeal_scheduling.fleet import groups_of
+
+if TYPE_CHECKING:
+    from collections.abc import Container, Iterable
+
+    from briardeal_core.jobs import JobRequest, WorkerShape
+    from briardeal_scheduling.fleet import CapacityIndex, Fleet, Group
+
+CANDIDATE_LIMIT = 64
+"""VMs with equally good room that are compared by their rack, beyond those needed."""
+
+WIDTHS = [Adjacency.RACK, Adjacency.FAILURE_DOMAIN, Adjacency.REGION]
+
+
+@attrs.frozen
+class Need:
+    """Room that a job needs.
+
+    Parameters
+    ----------
+    tasks
+        Number of VMs.
+    number
+        What is needed on each of them: accelerators, or one task slot.
+    adjacency
+        How close together they must be.
+    """
+
+    tasks: int
+    number: int
+    adjacency: Adjacency
+
+    @classmethod
+    def of(cls, request: JobRequest) -> Need:
+        """Return what a job needs."""
+        return cls(request.tasks, request.accelerators_per_task or 1, request.adjacency)
+
+
+def choose_workers(
+    fleet: Fleet, index: CapacityIndex, need: Need, avoid: Container[str] = frozenset()
+) -> list[str] | None:
+    """Return the VMs that hold a job most tightly.
+
+    Parameters
+    ----------
+    fleet, index
+        The VMs, and the index of the room that counts for the job.
+    need
+        What it needs.
+    avoid
+        VMs that it must not have.
+
+    Returns
+    -------
+    list or None
+        One VM for each task; `None` where no group has enough of them.
+    """
+    for width in _widths(need):
+        groups = [
+            group
+            for group in index.by_adjacency.get(width, ())
+            if index.count(group, need.number) >= need.tasks
+        ]
+        groups.sort(key=lambda group: (index.totals[group], group.path))
+        for group in groups:
+            chosen = _choose_in_group(fleet, index, group, need, avoid)
+            if chosen is not None:
+                return chosen
+    return None
+
+
+def fits_empty(shapes: Iterable[WorkerShape], request: JobRequest) -> bool:
+    """Return whether a job would fit on the given VMs if nothing else ran."""
+    counts: dict[Group, int] = {}
+    for shape in shapes:
+        if shape.accelerators >= request.accelerators_per_task:
+            group = groups_of(shape)[request.adjacency]
+            counts[group] = counts.get(group, 0) + 1
+    return any(count >= request.tasks for count in counts.values())
+
+
+def _widths(need: Need) -> list[Adjacency]:
+    """Return how close together to look first: a gang stays in one rack where it can."""
+    widest = WIDTHS.index(need.adjacency)
+    if need.tasks == 1:
+        return [need.adjacency]
+    return WIDTHS[: widest + 1]
+
+
+def _choose_in_group(
+    fleet: Fleet, index: CapacityIndex, group: Group, need: Need, avoid: Container[str]
+) -> list[str] | None:
+    chosen: list[str] = []
+    for number, bucket in index.ascending(group, need.number):
+        missing = need.tasks - len(chosen)
+        allowed = []
+        for worker_id in bucket:
+            index.examined += 1
+            if worker_id not in avoid:
+                allowed.append((_emptiness(fleet, index, worker_id, number), worker_id))
+            if len(allowed) >= missing + CANDIDATE_LIMIT:
+                break
+        best = heapq.nsmallest(missing, allowed)
+        chosen.extend(worker_id for _, worker_id in best)
+        if len(chosen) == need.tasks:
+            return chosen
+    return None
+
+
+def _emptiness(fleet: Fleet, index: CapacityIndex, worker_id: str, number: int) -> tuple[bool, int]:
+    """Return how much taking from this VM would break up: whole VMs last, full racks first."""
+    worker = fleet.workers[worker_id]
+    rack = fleet.groups[worker_id][Adjacency.RACK]
+    return number == worker.accelerators, index.totals[rack]
--- /dev/null
+++ b/packages/scheduling/briardeal_scheduling/placement/_holes.py
@@ -0,0 +1,86 @@
+"""VMs that are kept for a large job, with the time when they are free."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from briardeal_scheduling.queue import Hole
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Container
+
+    from briardeal_scheduling.fleet import Fleet
+    from briardeal_scheduling.placement._fit import Need
+
+
+def find_hole(
+    fleet: Fleet,
+    need: Need,
+    end_of: Callable[[str], float],
+    now_s: float,
+    avoid: Container[str] = frozenset(),
+    unbooked: bool = False,
+) -> Hole | None:
+    """Return the group where enough VMs are free first.
+
+    Parameters
+    ----------
+    fleet, need
+        The VMs, and what the job needs.
+    end_of
+        When a running job is expected to end, in seconds.
+    now_s
+        The time now.
+    avoid
+        VMs that the job must not have, or that are kept for others.
+    unbooked
+        Whether the job must stay out of what is set aside for guarantees.
+    """
+    best: Hole | None = None
+    ends: dict[str, float] = {}
+    for group in fleet.free.by_adjacency.get(need.adjacency, ()):
+        times = []
+        for worker_id in fleet.members(group):
+            worker = fleet.workers[worker_id]
+            fleet.free.examined += 1
+            if worker_id in avoid or not worker.usable or worker.accelerators < need.number:
+                continue
+            if unbooked and worker.accelerators - worker.booked < need.number:
+                continue
+            times.append(
+                (_free_at_s(fleet, worker_id, need.number, end_of, now_s, ends), worker_id)
+            )
+        if len(times) < need.tasks:
+            continue
+        times.sort()
+        at_s = times[need.tasks - 1][0]
+        if math.isfinite(at_s) and (best is None or at_s < best.at_s):
+            chosen = frozenset(worker_id for _, worker_id in times[: need.tasks])
+            best = Hole(chosen, group.path, at_s, now_s)
+    return best
+
+
+def _free_at_s(
+    fleet: Fleet,
+    worker_id: str,
+    number: int,
+    end_of: Callable[[str], float],
+    now_s: float,
+    ends: dict[str, float],
+) -> float:
+    worker = fleet.workers[worker_id]
+    missing = number - worker.balance
+    if missing <= 0:
+        return now_s
+    tasks = []
+    for job_id, accelerators in worker.tasks.items():
+        if job_id not in ends:
+            ends[job_id] = end_of(job_id)
+        tasks.append((ends[job_id], accelerators))
+    tasks.sort()
+    for end_s, accelerators in tasks:
+        missing -= accelerators
+        if missing <= 0:
+            return end_s
+    return math.inf
--- /dev/null
+++ b/packages/scheduling/briardeal_scheduling/queue/_table.py
@@ -0,0 +1,55 @@
+"""All jobs that are not over."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import attrs
+
+from briardeal_scheduling.queue._job import Job, JobPhase
+
+
+@attrs.define
+class JobTable:
+    """Jobs by name, by phase and by customer.
+
+    Attributes
+    ----------
+    held
+        Accelerators that each customer holds.
+    """
+
+    jobs: dict[str, Job] = attrs.field(factory=dict)
+    waiting: dict[str, Job] = attrs.field(factory=dict)
+    opening: dict[str, Job] = attrs.field(factory=dict)
+    leaving: dict[str, Job] = attrs.field(factory=dict)
+    held: Counter[str] = attrs.field(factory=Counter)
+
+    def add(self, job: Job) -> None:
+        """Add a job in its phase."""
+        self.jobs[job.job_id] = job
+        self.file(job)
+
+    def file(self, job: Job) -> None:
+        """Sort a job into the phase that it has now."""
+        for group, phase in (
+            (self.waiting, JobPhase.WAITING),
+            (self.opening, JobPhase.OPENING),
+        ):
+            if job.phase is phase:
+                group[job.job_id] = job
+            else:
+                group.pop(job.job_id, None)
+        if job.leaving:
+            self.leaving[job.job_id] = job
+        else:
+            self.leaving.pop(job.job_id, None)
+
+    def remove(self, job: Job) -> None:
+        """Drop a job that is over."""
+        for group in (self.jobs, self.waiting, self.opening, self.leaving):
+            group.pop(job.job_id, None)
+
+    def hold(self, job: Job, sign: int = 1) -> None:
+        """Count the accelerators of a job against its customer, or no longer."""
+        self.held[job.request.customer] += sign * job.accelerators
