Own a region through the log and conduct gangs from there

Cause: the thin entry started jobs from any entry with the same token, lost them on any failure and took an unanswered append for a failed one. Change: an entry claims its region on the owner stream and renews the claim; the right to start lapses unless its own renewal was read back or every listed peer confirms that the log is lost for it too. Placements are written ahead, a new owner fences all agents, reads the job stream and adopts what runs. Attempts close through the log before a worker out of reach is given up. Jobs can be cancelled, explained and submitted again under one idempotency key.

--- a/packages/core/briardeal_core/reasons/_catalogue.py
+++ b/packages/core/briardeal_core/reasons/_catalogue.py
@@ -33,6 +33,11 @@
     CONFIGURATION_CONFLICT = "Another operator changed the configuration first."
     CONFIGURATION_NOT_LOST = "Nothing is missing from the platform's log, so nothing was replaced."
     CONFIGURATION_VERSION_UNKNOWN = "No configuration of this version is kept any more."
+    JOB_KEY_REUSED = "Another job was submitted with this idempotency key before."
+    JOB_ENDED = "The job has already come to its end."
+    WORKER_LOST = "The VM of a task was lost, so the whole job is started again."
+    TASK_FAILED = "A task of the job failed, so the job is tried again elsewhere."
+    GANG_NOT_WHOLE = "Not every task of the job could start, so none of it ran."
 
     @property
     def code(self) -> str:
--- a/packages/entry/briardeal/api/_jobs.py
+++ b/packages/entry/briardeal/api/_jobs.py
@@ -25,6 +25,8 @@
         The job as declared.
     state
         Where it stands.
+    attempt
+        Number of its last start; 0 before the first.
     workers
         Workers that it was given last.
     why
@@ -33,10 +35,26 @@
 
     job: JobRequest
     state: str
+    attempt: int
     workers: tuple[str, ...]
     why: str
 
 
+class ExplanationBody(msgspec.Struct, frozen=True, kw_only=True):
+    """Body that explains one job.
+
+    Parameters
+    ----------
+    job_id
+        The job.
+    sentences
+        What was decided and why, oldest first.
+    """
+
+    job_id: str
+    sentences: tuple[str, ...]
+
+
 class JobRoutes:
     """Routes for jobs.
 
@@ -55,6 +73,8 @@
             web.post("/v1/jobs", self.submit),
             web.get("/v1/jobs", self.jobs),
             web.get("/v1/jobs/{job_id}", self.job),
+            web.get("/v1/jobs/{job_id}/explanation", self.explanation),
+            web.delete("/v1/jobs/{job_id}", self.cancel),
         ]
 
     async def submit(self, http: web.Request) -> web.Response:
@@ -65,7 +85,8 @@
             return reply_refusal(
                 Refusal(Reason.REQUEST_INVALID, RunState.NOT_RUN, None, f"{error}.")
             )
-        outcome = await self.entry.jobs.submit(job)
+        key = http.headers.get("Idempotency-Key", "")
+        outcome = await self.entry.jobs.submit(job, key)
         if isinstance(outcome, Refusal):
             return reply_refusal(outcome)
         return reply_json(outcome, 201)
@@ -81,6 +102,21 @@
             return reply_refusal(Refusal(Reason.JOB_UNKNOWN, RunState.NOT_RUN))
         return reply_json(_describe(view))
 
+    async def explanation(self, http: web.Request) -> web.Response:
+        """Return what was decided on a job and why."""
+        job_id = http.match_info["job_id"]
+        sentences = self.entry.jobs.explain(job_id)
+        if not sentences:
+            return reply_refusal(Refusal(Reason.JOB_UNKNOWN, RunState.NOT_RUN))
+        return reply_json(ExplanationBody(job_id=job_id, sentences=tuple(sentences)))
+
+    async def cancel(self, http: web.Request) -> web.Response:
+        """Cancel a job."""
+        outcome = await self.entry.jobs.cancel(http.match_info["job_id"])
+        if isinstance(outcome, Refusal):
+            return reply_refusal(outcome)
+        return reply_json(_describe(outcome), 202)
+
 
 def _with_id(body: bytes) -> bytes:
     fields = msgspec.json.decode(body)
@@ -90,4 +126,10 @@
 
 
 def _describe(view: JobView) -> JobBody:
-    return JobBody(job=view.job, state=view.state.value, workers=view.workers, why=view.why)
+    return JobBody(
+        job=view.job,
+        state=view.state.value,
+        attempt=view.attempt,
+        workers=view.workers,
+        why=view.why,
+    )
--- a/packages/entry/briardeal/jobs/__init__.py
+++ b/packages/entry/briardeal/jobs/__init__.py
@@ -1,17 +1,22 @@
 """Jobs: acceptance through the log, gangs on agents, and what became of each."""
 
-from briardeal.jobs._board import JobBoard, JobView
-from briardeal.jobs._gangs import Gangs
-from briardeal.jobs._records import JobAccepted, JobEnded, JobPlaced, JobRecord
+from briardeal.jobs._attempt import RESTART_WAIT_S
+from briardeal.jobs._board import JobBoard
+from briardeal.jobs._decisions import DecisionMaker
+from briardeal.jobs._first_fit import FirstFit
+from briardeal.jobs._gang_state import LOST_GRACE_S
+from briardeal.jobs._records import JOB_SCHEMA, JOB_STREAM
 from briardeal.jobs._service import JobService
+from briardeal.jobs._view import JobView
 
 __all__ = [
-    "Gangs",
-    "JobAccepted",
+    "JOB_SCHEMA",
+    "JOB_STREAM",
+    "LOST_GRACE_S",
+    "RESTART_WAIT_S",
+    "DecisionMaker",
+    "FirstFit",
     "JobBoard",
-    "JobEnded",
-    "JobPlaced",
-    "JobRecord",
     "JobService",
     "JobView",
 ]
--- a/packages/entry/briardeal/jobs/_gangs.py
+++ b/packages/entry/briardeal/jobs/_gangs.py
@@ -1,114 +1,154 @@
-"""Start of gangs on agents: reserve every member, then start all."""
+"""Orders to the agents of gangs: reserve every member, then start all."""
 
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from briardeal_protocol.messages import ReserveTask, StartTask, StopTask, Tasks, TaskState
+import attrs
+
+from briardeal_protocol.messages import (
+    ReserveTask,
+    StartTask,
+    StopMode,
+    StopTask,
+    TakeInventory,
+    Tasks,
+    TaskState,
+)
 
 if TYPE_CHECKING:
-    from briardeal.membership import AgentEntry, AgentTable
+    from briardeal.jobs._members import Members, WorkerAgent
     from briardeal_core.jobs import JobRequest
     from briardeal_protocol.messages import TaskStatus
 
 CALL_TIMEOUT_S = 1.0
+RESERVE_LEASE_S = 5.0
 
 
-@dataclass(frozen=True)
-class GangStarted:
-    """Every member runs."""
-
-
-@dataclass(frozen=True)
-class GangNotStarted:
-    """No member runs.
+@attrs.frozen
+class Gang:
+    """One start of a job.
 
     Parameters
     ----------
-    detail
-        What stood in the way.
+    job
+        The job.
+    attempt
+        Number of the start.
+    workers
+        One worker for each task.
+    token
+        Fencing token of the owner.
+    checkpoints
+        Checkpoint of each task to resume from; empty for none.
     """
 
-    detail: str
-
-
-@dataclass(frozen=True)
-class GangInDoubt:
-    """Some members may run; the agents' reports will tell."""
+    job: JobRequest
+    attempt: int
+    workers: tuple[str, ...]
+    token: int
+    checkpoints: tuple[str, ...] = ()
 
 
 class Gangs:
-    """Orders to the agents of gangs.
+    """Sends orders to the agents of a gang, to all at once.
 
     Parameters
     ----------
-    table
-        Agents that are alive.
+    members
+        Agents in reach.
     """
 
-    def __init__(self, table: AgentTable) -> None:
-        self.table = table
-
-    async def start(
-        self, job: JobRequest, attempt: int, workers: tuple[str, ...], token: int
-    ) -> GangStarted | GangNotStarted | GangInDoubt:
-        """Reserve every member and start them only when all are reserved."""
-        agents = [self.table.agents.get(worker) for worker in workers]
-        if None in agents:
-            return GangNotStarted("a worker is out of reach")
-        reserved = await asyncio.gather(
-            *(self._reserve(agent, job, attempt, workers, token) for agent in agents)
-        )
-        if any(status is None or status.state is not TaskState.RESERVED for status in reserved):
-            await self._give_back(agents, job.job_id, attempt, token)
-            return GangNotStarted("not every member could be reserved")
-        started = await asyncio.gather(
-            *(self._start(agent, job.job_id, attempt, token) for agent in agents)
-        )
-        if all(status is not None and status.state is TaskState.RUNNING for status in started):
-            return GangStarted()
-        await self._give_back(agents, job.job_id, attempt, token)
-        return GangInDoubt()
+    def __init__(self, members: Members) -> None:
+        self.members = members
+        self.messages = 0
 
-    async def _reserve(
-        self,
-        agent: AgentEntry,
-        job: JobRequest,
-        attempt: int,
-        workers: tuple[str, ...],
-        token: int,
-    ) -> TaskStatus | None:
+    async def reserve(self, gang: Gang) -> list[str]:
+        """Reserve every member and return the workers that could not be reserved."""
+        statuses = await asyncio.gather(
+            *(self._reserve(gang, index) for index in range(len(gang.workers)))
+        )
+        return _without(gang, statuses, TaskState.RESERVED)
+
+    async def start(self, gang: Gang) -> list[str]:
+        """Start every reserved member and return the workers that did not say that it runs."""
+        statuses = await asyncio.gather(*(self._start(gang, worker) for worker in gang.workers))
+        return _without(gang, statuses, TaskState.RUNNING)
+
+    async def stop(self, gang: Gang, mode: StopMode = StopMode.STOP) -> None:
+        """Stop every member in reach that has not ended, or give back its reservation."""
+        await asyncio.gather(*(self._stop(gang, worker, mode) for worker in gang.workers))
+
+    async def take_inventory(self, agent: WorkerAgent, token: int) -> bool:
+        """Raise the fence of an agent and learn all its tasks; return whether it answered."""
+        call_id = agent.entry.link.next_call_id()
+        reply = await self._call(agent, TakeInventory(call_id=call_id, token=token), whole=True)
+        return reply is not None
+
+    async def _reserve(self, gang: Gang, index: int) -> TaskStatus | None:
+        agent = self.members.agents.get(gang.workers[index])
+        if agent is None:
+            return None
         order = ReserveTask(
-            call_id=agent.link.next_call_id(),
-            token=token,
-            job_id=job.job_id,
-            attempt=attempt,
-            accelerators=job.accelerators_per_task,
-            workers=workers,
-            command=job.command,
+            call_id=agent.entry.link.next_call_id(),
+            token=gang.token,
+            job_id=gang.job.job_id,
+            attempt=gang.attempt,
+            accelerators=gang.job.accelerators_per_task,
+            workers=gang.workers,
+            command=gang.job.command,
+            checkpoint=gang.checkpoints[index] if gang.checkpoints else "",
+            lease_s=RESERVE_LEASE_S,
         )
-        return await _call(agent, order)
-
-    async def _start(
-        self, agent: AgentEntry, job_id: str, attempt: int, token: int
-    ) -> TaskStatus | None:
-        call_id = agent.link.next_call_id()
-        return await _call(
-            agent, StartTask(call_id=call_id, token=token, job_id=job_id, attempt=attempt)
+        return await self._order(agent, order)
+
+    async def _start(self, gang: Gang, worker: str) -> TaskStatus | None:
+        agent = self.members.agents.get(worker)
+        if agent is None:
+            return None
+        order = StartTask(
+            call_id=agent.entry.link.next_call_id(),
+            token=gang.token,
+            job_id=gang.job.job_id,
+            attempt=gang.attempt,
         )
+        return await self._order(agent, order)
+
+    async def _stop(self, gang: Gang, worker: str, mode: StopMode) -> TaskStatus | None:
+        agent = self.members.agents.get(worker)
+        if agent is None:
+            return None
+        order = StopTask(
+            call_id=agent.entry.link.next_call_id(),
+            token=gang.token,
+            job_id=gang.job.job_id,
+            attempt=gang.attempt,
+            mode=mode,
+        )
+        return await self._order(agent, order)
 
-    async def _give_back(
-        self, agents: list[AgentEntry], job_id: str, attempt: int, token: int
-    ) -> None:
-        orders = [
-            StopTask(call_id=agent.link.next_call_id(), token=token, job_id=job_id, attempt=attempt)
-            for agent in agents
-        ]
-        await asyncio.gather(*map(_call, agents, orders))
-
+    async def _order(
+        self, agent: WorkerAgent, order: ReserveTask | StartTask | StopTask
+    ) -> TaskStatus | None:
+        reply = await self._call(agent, order)
+        return reply.tasks[0] if reply is not None and reply.tasks else None
 
-async def _call(agent: AgentEntry, order: ReserveTask | StartTask | StopTask) -> TaskStatus | None:
-    reply = await agent.link.call(order, CALL_TIMEOUT_S)
-    return reply.tasks[0] if isinstance(reply, Tasks) else None
+    async def _call(
+        self,
+        agent: WorkerAgent,
+        order: ReserveTask | StartTask | StopTask | TakeInventory,
+        whole: bool = False,
+    ) -> Tasks | None:
+        self.messages += 1
+        reply = await agent.entry.link.call(order, CALL_TIMEOUT_S)
+        if not isinstance(reply, Tasks):
+            return None
+        told = [status for status in reply.tasks if status.state is not TaskState.REFUSED]
+        self.members.take(agent.entry, told, whole)
+        return reply
+
+
+def _without(gang: Gang, statuses: list[TaskStatus | None], state: TaskState) -> list[str]:
+    pairs = zip(gang.workers, statuses, strict=True)
+    return [worker for worker, status in pairs if status is None or status.state is not state]
--- a/packages/entry/briardeal/jobs/_service.py
+++ b/packages/entry/briardeal/jobs/_service.py
@@ -1,122 +1,254 @@
-"""Acceptance and starting of jobs."""
+"""Acceptance of jobs, the view of all jobs, and the part that owns the region."""
 
 from __future__ import annotations
 
-import secrets
+import asyncio
+import hashlib
+import uuid
 from typing import TYPE_CHECKING
 
 import msgspec
 from mode import Service
 
-from briardeal.jobs._gangs import Gangs, GangStarted
-from briardeal.jobs._records import JOB_STREAM, JobAccepted, JobEnded, JobPlaced, JobRecord
+from briardeal.jobs._attempt import Desk
+from briardeal.jobs._board import JobBoard
+from briardeal.jobs._gangs import Gangs
+from briardeal.jobs._members import Members
+from briardeal.jobs._outbox import Outbox
+from briardeal.jobs._owner import Owner
+from briardeal.jobs._records import JOB_SCHEMA, JOB_STREAM, JobAccepted, JobCancelled
+from briardeal.jobs.ownership import NoPeers, Ownership
 from briardeal_core.events import Event, log_event
-from briardeal_core.jobs import JobState
-from briardeal_core.log import Batch, LogUnavailable
+from briardeal_core.log import (
+    AppendBudget,
+    SnapshotStream,
+    StreamFollower,
+    StreamReader,
+    StreamWriter,
+    Written,
+)
 from briardeal_core.reasons import Reason, Refusal, RunState
-from briardeal_protocol.messages import TaskState
+from briardeal_protocol.messages import GangsWhole
+from briardeal_scheduling import Scheduler
 
 if TYPE_CHECKING:
-    from briardeal.jobs._board import JobBoard, JobView
-    from briardeal.membership import AgentEntry, AgentTable
+    import random
+    from collections.abc import Callable
+
+    from briardeal.jobs._decisions import DecisionMaker
+    from briardeal.jobs._view import JobView
+    from briardeal.jobs.ownership import PeerLogStates
+    from briardeal.membership import AgentEntry
+    from briardeal_core.clock import Clock
+    from briardeal_core.configuration import Configuration
     from briardeal_core.jobs import JobRequest
     from briardeal_core.log import Log
-    from briardeal_protocol.messages import Tasks, TaskStatus
+    from briardeal_core.metrics import Metrics
+    from briardeal_protocol.messages import Tasks
 
-LOG_RETRY_S = 2.0
-READ_LIMIT = 500
-READ_WAIT_S = 5.0
-DECIDE_INTERVAL_S = 0.2
+SNAPSHOT_STREAM = "jobs-snapshots"
+VIEW_FRESH_S = 8.0
+"""Oldest view of the log on which an entry confirms gangs."""
+
+READ_OWN_TIMEOUT_S = 2.0
+INVENTORY_RETRY_S = 1.0
+POLL_S = 0.02
 
 
 class JobService(Service):
-    """Accepts jobs through the log and starts them on workers.
+    """Accepts jobs through the log, and starts them where this entry owns the region.
 
     Parameters
     ----------
     log
         The platform's log.
+    region, entry_id
+        The region and this entry.
+    clock
+        Wall time.
+    metrics
+        Counts refusals and retries.
+    rng
+        Source of jitter and identifiers.
+    peers
+        What the other entries say of the log.
+    budget
+        Rate of appends of this process.
+    create_maker
+        Returns a new decision maker for each time of ownership.
+
+    Attributes
+    ----------
     board
-        View of all jobs.
-    table
-        Agents that are alive.
+        All jobs as the log tells them.
+    ownership
+        The claim of this entry on its region.
+    members
+        Agents with a worker in reach, and their tasks.
     """
 
-    def __init__(self, log: Log, board: JobBoard, table: AgentTable) -> None:
+    def __init__(
+        self,
+        log: Log,
+        region: str,
+        entry_id: str,
+        clock: Clock,
+        metrics: Metrics,
+        rng: random.Random,
+        peers: PeerLogStates | None = None,
+        budget: AppendBudget | None = None,
+        create_maker: Callable[[], DecisionMaker] = Scheduler,
+    ) -> None:
         super().__init__()
-        self.log_service = log
-        self.board = board
-        self.table = table
-        self.gangs = Gangs(table)
-        self.token = 1
-
-    async def submit(self, job: JobRequest) -> JobRequest | Refusal:
-        """Accept a job; it is accepted only when it stands in the log."""
-        job = msgspec.structs.replace(job, job_id=f"job-{secrets.token_hex(6)}")
-        written = await self._append(JobAccepted(job=job))
-        if isinstance(written, LogUnavailable):
-            return Refusal(Reason.LOG_UNAVAILABLE, RunState.NOT_RUN, LOG_RETRY_S)
+        self.region = region
+        self.metrics = metrics
+        self.rng = rng
+        budget = budget or AppendBudget()
+        self.board = JobBoard()
+        self.members = Members()
+        snapshots = SnapshotStream(log, SNAPSHOT_STREAM, budget, rng)
+        reader = StreamReader(log, JOB_STREAM, JOB_SCHEMA)
+        self.follower = StreamFollower(reader, snapshots, self.board, rng)
+        self.writer = StreamWriter(log, JOB_STREAM, JOB_SCHEMA, budget, rng)
+        self.decisions = StreamWriter(log, JOB_STREAM, JOB_SCHEMA, budget, rng)
+        self.outbox = Outbox(self.decisions)
+        self.ownership = Ownership(
+            log, region, entry_id, peers or NoPeers(), self._count_workers, budget, rng
+        )
+        desk = Desk(self.members, Gangs(self.members), self.outbox, self.ownership.right, rng)
+        self.gangs = desk.gangs
+        self.owner = Owner(self.ownership, self.board, desk, create_maker, clock, metrics)
+
+    def on_init_dependencies(self) -> list[Service]:
+        """Return the services that start and stop with this one."""
+        return [
+            self.follower,
+            self.writer,
+            self.decisions,
+            self.outbox,
+            self.ownership,
+            self.owner,
+        ]
+
+    def configure(self, configuration: Configuration) -> None:
+        """Take over a new configuration."""
+        self.owner.configure(configuration)
+
+    async def submit(self, job: JobRequest, key: str = "") -> JobRequest | Refusal:
+        """Accept a job; it is accepted only when it stands in the log.
+
+        Parameters
+        ----------
+        job
+            The job; its name is chosen here.
+        key
+            Idempotency key of the caller; a job submitted again with the same key is the same job.
+        """
+        job = msgspec.structs.replace(job, job_id=self._name_job(job, key))
+        known = self.board.jobs.get(job.job_id)
+        if known is not None:
+            return self._compare(job, known)
+        written = await self.writer.append(JobAccepted(job=job, region=self.region))
+        if not isinstance(written, Written):
+            return self._refuse(_name_in(written, job))
         log_event(Event.JOB_ACCEPTED, job=job.job_id, customer=job.customer)
+        if key and await self._wait_read(job.job_id):
+            return self._compare(job, self.board.jobs[job.job_id])
         return job
 
+    async def cancel(self, job_id: str) -> JobView | Refusal:
+        """Cancel a job; it ends once nothing of it runs."""
+        view = self.board.jobs.get(job_id)
+        if view is None:
+            return self._refuse(Refusal(Reason.JOB_UNKNOWN, RunState.NOT_RUN))
+        if view.ended and not view.cancelled:
+            return self._refuse(Refusal(Reason.JOB_ENDED, RunState.RAN, detail=view.why))
+        if not view.cancelled:
+            written = await self.writer.append(JobCancelled(job_id=job_id))
+            if not isinstance(written, Written):
+                return self._refuse(written)
+        return view
+
+    def explain(self, job_id: str) -> list[str]:
+        """Return what was decided on a job and why, oldest first; empty for an unknown job."""
+        view = self.board.jobs.get(job_id)
+        if view is None:
+            return []
+        term = self.owner.term
+        now_s = asyncio.get_running_loop().time()
+        decided = term.maker.explain(job_id, now_s) if term is not None else []
+        return [*view.history, *decided]
+
     def agent_joined(self, entry: AgentEntry) -> None:
         """Take in an agent that connected, with the tasks that it holds."""
+        if entry.hello.worker is not None:
+            self.ownership.notice_fence(entry.hello.worker.fence)
+            self.members.join(entry)
+            self.add_future(self._list_tasks(entry))
 
     def agent_lost(self, entry: AgentEntry) -> None:
         """Take note that an agent is out of reach."""
+        self.members.lose(entry)
 
     def tasks_changed(self, entry: AgentEntry, tasks: Tasks) -> None:
-        """Take the states of tasks."""
-        for status in tasks.tasks:
-            view = self.board.jobs.get(status.job_id)
-            if view is not None and status.attempt == view.attempt:
-                self.add_future(self._end(view, status))
-
-    async def _end(self, view: JobView, status: TaskStatus) -> None:
-        if status.state is TaskState.FINISHED and view.state is JobState.RUNNING:
-            view.state = JobState.FINISHED
-            why = "Every task of the job has finished."
-            await self._append(JobEnded(job_id=status.job_id, state=JobState.FINISHED, why=why))
-            log_event(Event.JOB_ENDED, job=status.job_id, state="finished")
-
-    @Service.task
-    async def _follow_log(self) -> None:
-        offset = 0
-        while not self.should_stop:
-            batch = await self.log_service.read(JOB_STREAM, offset, READ_LIMIT, READ_WAIT_S)
-            if not isinstance(batch, Batch):
-                await self.sleep(1.0)
-                continue
-            for entry in batch.entries:
-                self.board.apply(msgspec.json.decode(entry.record, type=JobRecord))
-            offset = batch.next_offset
-
-    @Service.task
-    async def _start_waiting(self) -> None:
-        while not self.should_stop:
-            for view in self.board.waiting():
-                await self._start(view)
-            await self.sleep(DECIDE_INTERVAL_S)
-
-    async def _start(self, view: JobView) -> None:
-        workers = tuple(entry.agent_id for entry in self.table.workers())[: view.job.tasks]
-        if len(workers) < view.job.tasks:
-            return
-        attempt = view.attempt + 1
-        why = f"The job was given {', '.join(workers)}, the first workers with room."
-        placed = JobPlaced(
-            job_id=view.job.job_id, attempt=attempt, workers=workers, token=self.token, why=why
-        )
-        if isinstance(await self._append(placed), LogUnavailable):
-            return
-        self.board.apply(placed)
-        outcome = await self.gangs.start(view.job, attempt, workers, self.token)
-        if isinstance(outcome, GangStarted):
-            view.state = JobState.RUNNING
-            log_event(Event.JOB_STARTED, job=view.job.job_id, workers=workers)
-        else:
-            view.state = JobState.WAITING
-
-    async def _append(self, record: JobRecord) -> object:
-        body = msgspec.json.encode(record)
-        return await self.log_service.append(JOB_STREAM, body, secrets.token_hex(8))
+        """Take the states of tasks, and confirm those whose gang is whole."""
+        self.ownership.notice_fence(tasks.fence)
+        self.members.take(entry, tasks.tasks)
+        if tasks.sequence and self._is_view_current():
+            whole = tuple(name for name in tasks.live if self._is_whole(entry, name))
+            reply = GangsWhole(sequence=tasks.sequence, tasks=whole)
+            self.add_future(entry.link.connection.send(reply))
+
+    async def _list_tasks(self, entry: AgentEntry) -> None:
+        """Learn all tasks of an agent, for what it told before may have been lost."""
+        agent = self.members.agents[entry.agent_id]
+        while self.members.agents.get(entry.agent_id) is agent and not self.should_stop:
+            if await self.gangs.take_inventory(agent, self.ownership.token):
+                return
+            await asyncio.sleep(INVENTORY_RETRY_S)
+
+    def _is_view_current(self) -> bool:
+        age_s = self.follower.age_s()
+        fresh = age_s is not None and age_s <= VIEW_FRESH_S
+        return fresh or self.ownership.is_log_down_for_all()
+
+    def _is_whole(self, entry: AgentEntry, name: str) -> bool:
+        job_id, _, attempt = name.rpartition(".")
+        status = self.members.find(entry.agent_id, job_id, int(attempt))
+        view = self.board.jobs.get(job_id)
+        if status is None or view is None or view.ended or view.attempt > status.attempt:
+            return False
+        over = view.attempt == status.attempt and (view.closing or not view.open)
+        return not over and self.members.is_whole(status)
+
+    def _count_workers(self) -> int:
+        return len(self.members.agents)
+
+    def _name_job(self, job: JobRequest, key: str) -> str:
+        if not key:
+            return f"job-{uuid.UUID(int=self.rng.getrandbits(128)).hex[:16]}"
+        digest = hashlib.blake2b(f"{job.customer}\n{key}".encode(), digest_size=12)
+        return f"job-{digest.hexdigest()}"
+
+    def _compare(self, job: JobRequest, known: JobView) -> JobRequest | Refusal:
+        if known.job == job:
+            return known.job
+        return self._refuse(Refusal(Reason.JOB_KEY_REUSED, RunState.NOT_RUN))
+
+    async def _wait_read(self, job_id: str) -> bool:
+        try:
+            async with asyncio.timeout(READ_OWN_TIMEOUT_S):
+                while job_id not in self.board.jobs:
+                    await asyncio.sleep(POLL_S)
+        except TimeoutError:
+            return False
+        return True
+
+    def _refuse(self, refusal: Refusal) -> Refusal:
+        self.metrics.count_refusal(refusal.reason)
+        return refusal
+
+
+def _name_in(refusal: Refusal, job: JobRequest) -> Refusal:
+    detail = f"The job would be named {job.job_id}."
+    return Refusal(refusal.reason, refusal.run_state, refusal.retry_after_s, detail)
--- /dev/null
+++ b/packages/entry/briardeal/jobs/ownership/__init__.py
@@ -0,0 +1,40 @@
+"""Which entry of a region may start jobs."""
+
+from briardeal.jobs.ownership._owners import Owners, Reign
+from briardeal.jobs.ownership._ownership import (
+    CONFIRM_TTL_S,
+    LEASE_TTL_S,
+    MARGIN_S,
+    OUTAGE_LIMIT_S,
+    READ_LOST_S,
+    Ownership,
+    Right,
+)
+from briardeal.jobs.ownership._peers import NoPeers, PeerLogState, PeerLogStates
+from briardeal.jobs.ownership._records import (
+    OWNER_SCHEMA,
+    OwnerClaimed,
+    OwnerReleased,
+    OwnerRenewed,
+    owner_stream,
+)
+
+__all__ = [
+    "CONFIRM_TTL_S",
+    "LEASE_TTL_S",
+    "MARGIN_S",
+    "OUTAGE_LIMIT_S",
+    "OWNER_SCHEMA",
+    "READ_LOST_S",
+    "NoPeers",
+    "OwnerClaimed",
+    "OwnerReleased",
+    "OwnerRenewed",
+    "Owners",
+    "Ownership",
+    "PeerLogState",
+    "PeerLogStates",
+    "Reign",
+    "Right",
+    "owner_stream",
+]
--- a/packages/entry/briardeal/structure/_entry.py
+++ b/packages/entry/briardeal/structure/_entry.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from typing import TYPE_CHECKING
 
 from mode import Service
 
-from briardeal.jobs import JobBoard, JobService
+from briardeal.jobs import FirstFit, JobService
 from briardeal.membership import AgentListener, AgentTable
 from briardeal.requests import Answer, IssuedKey, Keys, Router
 from briardeal_core.clock import WallClock
@@ -42,6 +43,8 @@
         Sends requests to endpoints.
     clock
         Wall time.
+    rng
+        Source of jitter and identifiers.
     """
 
     def __init__(
@@ -51,6 +54,7 @@
         log: Log,
         client: EndpointClient,
         clock: Clock | None = None,
+        rng: random.Random | None = None,
     ) -> None:
         super().__init__()
         self.settings = settings
@@ -60,8 +64,16 @@
         self.table = AgentTable(settings.agent_lease_s, _loop_time)
         self.keys = Keys(settings.entry_id, self.incarnation, self.clock.now_s)
         self.router = Router(self.table, client, self.metrics)
-        self.board = JobBoard()
-        self.jobs = JobService(log, self.board, self.table)
+        self.jobs = JobService(
+            log,
+            settings.region,
+            settings.entry_id,
+            self.clock,
+            self.metrics,
+            rng or random.Random(),
+            create_maker=FirstFit,
+        )
+        self.board = self.jobs.board
         hello = EntryHello(entry_id=settings.entry_id, incarnation=self.incarnation)
         self.agents = AgentListener(network, settings.agent_listen, hello, self.table, self.jobs)
         self.ready = False
