Cause the failures of owners, entries, agents and the log

Cause: nothing yet showed that jobs outlive the processes that conduct them. Change: a region in one event loop on virtual time with pauses, kills, cuts and log faults, and a checker that reads only the histories of the platform. Conclusion: each failure named in the issue is caused at the step where it hurts.

--- a/packages/agent/briardeal_agent/tasks/_member.py
+++ b/packages/agent/briardeal_agent/tasks/_member.py
@@ -18,7 +18,10 @@
 MEMBER_TTL_S = 60.0
 """How long a member runs on after the report on which its gang was last confirmed whole."""
 
-START_TTL_S = 10.0
+GANG_BOUND_S = MEMBER_TTL_S + 2.0
+"""Longest time for which a member runs while its gang is not whole."""
+
+START_TTL_S = 20.0
 """How long a member runs before its gang is confirmed for the first time."""
 
 ENDED = {TaskState.FINISHED, TaskState.FAILED, TaskState.STOPPED, TaskState.REFUSED}
--- a/packages/entry/briardeal/jobs/_first_fit.py
+++ b/packages/entry/briardeal/jobs/_first_fit.py
@@ -9,13 +9,12 @@
 from briardeal_scheduling import (
     Abandon,
     Failed,
-    Lost,
+    Finished,
     NotStarted,
     Placement,
     Preempt,
     PreemptMode,
     Start,
-    Stopped,
 )
 
 if TYPE_CHECKING:
@@ -38,6 +37,7 @@
     request: JobRequest
     placement: Placement | None = None
     failures: int = 0
+    cancelled: bool = False
     retry_at_s: float = 0.0
 
 
@@ -74,6 +74,7 @@
         if job.placement is None:
             del self.jobs[job_id]
         else:
+            job.cancelled = True
             self.orders.append(Preempt(job_id, PreemptMode.STOP, CANCELLED))
         return True
 
@@ -95,7 +96,7 @@
         job.retry_at_s = now_s + RETRY_S
         if isinstance(outcome, Failed):
             job.failures += 1
-        if not isinstance(outcome, Failed | Lost | NotStarted | Stopped):
+        if job.cancelled or isinstance(outcome, Finished):
             del self.jobs[job_id]
         elif job.failures >= FAILURE_LIMIT:
             self._give_up(job_id, GAVE_UP_FAILED)
--- /dev/null
+++ b/tests/entry/jobs/cluster.py
@@ -0,0 +1,406 @@
+"""A region in one event loop, with the faults that its tests order."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+import attrs
+
+from briardeal.jobs import FirstFit, JobService
+from briardeal.membership import AgentListener, AgentTable
+from briardeal_agent.config import AgentSettings
+from briardeal_agent.structure import Agent
+from briardeal_agent.workers import WorkerDown
+from briardeal_core.clock import WallClock
+from briardeal_core.jobs import JobRequest
+from briardeal_core.log import LogUnavailable
+from briardeal_core.metrics import Metrics
+from briardeal_protocol.connections import Closed, MemoryNetwork
+from briardeal_protocol.messages import EntryHello
+from briardeal_standins.log import Faults, LogStore, MemoryLog
+from briardeal_standins.worker import StandinWorker
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+REGION = "koper"
+EPOCH_S = 1_000_000.0
+
+
+def loop_time() -> float:
+    return asyncio.get_running_loop().time()
+
+
+class Gate:
+    """Whether a process runs, is paused or is dead."""
+
+    def __init__(self) -> None:
+        self.open = asyncio.Event()
+        self.open.set()
+        self.dead = False
+
+
+class GatedLog:
+    """A process's way to the log."""
+
+    def __init__(self, store: LogStore, gate: Gate) -> None:
+        self.gate = gate
+        self.faults = Faults()
+        self.inner = MemoryLog(store, self.faults)
+
+    async def append(self, stream, record, append_id):
+        await self.gate.open.wait()
+        if self.gate.dead:
+            return LogUnavailable("dead")
+        return await self._answer(await self.inner.append(stream, record, append_id))
+
+    async def read(self, stream, offset, limit, wait_s=0.0):
+        await self.gate.open.wait()
+        if self.gate.dead:
+            return LogUnavailable("dead")
+        return await self._answer(await self.inner.read(stream, offset, limit, wait_s))
+
+    async def _answer(self, outcome):
+        await self.gate.open.wait()
+        return LogUnavailable("dead") if self.gate.dead else outcome
+
+
+class GatedConnection:
+    """One end of a connection; what a paused process sends and gets waits for its return."""
+
+    def __init__(self, inner, gate: Gate) -> None:
+        self.inner = inner
+        self.gate = gate
+        self.held: list = []
+
+    async def send(self, message):
+        if self.gate.open.is_set():
+            return await self.inner.send(message)
+        if not self.held:
+            asyncio.get_running_loop().create_task(self._release())
+        self.held.append(message)
+        return None
+
+    async def receive(self):
+        message = await self.inner.receive()
+        await self.gate.open.wait()
+        return Closed("dead") if self.gate.dead else message
+
+    async def close(self):
+        await self.inner.close()
+
+    async def _release(self):
+        await self.gate.open.wait()
+        for message in self.held if not self.gate.dead else ():
+            await self.inner.send(message)
+        self.held = []
+
+
+class GatedNetwork:
+    """A process's way to the network."""
+
+    def __init__(self, inner: MemoryNetwork, gate: Gate) -> None:
+        self.inner = inner
+        self.gate = gate
+        self.blocked: set[str] = set()
+        self.opened: list = []
+
+    async def connect(self, address):
+        if self.gate.dead or address in self.blocked:
+            return Closed("blocked")
+        connection = await self.inner.connect(address)
+        if isinstance(connection, Closed):
+            return connection
+        self.opened.append(connection)
+        return GatedConnection(connection, self.gate)
+
+    async def listen(self, address, serve):
+        async def serve_gated(connection):
+            self.opened.append(connection)
+            await serve(GatedConnection(connection, self.gate))
+
+        return await self.inner.listen(address, serve_gated)
+
+    def cut(self, address: str) -> None:
+        """Let all traffic to an address vanish."""
+        self.blocked.add(address)
+        for connection in self.opened:
+            if connection.address == address:
+                connection.silent = connection.other.silent = True
+
+    def kill(self) -> None:
+        """End all connections of a dead process."""
+        for connection in self.opened:
+            connection._end()
+            connection.other._end()
+
+
+class GatedWorker:
+    """A process's way to the platform on its worker."""
+
+    def __init__(self, inner: StandinWorker, gate: Gate) -> None:
+        self.inner = inner
+        self.gate = gate
+
+    def __getattr__(self, name):
+        async def call(*arguments):
+            await self.gate.open.wait()
+            if self.gate.dead:
+                return WorkerDown("dead")
+            return await getattr(self.inner, name)(*arguments)
+
+        return call
+
+
+@attrs.frozen
+class PeerWord:
+    entry_id: str
+    heard_age_s: float
+    read_age_s: float | None
+    highest_token: int
+    region: str = REGION
+
+
+class EntryProcess:
+    """One entry without its HTTP part."""
+
+    def __init__(self, cluster: Cluster, name: str, address: str) -> None:
+        self.cluster = cluster
+        self.name = name
+        self.gate = Gate()
+        self.log = GatedLog(cluster.store, self.gate)
+        self.network = GatedNetwork(cluster.network, self.gate)
+        self.heard: dict[str, tuple[float, float | None, int]] = {}
+        rng = random.Random(f"{cluster.seed}-{name}")
+        self.metrics = Metrics()
+        self.jobs = JobService(
+            self.log,
+            REGION,
+            name,
+            cluster.clock,
+            self.metrics,
+            rng,
+            peers=self,
+            create_maker=cluster.create_maker,
+        )
+        table = AgentTable(3.0, loop_time)
+        hello = EntryHello(entry_id=name, incarnation=int(cluster.clock.now_s() * 1000))
+        self.listener = AgentListener(self.network, address, hello, table, self.jobs)
+
+    async def start(self) -> None:
+        await self.listener.start()
+        await self.jobs.start()
+
+    async def stop(self) -> None:
+        self.gate.open.set()
+        await self.jobs.stop()
+        await self.listener.stop()
+
+    def pause(self) -> None:
+        self.gate.open.clear()
+
+    def resume(self) -> None:
+        self.gate.open.set()
+
+    def kill(self) -> None:
+        self.gate.dead = True
+        self.gate.open.set()
+        self.network.kill()
+
+    def log_states(self):
+        now_s = loop_time()
+        return [
+            PeerWord(name, now_s - at_s, None if age is None else age + now_s - at_s, token)
+            for name, (at_s, age, token) in self.heard.items()
+        ]
+
+
+class AgentProcess:
+    """One agent beside a worker that outlives it."""
+
+    def __init__(self, cluster: Cluster, name: str, worker: StandinWorker, size: int) -> None:
+        self.cluster = cluster
+        self.name = name
+        self.worker = worker
+        self.size = size
+        self.boot()
+
+    def boot(self) -> None:
+        self.gate = Gate()
+        self.network = GatedNetwork(self.cluster.network, self.gate)
+        settings = AgentSettings(
+            agent_id=self.name,
+            region=REGION,
+            failure_domain="k-1",
+            rack="k-1-1",
+            listen="w:1",
+            entries=self.cluster.addresses,
+            worker="w:2",
+            accelerators=self.size,
+            endpoint_lease_s=3.0,
+            drain_timeout_s=1.0,
+        )
+        rng = random.Random(f"{self.cluster.seed}-{self.name}-{loop_time()}")
+        worker = GatedWorker(self.worker, self.gate)
+        self.agent = Agent(settings, self.network, worker, self.cluster.clock, rng)
+
+    async def start(self) -> None:
+        await self.agent.start()
+
+    def kill(self) -> None:
+        self.gate.dead = True
+        self.network.kill()
+        for task in self.agent.link_tasks:
+            task.cancel()
+
+    async def restart(self) -> None:
+        self.kill()
+        self.cluster.retired.append(self.agent)
+        self.boot()
+        await self.start()
+
+
+class Cluster:
+    """A region: a log, entries, agents and their workers."""
+
+    def __init__(
+        self,
+        entries: int = 2,
+        workers: int = 4,
+        accelerators: int = 8,
+        seed: int = 0,
+        create_maker: Callable = FirstFit,
+    ) -> None:
+        self.seed = seed
+        self.create_maker = create_maker
+        self.clock = WallClock(EPOCH_S)
+        self.store = LogStore(clock=self.clock)
+        self.network = MemoryNetwork()
+        self.addresses = tuple(f"e{n}:1" for n in range(entries))
+        self.entries = [EntryProcess(self, f"e{n}", f"e{n}:1") for n in range(entries)]
+        self.agents = [
+            AgentProcess(self, f"w{n}", StandinWorker(), accelerators) for n in range(workers)
+        ]
+        self.apart: set[frozenset[str]] = set()
+        self.retired: list = []
+        self.accepted: dict[str, JobRequest] = {}
+
+    async def __aenter__(self) -> Cluster:
+        for process in [*self.entries, *self.agents]:
+            await process.start()
+        self._beats = asyncio.create_task(self._beat())
+        return self
+
+    async def __aexit__(self, *_) -> None:
+        self._beats.cancel()
+        for agent in self.agents:
+            agent.kill()
+            self.retired.append(agent.agent)
+        for entry in self.entries:
+            await entry.stop()
+        for service in self.retired:
+            await service.stop()
+
+    async def _beat(self) -> None:
+        while True:
+            for sender in self.entries:
+                for receiver in self.entries:
+                    self._tell(sender, receiver)
+            await asyncio.sleep(1.0)
+
+    def _tell(self, sender: EntryProcess, receiver: EntryProcess) -> None:
+        runs = sender.gate.open.is_set() and not sender.gate.dead
+        if sender is receiver or not runs or self._are_apart(sender, receiver):
+            return
+        ownership = sender.jobs.ownership
+        receiver.heard[sender.name] = (
+            loop_time(),
+            ownership.log_age_s(),
+            ownership.highest_token,
+        )
+
+    def _are_apart(self, one: EntryProcess, other: EntryProcess) -> bool:
+        return frozenset((one.name, other.name)) in self.apart
+
+    async def replace(self, index: int, name: str) -> EntryProcess:
+        """Kill an entry and start another at its address."""
+        old = self.entries[index]
+        old.kill()
+        self.retired += [old.jobs, old.listener]
+        self.entries[index] = EntryProcess(self, name, self.addresses[index])
+        await self.entries[index].start()
+        return self.entries[index]
+
+    def outage(self, down: bool, *entries: EntryProcess) -> None:
+        """Let the log fail, or come back, for all or some entries."""
+        for entry in entries or self.entries:
+            entry.log.faults.outage = down
+
+    @property
+    def owner(self) -> EntryProcess | None:
+        """The entry that decides at the moment."""
+        owners = [e for e in self.entries if e.jobs.owner.term and not e.gate.dead]
+        return max(owners, key=lambda e: e.jobs.owner.term.token, default=None)
+
+    async def wait_owner(self, than: EntryProcess | None = None) -> EntryProcess:
+        """Wait until an entry other than the given one decides."""
+        async with asyncio.timeout(300):
+            while (found := self.owner) is None or found is than or not _decides(found):
+                await asyncio.sleep(0.1)
+        return found
+
+    async def submit(self, entry: EntryProcess, key: str = "", **fields) -> str:
+        """Submit a job, keep it as accepted and return its name."""
+        outcome = await entry.jobs.submit(create_job(**fields), key)
+        assert isinstance(outcome, JobRequest), outcome
+        self.accepted[outcome.job_id] = outcome
+        return outcome.job_id
+
+    async def wait_state(self, job_id: str, *states: str, within_s: float = 600) -> None:
+        """Wait until some entry that lives tells one of the states."""
+        async with asyncio.timeout(within_s):
+            while not any(_state(entry, job_id) in states for entry in self.entries):
+                await asyncio.sleep(0.05)
+
+    async def wait_running(self, job_id: str, within_s: float = 600) -> None:
+        """Wait until every task of a job runs on the platform."""
+        async with asyncio.timeout(within_s):
+            while self.running(job_id) < self.accepted[job_id].tasks:
+                await asyncio.sleep(0.02)
+
+    def running(self, job_id: str) -> int:
+        """Return how many tasks of a job run on the platform."""
+        count = 0
+        for agent in self.agents:
+            for held in agent.worker.running.values():
+                held.advance(loop_time())
+                count += held.task.job_id == job_id and held.ended_s is None
+        return count
+
+    def view(self, job_id: str):
+        """Return the job as the living entry tells it that has read most of the log."""
+        living = [entry.jobs for entry in self.entries if not entry.gate.dead]
+        return max(living, key=lambda jobs: jobs.follower.offset).board.jobs[job_id]
+
+
+def _decides(entry: EntryProcess) -> bool:
+    return entry.jobs.board.tokens.get(REGION) == entry.jobs.owner.term.token
+
+
+def _state(entry: EntryProcess, job_id: str) -> str:
+    view = entry.jobs.board.jobs.get(job_id)
+    return "" if view is None or entry.gate.dead else view.state.value
+
+
+def create_job(**fields) -> JobRequest:
+    known = {
+        "job_id": "",
+        "customer": "audit",
+        "job_class": "sampling",
+        "tasks": 1,
+        "accelerators_per_task": 4,
+        "command": "5",
+    }
+    return JobRequest(**{**known, **fields})
--- /dev/null
+++ b/tests/entry/jobs/test_owner.py
@@ -0,0 +1,236 @@
+"""Jobs outlive the death, the pause and the loss of whatever conducts them."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from briardeal.jobs import RESTART_WAIT_S
+from briardeal_core.reasons import Reason, Refusal, RunState
+from briardeal_protocol.messages import ReserveTask, StartTask
+from briardeal_scheduling import Preempt, PreemptMode
+from tests.entry.jobs.checker import check
+from tests.entry.jobs.cluster import Cluster, create_job, loop_time
+
+pytestmark = pytest.mark.looptime
+
+QUIET_S = 2 * RESTART_WAIT_S
+
+
+def strike_before(cluster, entry, kind, strike):
+    """Let `strike` happen when the entry is about to send the first order of a kind."""
+    struck = asyncio.Event()
+    order = entry.jobs.gangs._order
+
+    async def strike_first(agent, message):
+        if isinstance(message, kind) and not struck.is_set():
+            struck.set()
+            strike()
+        return await order(agent, message)
+
+    entry.jobs.gangs._order = strike_first
+    return struck
+
+
+async def settle(cluster):
+    await asyncio.sleep(QUIET_S)
+    check(cluster, loop_time())
+
+
+@pytest.mark.parametrize("kind", [ReserveTask, StartTask])
+@pytest.mark.parametrize("how", ["kill", "pause"])
+@pytest.mark.parametrize("idempotent", [True, False])
+async def test_owner_gone_between_the_steps_of_a_start(kind, how, idempotent):
+    async with Cluster(entries=2, workers=3) as cluster:
+        owner = await cluster.wait_owner()
+        await asyncio.sleep(10)
+        struck = strike_before(cluster, owner, kind, getattr(owner, how))
+        job_id = await cluster.submit(owner, tasks=3, command="60", idempotent=idempotent)
+        await struck.wait()
+        await asyncio.sleep(40)
+        owner.resume()
+        await settle(cluster)
+        assert cluster.view(job_id).state == "finished"
+
+
+async def test_owner_killed_between_start_and_report():
+    async with Cluster() as cluster:
+        owner = await cluster.wait_owner()
+        job_id = await cluster.submit(owner, tasks=4, command="100", idempotent=False)
+        await cluster.wait_running(job_id)
+        owner.kill()
+        await settle(cluster)
+        assert cluster.view(job_id).state == "finished"
+
+
+async def test_owner_killed_between_preemption_and_checkpoint():
+    async with Cluster() as cluster:
+        owner = await cluster.wait_owner()
+        job_id = await cluster.submit(owner, tasks=4, command="50", checkpointable=True)
+        await cluster.wait_state(job_id, "running")
+        owner.jobs.owner.term.maker.orders.append(Preempt(job_id, PreemptMode.CHECKPOINT, "test"))
+        while not any(s.state == "stopping" for s in owner.jobs.members.newest_attempts().values()):
+            await asyncio.sleep(0.01)
+        owner.kill()
+        await cluster.wait_running(job_id)
+        await settle(cluster)
+        newest = cluster.agents[0].worker.running[f"{job_id}.2"].task
+        assert newest.state == "finished"
+        assert cluster.view(job_id).checkpoints[0].startswith("at-")
+
+
+async def test_a_paused_owner_that_returns_starts_nothing():
+    async with Cluster() as cluster:
+        old = await cluster.wait_owner()
+        old.pause()
+        new = await cluster.wait_owner(than=old)
+        job_id = await cluster.submit(new, tasks=2, command="30")
+        await cluster.wait_running(job_id)
+        old.resume()
+        await settle(cluster)
+        assert old.jobs.owner.term is None
+
+
+async def test_lost_acknowledgements_and_copies_lose_and_double_nothing():
+    async with Cluster() as cluster:
+        owner = await cluster.wait_owner()
+        faults = owner.log.faults
+        for name in ("lost_acknowledgements", "double_writes", "late_writes"):
+            setattr(faults, name, 2)
+            for _ in range(3):
+                await cluster.submit(owner, command="3")
+        await settle(cluster)
+
+
+async def test_submission_without_the_log_is_refused_for_certain():
+    async with Cluster() as cluster:
+        owner = await cluster.wait_owner()
+        cluster.outage(True)
+        outcome = await owner.jobs.submit(create_job())
+        assert isinstance(outcome, Refusal)
+        assert (outcome.reason, outcome.run_state) == (Reason.LOG_UNAVAILABLE, RunState.NOT_RUN)
+
+
+async def test_one_key_is_one_job_through_any_entry():
+    async with Cluster() as cluster:
+        await cluster.wait_owner()
+        names = await asyncio.gather(
+            *(cluster.submit(entry, key="k", command="1") for entry in cluster.entries)
+        )
+        assert len(set(names)) == 1
+        other = await cluster.entries[0].jobs.submit(cluster.accepted[names[0]], "k")
+        assert other.job_id == names[0]
+        changed = await cluster.entries[0].jobs.submit(create_job(), "k")
+        assert changed.reason is Reason.JOB_KEY_REUSED
+
+
+async def test_accepted_jobs_start_through_an_outage_of_an_hour():
+    async with Cluster(entries=3) as cluster:
+        owner = await cluster.wait_owner()
+        long = await cluster.submit(owner, tasks=4, accelerators_per_task=8, command="100")
+        waiting = await cluster.submit(owner, tasks=4, accelerators_per_task=8, command="100")
+        careful = await cluster.submit(
+            owner, tasks=4, accelerators_per_task=8, command="9", idempotent=False
+        )
+        await cluster.wait_running(long)
+        cluster.outage(True)
+        await cluster.wait_running(waiting, within_s=200)
+        await asyncio.sleep(3600)
+        assert cluster.running(careful) == 0
+        cluster.outage(False)
+        await settle(cluster)
+
+
+async def test_owner_killed_in_an_outage_leaves_unrecorded_starts_that_are_found():
+    async with Cluster(entries=3) as cluster:
+        owner = await cluster.wait_owner()
+        await cluster.submit(owner, tasks=4, accelerators_per_task=8, command="20")
+        job_id = await cluster.submit(owner, tasks=4, accelerators_per_task=8, command="300")
+        cluster.outage(True)
+        await cluster.wait_running(job_id)
+        await asyncio.sleep(20)
+        owner.kill()
+        await asyncio.sleep(5)
+        cluster.outage(False)
+        await asyncio.sleep(500)
+        await settle(cluster)
+        assert sum(f"{job_id}.2" in agent.worker.running for agent in cluster.agents) == 0
+
+
+async def test_owner_cut_off_from_the_log_alone_is_replaced():
+    async with Cluster(entries=3) as cluster:
+        old = await cluster.wait_owner()
+        cluster.outage(True, old)
+        new = await cluster.wait_owner(than=old)
+        job_id = await cluster.submit(new, command="3")
+        await cluster.wait_state(job_id, "finished")
+        await settle(cluster)
+
+
+async def test_owner_partitioned_with_its_agents_starts_nothing():
+    async with Cluster(entries=2, workers=4) as cluster:
+        old = await cluster.wait_owner()
+        other = next(entry for entry in cluster.entries if entry is not old)
+        cluster.apart.add(frozenset((old.name, other.name)))
+        cluster.outage(True, old)
+        for agent, entry in zip(cluster.agents, [old, old, other, other], strict=True):
+            cut = next(e for e in cluster.entries if e is not entry)
+            agent.network.cut(cluster.addresses[cluster.entries.index(cut)])
+        new = await cluster.wait_owner(than=old)
+        job_id = await cluster.submit(new, tasks=2, command="30")
+        await cluster.wait_running(job_id)
+        await settle(cluster)
+
+
+async def test_all_entries_replaced_at_once_find_what_runs():
+    async with Cluster(entries=2) as cluster:
+        owner = await cluster.wait_owner()
+        running = await cluster.submit(owner, tasks=4, command="90", idempotent=False)
+        await cluster.wait_state(running, "running")
+        for index in range(2):
+            await cluster.replace(index, f"n{index}")
+        job_id = await cluster.submit(await cluster.wait_owner(), command="3")
+        await cluster.wait_state(job_id, "finished")
+        await settle(cluster)
+
+
+async def test_a_whole_region_restarts():
+    async with Cluster(entries=2) as cluster:
+        owner = await cluster.wait_owner()
+        for _ in range(6):
+            await cluster.submit(owner, tasks=2, command="40")
+        await asyncio.sleep(20)
+        for index in range(2):
+            await cluster.replace(index, f"n{index}")
+        for agent in cluster.agents:
+            await agent.restart()
+        await asyncio.sleep(200)
+        await settle(cluster)
+
+
+async def test_a_lost_worker_breaks_its_gang_and_the_job_runs_again():
+    async with Cluster(workers=5) as cluster:
+        owner = await cluster.wait_owner()
+        job_id = await cluster.submit(owner, tasks=4, command="200")
+        once = await cluster.submit(owner, tasks=4, command="200", idempotent=False)
+        await cluster.wait_running(job_id)
+        await cluster.wait_running(once)
+        cluster.agents[0].kill()
+        await asyncio.sleep(400)
+        await settle(cluster)
+        assert cluster.view(once).state == "failed"
+        assert "may not run twice" in cluster.view(once).why
+
+
+async def test_a_cancelled_job_ends_with_nothing_running():
+    async with Cluster() as cluster:
+        owner = await cluster.wait_owner()
+        job_id = await cluster.submit(owner, tasks=4, command="500")
+        await cluster.wait_running(job_id)
+        assert not isinstance(await cluster.entries[1].jobs.cancel(job_id), Refusal)
+        await cluster.wait_state(job_id, "cancelled", within_s=10)
+        assert cluster.running(job_id) == 0
+        again = await owner.jobs.cancel("job-unknown")
+        assert again.reason is Reason.JOB_UNKNOWN
+        assert "cancelled" in owner.jobs.explain(job_id)[-1]
