--- a/packages/core/briardeal_core/configuration/store/_diff.py
+++ b/packages/core/briardeal_core/configuration/store/_diff.py
@@ -6,12 +6,10 @@
 
 import msgspec
 
-from briardeal_core.configuration._model import Configuration
-
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from briardeal_core.configuration._model import Customer, JobClass
+    from briardeal_core.configuration._model import Configuration, Customer, JobClass
 
 
 def describe_changes(old: Configuration, new: Configuration) -> tuple[str, ...]:
--- a/packages/core/briardeal_core/configuration/store/_store.py
+++ b/packages/core/briardeal_core/configuration/store/_store.py
@@ -264,6 +264,12 @@
         return Refusal(reason, RunState.NOT_RUN, retry_after_s=APPLY_DEADLINE_S)
 
     def _take_in(self) -> None:
-        if self.view.newest is not None:
+        """Put the newest version into force, but none of those passed on the way to it."""
+        if self.view.newest is not None and self.follower.age_s() is not None:
             self.in_force.offer(self.view.newest)
         self.pending.settle_read(self.view)
+
+    @Service.task
+    async def _start_from_log(self) -> None:
+        await self.follower.wait_current()
+        self._take_in()
