Keep a writer's deadlines and never write what was told as not run

Cause: a record whose deadline passed within a batch was told as not run while the batch, with it, could still be written later; a record behind a stuck append was answered only after it; and acceptance waited for the share of the rate that is kept from statistics. Change: each caller keeps its own deadline; a record leaves its batch where that is still certain and is told as unknown where not; a batch is encoded again until a try may have taken effect; a new record is looked at while statistics wait for the rate. Conclusion: the answer of a writer is true and in time.

--- a/packages/core/briardeal_core/log/_budget.py
+++ b/packages/core/briardeal_core/log/_budget.py
@@ -37,11 +37,18 @@
         self._tokens = burst
         self._filled_at_s: float | None = None
 
+    def try_acquire(self, priority: Priority) -> float:
+        """Take one append and return 0, or return the seconds after which to ask again."""
+        missing = self._missing(priority)
+        if missing > 0:
+            return missing / self.rate_per_s
+        self._tokens -= 1
+        return 0.0
+
     async def acquire(self, priority: Priority) -> None:
         """Wait until an append of this priority may go out."""
-        while (missing := self._missing(priority)) > 0:
-            await asyncio.sleep(missing / self.rate_per_s)
-        self._tokens -= 1
+        while (wait_s := self.try_acquire(priority)) > 0:
+            await asyncio.sleep(wait_s)
 
     def _missing(self, priority: Priority) -> float:
         now_s = asyncio.get_running_loop().time()
--- a/packages/core/briardeal_core/log/_queue.py
+++ b/packages/core/briardeal_core/log/_queue.py
@@ -10,6 +10,7 @@
 import attrs
 
 from briardeal_core.log._budget import Priority
+from briardeal_core.log._records import encode_envelope
 
 if TYPE_CHECKING:
     from briardeal_core.log._records import EncodedRecord
@@ -45,15 +46,12 @@
         The record.
     priority
         What goes first.
-    deadline_s
-        When the caller must have an answer, by the loop's clock, in seconds.
     outcome
         Where the answer goes.
     """
 
     encoded: EncodedRecord
     priority: Priority
-    deadline_s: float
     outcome: asyncio.Future[Written | Refusal]
 
     def resolve(self, outcome: Written | Refusal) -> None:
@@ -62,6 +60,40 @@
             self.outcome.set_result(outcome)
 
 
+@attrs.define
+class InFlight:
+    """The append that is being tried.
+
+    Parameters
+    ----------
+    records
+        Its records whose callers still wait.
+    append_id
+        Identifier of the append.
+    data
+        What was sent last.
+    uncertain
+        Whether it may have taken effect; from then on what is sent no longer changes.
+    """
+
+    records: list[PendingRecord]
+    append_id: str
+    data: bytes = b""
+    uncertain: bool = False
+
+    def encode(self) -> None:
+        """Encode the records that still wait, unless an earlier try may have taken effect."""
+        if not self.uncertain:
+            self.data = encode_envelope([pending.encoded for pending in self.records])
+
+    def withdraw(self, pending: PendingRecord) -> bool:
+        """Wait no longer for a record; return whether it may come to stand in the log."""
+        if pending not in self.records:
+            return False
+        self.records.remove(pending)
+        return self.uncertain
+
+
 class RecordQueue:
     """Records that wait, by priority and in order.
 
@@ -97,6 +129,21 @@
             await self._filled.wait()
         return min(priority for priority, waiting in self._waiting.items() if waiting)
 
+    async def wait_push(self, timeout_s: float) -> None:
+        """Wait for another record, at most for the given time in seconds."""
+        self._filled.clear()
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._filled.wait()
+        except TimeoutError:
+            return
+
+    def withdraw(self, pending: PendingRecord) -> None:
+        """Remove a record if it still waits."""
+        waiting = self._waiting[pending.priority]
+        if pending in waiting:
+            waiting.remove(pending)
+
     def take(self, limit_records: int, limit_bytes: int) -> list[PendingRecord]:
         """Remove and return what fits into one append, highest priority first."""
         taken: list[PendingRecord] = []
--- a/packages/core/briardeal_core/log/_writer.py
+++ b/packages/core/briardeal_core/log/_writer.py
@@ -11,8 +11,7 @@
 from briardeal_core.events import Event, log_event
 from briardeal_core.log._budget import AppendBudget, Priority
 from briardeal_core.log._model import Appended, LogUnavailable, PastRetention
-from briardeal_core.log._queue import PendingRecord, RecordQueue, Written
-from briardeal_core.log._records import encode_envelope
+from briardeal_core.log._queue import InFlight, PendingRecord, RecordQueue, Written
 from briardeal_core.reasons import Reason, Refusal, RunState
 
 if TYPE_CHECKING:
@@ -72,7 +71,7 @@
         self.queue = RecordQueue()
         self.uncertain_appends = 0
         self._read_from = 0
-        self._in_flight: list[PendingRecord] = []
+        self._in_flight = InFlight([], "")
 
     async def append(
         self,
@@ -96,64 +95,75 @@
         Written | Refusal
             A refusal says `not_run` only where the record can't come to stand in the log.
         """
-        loop = asyncio.get_running_loop()
-        deadline_at_s = loop.time() + min(deadline_s, MAX_APPEND_DEADLINE_S)
-        pending = PendingRecord(
-            self.schema.encode(record), priority, deadline_at_s, loop.create_future()
-        )
         if self.should_stop:
             return _refuse(Reason.SHUTTING_DOWN)
+        outcome = asyncio.get_running_loop().create_future()
+        pending = PendingRecord(self.schema.encode(record), priority, outcome)
         if not self.queue.push(pending):
             return _refuse(Reason.LOG_BACKLOG, retry_after_s=deadline_s)
-        return await pending.outcome
+        try:
+            async with asyncio.timeout(min(deadline_s, MAX_APPEND_DEADLINE_S)):
+                return await outcome
+        except TimeoutError:
+            return self._answer_late(pending)
+        finally:
+            self._withdraw(pending)
 
     @Service.task
     async def _write(self) -> None:
         while not self.should_stop:
-            priority = await self.queue.wait()
-            await self.budget.acquire(priority)
+            await self._wait_turn()
             taken = self.queue.take(self.batch_limit_records, BATCH_LIMIT_BYTES)
-            self._in_flight = self._drop_late(taken, maybe_written=False)
-            if self._in_flight:
-                await self._write_batch()
+            append_id = uuid.UUID(int=self.rng.getrandbits(128)).hex
+            self._in_flight = InFlight(taken, append_id)
+            await self._write_batch()
 
     async def on_stop(self) -> None:
         """Answer everyone who still waits."""
         for pending in self.queue.drain():
             pending.resolve(_refuse(Reason.SHUTTING_DOWN))
-        for pending in self._in_flight:
-            pending.resolve(_refuse(Reason.LOG_ANSWER_LOST, RunState.UNKNOWN))
+        for pending in tuple(self._in_flight.records):
+            uncertain = self._in_flight.withdraw(pending)
+            run_state = RunState.UNKNOWN if uncertain else RunState.NOT_RUN
+            pending.resolve(_refuse(Reason.SHUTTING_DOWN, run_state))
+
+    async def _wait_turn(self) -> None:
+        while True:
+            priority = await self.queue.wait()
+            wait_s = self.budget.try_acquire(priority)
+            if wait_s == 0:
+                return
+            await self.queue.wait_push(wait_s)
 
     async def _write_batch(self) -> None:
         """Try one append until it is settled or nobody waits for it any more."""
-        append_id = uuid.UUID(int=self.rng.getrandbits(128)).hex
-        data = encode_envelope([pending.encoded for pending in self._in_flight])
-        maybe_written = False
         attempt = 0
-        while self._in_flight:
-            outcome = await self._try_once(data, append_id, maybe_written)
+        while self._in_flight.records:
+            outcome = await self._try_once(self._in_flight)
             if isinstance(outcome, Appended):
-                self._resolve_written(outcome, append_id)
+                self._resolve_written(outcome)
                 return
-            maybe_written = maybe_written or outcome.maybe_written
             await self._back_off(attempt)
             attempt += 1
-            self._in_flight = self._drop_late(self._in_flight, maybe_written)
 
-    async def _try_once(
-        self, data: bytes, append_id: str, maybe_written: bool
-    ) -> Appended | LogUnavailable:
-        if maybe_written:
-            found = await self._read_back(append_id)
+    async def _try_once(self, batch: InFlight) -> Appended | LogUnavailable:
+        if batch.uncertain:
+            found = await self._read_back(batch.append_id)
             if found is not None:
                 return found
             await self.budget.acquire(Priority.ACCEPTANCE)
-        outcome = await self.target.append(self.stream, data, append_id)
-        if isinstance(outcome, LogUnavailable) and outcome.maybe_written:
-            self.uncertain_appends += 1
-            log_event(Event.APPEND_UNCERTAIN, stream=self.stream, append_id=append_id)
-            return await self._read_back(append_id) or outcome
-        return outcome
+        batch.encode()
+        was_uncertain = batch.uncertain
+        batch.uncertain = True
+        outcome = await self.target.append(self.stream, batch.data, batch.append_id)
+        if isinstance(outcome, Appended):
+            return outcome
+        batch.uncertain = was_uncertain or outcome.maybe_written
+        if not outcome.maybe_written:
+            return outcome
+        self.uncertain_appends += 1
+        log_event(Event.APPEND_UNCERTAIN, stream=self.stream, append_id=batch.append_id)
+        return await self._read_back(batch.append_id) or outcome
 
     async def _read_back(self, append_id: str) -> Appended | None:
         """Look for an append among all entries since the last one that was settled."""
@@ -172,27 +182,27 @@
                 return None
             offset = found.next_offset
 
-    def _resolve_written(self, appended: Appended, append_id: str) -> None:
+    def _resolve_written(self, appended: Appended) -> None:
         self._read_from = appended.offset + 1
-        for pending in self._in_flight:
-            pending.resolve(Written(appended.offset, append_id))
-        self._in_flight = []
+        for pending in self._in_flight.records:
+            pending.resolve(Written(appended.offset, self._in_flight.append_id))
+        self._in_flight = InFlight([], "")
 
     async def _back_off(self, attempt: int) -> None:
-        pause_s = min(RETRY_CAP_S, RETRY_BASE_S * 2**attempt)
+        pause_s = min(RETRY_CAP_S, RETRY_BASE_S * 2 ** min(attempt, 10))
         await asyncio.sleep(pause_s * self.rng.uniform(0.5, 1.0))
 
-    def _drop_late(self, records: list[PendingRecord], maybe_written: bool) -> list[PendingRecord]:
-        now_s = asyncio.get_running_loop().time()
-        kept = []
-        for pending in records:
-            if pending.deadline_s > now_s:
-                kept.append(pending)
-            elif maybe_written:
-                pending.resolve(_refuse(Reason.LOG_ANSWER_LOST, RunState.UNKNOWN))
-            else:
-                pending.resolve(_refuse(Reason.LOG_UNAVAILABLE, retry_after_s=APPEND_DEADLINE_S))
-        return kept
+    def _answer_late(self, pending: PendingRecord) -> Written | Refusal:
+        if pending.outcome.done() and not pending.outcome.cancelled():
+            return pending.outcome.result()
+        if self._withdraw(pending):
+            return _refuse(Reason.LOG_ANSWER_LOST, RunState.UNKNOWN)
+        return _refuse(Reason.LOG_UNAVAILABLE, retry_after_s=APPEND_DEADLINE_S)
+
+    def _withdraw(self, pending: PendingRecord) -> bool:
+        """Wait no longer for a record; return whether it may come to stand in the log."""
+        self.queue.withdraw(pending)
+        return self._in_flight.withdraw(pending)
 
 
 def _refuse(
--- a/tests/core/log/test_writer.py
+++ b/tests/core/log/test_writer.py
@@ -99,11 +99,62 @@
     assert sorted(process.view.numbers) == [*range(900), 1000]
 
 
-async def test_stopping_answers_everyone():
+async def test_record_told_as_not_run_leaves_its_batch():
     log = MemoryLog()
     process = Process(log)
     log.faults.outage = True
+    async with running(process.writer, process.follower):
+        short = asyncio.create_task(process.writer.append(Added(1), deadline_s=2))
+        long = asyncio.create_task(process.writer.append(Added(2), deadline_s=30))
+        await settle(10)
+        log.faults.outage = False
+        assert isinstance(await long, Written)
+        await settle()
+    assert (await short).run_state is RunState.NOT_RUN
+    assert process.view.numbers == [2]
+
+
+async def test_deadline_holds_behind_an_append_that_is_stuck():
+    log = MemoryLog()
+    process = Process(log)
+    log.faults.lost_acknowledgements = 1
+    log.faults.delay_s = 100
+    async with running(process.writer):
+        stuck = asyncio.create_task(
+            process.writer.append(Added(1), Priority.STATISTICS, deadline_s=60)
+        )
+        await settle(1)
+        behind = await process.writer.append(Added(2), deadline_s=2)
+        assert asyncio.get_running_loop().time() <= 3.1
+        assert behind.run_state is RunState.NOT_RUN
+        assert (await stuck).run_state is RunState.UNKNOWN
+
+
+async def test_acceptance_does_not_wait_for_the_share_kept_from_statistics():
+    log = MemoryLog()
+    process = Process(log)
+    loop = asyncio.get_running_loop()
+    async with running(process.writer):
+        for _ in range(18):
+            await process.writer.budget.acquire(Priority.ACCEPTANCE)
+        statistics = asyncio.create_task(process.writer.append(Added(1), Priority.STATISTICS))
+        await settle(0.01)
+        before_s = loop.time()
+        await process.writer.append(Added(2))
+        assert loop.time() - before_s < 0.1
+        await statistics
+
+
+@pytest.mark.parametrize(
+    ("fault", "run_state"),
+    [("outage", RunState.NOT_RUN), ("late_writes", RunState.UNKNOWN)],
+)
+async def test_stopping_answers_everyone(fault, run_state):
+    log = MemoryLog()
+    process = Process(log)
+    setattr(log.faults, fault, 100)
     async with running(process.writer):
         appending = asyncio.create_task(process.writer.append(Added(1), deadline_s=60))
         await settle(1)
-    assert (await appending).run_state is RunState.UNKNOWN
+    outcome = await appending
+    assert (outcome.reason, outcome.run_state) == (Reason.SHUTTING_DOWN, run_state)
