Measure the log and shorten reading back

Cause: the load on the log, rebuilding and the time until a change is in force were not measured; and a writer that had just started, or had long been idle, read a stream from its start to settle one unanswered append. Change: bench/log.py measures them on virtual time at the target size; a writer asks for the end of the stream before an append when it has not known it for 60 s; the burst is 10 appends, so that four entries stay under 100 appends a second by their budgets.

--- /dev/null
+++ b/bench/log_parts.py
@@ -0,0 +1,160 @@
+"""Entries, a log that counts, and loads of the target size for `bench.log`."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from contextlib import AsyncExitStack, asynccontextmanager
+from typing import TYPE_CHECKING, TypeVar
+
+import attrs
+import looptime
+import msgspec
+
+from briardeal_core.clock import WallClock
+from briardeal_core.configuration import Configuration, Customer, Guarantee, JobClass
+from briardeal_core.configuration.store import ConfigurationStore
+from briardeal_core.log import (
+    AppendBudget,
+    RecordKind,
+    RoleClaim,
+    Schema,
+    SnapshotKeeper,
+    SnapshotStream,
+    StreamFollower,
+    StreamReader,
+    StreamWriter,
+    encode_envelope,
+)
+from briardeal_standins.log import LogStore, MemoryLog
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Awaitable, Callable
+
+    from briardeal_core.log import Appended, Delivered, Log
+
+CUSTOMERS = 130
+ENTRIES = 4
+DAY_S = 86_400.0
+EPOCH_S = 1e9
+
+T = TypeVar("T")
+
+
+class JobChanged(msgspec.Struct, frozen=True):
+    """A record of the size of those that jobs leave on the log."""
+
+    job_id: str
+    customer: str
+    state: str
+    detail: str
+
+
+JOB_SCHEMA = Schema([RecordKind("job_changed", JobChanged)])
+
+
+class JobTable:
+    """The last record of each job."""
+
+    def __init__(self) -> None:
+        self.jobs: dict[str, JobChanged] = {}
+
+    def apply(self, item: Delivered) -> None:
+        """Take one record into account."""
+        self.jobs[item.record.job_id] = item.record
+
+    def dump(self) -> bytes:
+        """Return the state for a snapshot."""
+        return msgspec.msgpack.encode(self.jobs)
+
+    def restore(self, state: bytes) -> bool:
+        """Replace the state by that of a snapshot."""
+        self.jobs = msgspec.msgpack.decode(state, type=dict[str, JobChanged])
+        return True
+
+
+class CountingStore(LogStore):
+    """A log that notes when each append came."""
+
+    def __init__(self) -> None:
+        super().__init__(retention_s=DAY_S, clock=WallClock(epoch_s=EPOCH_S))
+        self.times_s: list[float] = []
+
+    def append(self, stream: str, record: bytes, append_id: str) -> Appended:
+        """Append one record."""
+        self.times_s.append(self.clock.now_s())
+        return super().append(stream, record, append_id)
+
+    def most_in_a_second(self) -> int:
+        """Return the most appends within any second."""
+        most = start = 0
+        for end, time_s in enumerate(self.times_s):
+            while self.times_s[start] <= time_s - 1:
+                start += 1
+            most = max(most, end - start + 1)
+        return most
+
+
+@attrs.define
+class Entry:
+    """The parts of an entry that use the log."""
+
+    log: MemoryLog
+    store: ConfigurationStore
+    writer: StreamWriter
+    follower: StreamFollower
+    keeper: SnapshotKeeper
+
+
+def make_entry(log: MemoryLog, name: str) -> Entry:
+    """Return the parts of one entry, not yet started."""
+    rng = random.Random(name)
+    budget = AppendBudget()
+    store = ConfigurationStore(log, name, budget, rng, clock=log.store.clock)
+    snapshots = SnapshotStream(log, "jobs.snapshots", budget, rng)
+    follower = StreamFollower(StreamReader(log, "jobs", JOB_SCHEMA), snapshots, JobTable(), rng)
+    claim = RoleClaim(log, "jobs.claims", "snapshots", name, budget, rng)
+    keeper = SnapshotKeeper(follower, claim, rng, clock=log.store.clock)
+    return Entry(log, store, StreamWriter(log, "jobs", JOB_SCHEMA, budget, rng), follower, keeper)
+
+
+@asynccontextmanager
+async def run_entries(store: LogStore) -> AsyncIterator[list[Entry]]:
+    """Run all entries on one log."""
+    entries = [make_entry(MemoryLog(store), f"entry{index}") for index in range(ENTRIES)]
+    async with AsyncExitStack() as stack:
+        for entry in entries:
+            for part in (entry.store, entry.writer, entry.follower, entry.keeper):
+                await part.start()
+                stack.push_async_callback(part.stop)
+        await asyncio.sleep(1)
+        yield entries
+
+
+def make_configuration(number: int) -> Configuration:
+    """Return a configuration of the target size that differs from those of other numbers."""
+    guarantee = Guarantee(job_class="class0", vms=1, accelerators_per_vm=8)
+    return Configuration(
+        classes=tuple(JobClass(name=f"class{i}", finish_within_s=number + 1) for i in range(10)),
+        customers=tuple(
+            Customer(name=f"customer{i}", guarantees=(guarantee,), quota_accelerators=64)
+            for i in range(CUSTOMERS)
+        ),
+        failure_margin_vms=7,
+    )
+
+
+async def fill_jobs(log: Log, start: int, end: int) -> None:
+    """Append one record an entry, numbered from `start` up to `end`."""
+    for number in range(start, end):
+        record = JobChanged(f"job-{number}", "customer", "running", "x" * 60)
+        await log.append("jobs", encode_envelope([JOB_SCHEMA.encode(record)]), str(number))
+
+
+def run_virtual(measurement: Callable[[], Awaitable[T]]) -> T:
+    """Run a measurement on virtual time."""
+    loop = looptime.new_event_loop()
+    try:
+        return loop.run_until_complete(measurement())
+    finally:
+        loop.close()
--- a/packages/core/briardeal_core/log/_budget.py
+++ b/packages/core/briardeal_core/log/_budget.py
@@ -6,7 +6,7 @@
 import enum
 
 APPENDS_PER_S = 10.0
-APPEND_BURST = 20.0
+APPEND_BURST = 10.0
 RESERVED_SHARE = 0.5
 """Share of the burst that statistics leave to acceptance and configuration."""
 
--- a/packages/core/briardeal_core/log/_writer.py
+++ b/packages/core/briardeal_core/log/_writer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import uuid
 from typing import TYPE_CHECKING
 
@@ -31,6 +32,8 @@
 RETRY_BASE_S = 0.1
 RETRY_CAP_S = 2.0
 SETTLE_READ_LIMIT = 500
+END_STALE_S = 60.0
+"""Age from which the end of the stream is asked for anew, so that reading back stays short."""
 
 
 class StreamWriter(Service):
@@ -71,6 +74,7 @@
         self.queue = RecordQueue()
         self.uncertain_appends = 0
         self._read_from = 0
+        self._end_known_at_s = -math.inf
         self._in_flight = InFlight([], "")
 
     async def append(
@@ -137,6 +141,7 @@
 
     async def _write_batch(self) -> None:
         """Try one append until it is settled or nobody waits for it any more."""
+        await self._note_end()
         attempt = 0
         while self._in_flight.records:
             outcome = await self._try_once(self._in_flight)
@@ -165,6 +170,15 @@
         log_event(Event.APPEND_UNCERTAIN, stream=self.stream, append_id=batch.append_id)
         return await self._read_back(batch.append_id) or outcome
 
+    async def _note_end(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if now_s < self._end_known_at_s + END_STALE_S:
+            return
+        found = await self.target.read(self.stream, self._read_from, 1)
+        if not isinstance(found, LogUnavailable):
+            self._read_from = found.end_offset
+            self._end_known_at_s = now_s
+
     async def _read_back(self, append_id: str) -> Appended | None:
         """Look for an append among all entries since the last one that was settled."""
         offset = self._read_from
@@ -184,6 +198,7 @@
 
     def _resolve_written(self, appended: Appended) -> None:
         self._read_from = appended.offset + 1
+        self._end_known_at_s = asyncio.get_running_loop().time()
         for pending in self._in_flight.records:
             pending.resolve(Written(appended.offset, self._in_flight.append_id))
         self._in_flight = InFlight([], "")
