Show that no two processes hold a role at once

Cause: a release that lands late and a renewal after the lease were argued, not tested; a release without a claim wrote a record for nothing. Change: a release carries the token that it gives up and stops the holder first; ten seeded schedules of claims, releases and faults check that holders never overlap, that tokens only rise and that a reader starting past retention names the same holder. Conclusion: the claim of a role is safe under these faults, given clocks that run at one rate.

--- a/packages/core/briardeal_core/log/_claims.py
+++ b/packages/core/briardeal_core/log/_claims.py
@@ -172,7 +172,7 @@
         unread = await self._catch_up()
         if unread is not None:
             return unread
-        outcome = await self._append(self.lease_s)
+        outcome = await self._append(self.lease_s, self._held_token())
         if isinstance(outcome, LogUnavailable):
             return outcome
         unread = await self._catch_up()
@@ -188,14 +188,19 @@
 
     async def release(self) -> None:
         """Give the role up, so that another need not wait for the lease to end."""
-        await self._append(0.0)
+        token = self._held_token()
         self._until_s = 0.0
+        if token is not None:
+            await self._append(0.0, token)
 
-    async def _append(self, lease_s: float) -> Appended | LogUnavailable:
+    def _held_token(self) -> int | None:
         holder = self.table.holders.get(self.role)
-        mine = holder is not None and holder.claimant == self.claimant
-        renews = mine and self._until_s > asyncio.get_running_loop().time()
-        claim = Claim(self.role, self.claimant, lease_s, holder.token if renews else None)
+        if holder is None or holder.claimant != self.claimant:
+            return None
+        return holder.token if self._until_s > asyncio.get_running_loop().time() else None
+
+    async def _append(self, lease_s: float, token: int | None) -> Appended | LogUnavailable:
+        claim = Claim(self.role, self.claimant, lease_s, token)
         data = encode_envelope([CLAIM_SCHEMA.encode(claim)])
         append_id = uuid.UUID(int=self.rng.getrandbits(128)).hex
         await self.budget.acquire(Priority.ACCEPTANCE)
--- a/tests/core/log/test_claims.py
+++ b/tests/core/log/test_claims.py
@@ -71,3 +71,55 @@
     outcome = await claim(log, "b").acquire()
     assert isinstance(outcome, HeldByOther)
     assert outcome.holder.token == held.token
+
+
+@pytest.mark.parametrize("seed", range(10))
+async def test_two_never_hold_at_once_and_late_readers_agree(seed):
+    rng = random.Random(seed)
+    store = MemoryLog().store
+    tokens, overlaps, until_s = [], [], {}
+
+    def note(name, held):
+        now_s = asyncio.get_running_loop().time()
+        overlaps.extend(
+            other for other, end_s in until_s.items() if other != name and end_s > now_s
+        )
+        if held.until_s > now_s:
+            tokens.append((held.token, name))
+            until_s[name] = held.until_s
+
+    async def compete(name):
+        mine = claim(MemoryLog(store), name)
+        while True:
+            outcome = await mine.acquire()
+            if isinstance(outcome, Held):
+                note(name, outcome)
+                if rng.random() < 0.2:
+                    until_s[name] = 0
+                    await mine.release()
+            mine.log.faults = make_faults(rng)
+            await asyncio.sleep(rng.uniform(0, 20))
+
+    tasks = [asyncio.create_task(compete(name)) for name in "abc"]
+    await settle(3000)
+    for task in tasks:
+        task.cancel()
+    assert {name for _, name in tokens} == set("abc")
+    assert overlaps == []
+    assert tokens == sorted(tokens)
+    late, full = claim(MemoryLog(store), "late"), claim(MemoryLog(store), "full")
+    await full.acquire()
+    store.drop_before("c", store.streams["c"].end // 2)
+    await late.acquire()
+    assert late.table.holders == full.table.holders
+
+
+def make_faults(rng):
+    return Faults(
+        outage=rng.random() < 0.1,
+        delay_s=rng.choice([0, 0.1, 5]),
+        lost_acknowledgements=rng.choice([0, 0, 1]),
+        late_writes=rng.choice([0, 0, 1]),
+        late_write_s=rng.choice([1, 40]),
+        double_writes=rng.choice([0, 1]),
+    )
