Cover the gaps and rates that no test had caught

Cause: trials that broke the rate, the share kept from statistics, the mending of gaps by peers and the check of a late renewal passed all tests. Change: seven tests cause these failures. Conclusion: what the design rests on is now held by a test that fails without it.

--- a/tests/core/configuration/test_store.py
+++ b/tests/core/configuration/test_store.py
@@ -7,9 +7,15 @@
 import msgspec
 import pytest
 
-from briardeal_core.configuration.store import Accepted, Conflict, VersionedConfiguration
+from briardeal_core.configuration.store import (
+    Accepted,
+    ConfigurationView,
+    Conflict,
+    VersionedConfiguration,
+)
+from briardeal_core.configuration.store._verdicts import PendingChanges
 from briardeal_core.reasons import Reason, RunState
-from tests.core.configuration.cluster import Cluster, sample
+from tests.core.configuration.cluster import Cluster, Node, Peer, sample
 
 pytestmark = pytest.mark.looptime
 
@@ -127,6 +133,58 @@
         assert await cluster.nodes["b"].store.apply(sample(2), 1, "bob") == Accepted(2)
 
 
+async def test_gap_is_mended_only_by_a_peer_that_read_far_enough():
+    async with Cluster("a") as cluster:
+        await asyncio.sleep(1)
+        first = cluster.nodes["a"].store
+        await first.apply(sample(1), 0, "ann")
+        offered = await first.newer_than(0)
+        cluster.log_store.drop_before("configuration", 1)
+        late = Node(cluster, "a", "late")
+        await late.store.start()
+        await asyncio.sleep(1)
+        late.store.offer(msgspec.structs.replace(offered, folded_to=0))
+        assert (await late.store.newer_than(0)).folded_to == 0
+        assert (await late.store.apply(sample(2), 1, "bob")).reason is Reason.LOG_GAP
+        late.exchange.peers = lambda: [Peer(cluster.nodes["a"])]
+        await late.exchange.start()
+        await asyncio.sleep(IN_FORCE_WITHIN_S)
+        assert await late.store.apply(sample(2), 1, "bob") == Accepted(2)
+        await late.exchange.stop()
+        await late.store.stop()
+
+
+async def test_gap_beyond_what_a_peer_has_read_stays_told():
+    async with Cluster("a") as cluster:
+        await asyncio.sleep(1)
+        first = cluster.nodes["a"].store
+        await first.apply(sample(1), 0, "ann")
+        offered = await first.newer_than(0)
+        await first.apply(sample(2), 1, "ann")
+        cluster.log_store.drop_before("configuration", 2)
+        late = Node(cluster, "a", "late")
+        await late.store.start()
+        await asyncio.sleep(1)
+        late.store.offer(offered)
+        await asyncio.sleep(IN_FORCE_WITHIN_S)
+        assert (await late.store.apply(sample(3), 1, "bob")).reason is Reason.LOG_GAP
+        await late.store.stop()
+
+
+async def test_change_is_not_told_as_lost_where_history_has_a_hole():
+    view = ConfigurationView(lambda: None)
+    pending = PendingChanges()
+    verdict = pending.add("mine", 1)
+    version = VersionedConfiguration(
+        version=5, change_id="x", author="a", format=1, body=b"", accepted_at_s=0
+    )
+    view.adopt(version)
+    pending.settle_read(view)
+    assert not verdict.done()
+    pending.settle_offered(msgspec.structs.replace(version, change_id="mine"))
+    assert verdict.result() == Accepted(5)
+
+
 async def test_lost_log_is_told_and_operators_start_again():
     async with Cluster("ab") as cluster:
         await asyncio.sleep(1)
--- a/tests/core/log/test_claims.py
+++ b/tests/core/log/test_claims.py
@@ -62,6 +62,24 @@
     assert isinstance(await claim(MemoryLog(store), "b").acquire(), Held)
 
 
+async def test_renewal_that_takes_too_long_is_not_told_as_held():
+    class SlowToAppend(MemoryLog):
+        append_delay_s = 0.0
+
+        async def append(self, stream, record, append_id):
+            await asyncio.sleep(self.append_delay_s)
+            return await super().append(stream, record, append_id)
+
+    log = SlowToAppend()
+    slow = claim(log, "a")
+    await slow.acquire()
+    await settle(20)
+    log.append_delay_s = 15
+    assert isinstance(await slow.acquire(), LogUnavailable)
+    log.append_delay_s = 0
+    assert isinstance(await claim(log, "b").acquire(), Held)
+
+
 async def test_reader_that_starts_past_retention_agrees_on_the_holder():
     log = MemoryLog()
     first = claim(log, "a")
--- a/tests/core/log/test_follower.py
+++ b/tests/core/log/test_follower.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from briardeal_core.log import FollowerState, SnapshotStream, encode_envelope
+from briardeal_core.log import FollowerState, PastRetention, SnapshotStream, encode_envelope
 from briardeal_standins.log import MemoryLog
 from tests.core.log.samples import (
     NEWER_SCHEMA,
@@ -120,6 +120,31 @@
     assert behind.view.numbers == [0, 1, 2, 3]
 
 
+async def test_snapshot_older_than_the_gap_is_not_used():
+    log = MemoryLog()
+    ahead, behind = Process(log, "ahead"), Process(log, "behind")
+    await put_many(log, range(2))
+    async with running(ahead.follower):
+        await settle()
+        await ahead.keeper.keep_once()
+    await put_many(log, range(2, 6))
+    log.store.drop_before("s", 4)
+    async with running(behind.follower):
+        await settle(20)
+    assert behind.follower.progress is FollowerState.GAP
+    assert (behind.view.numbers, behind.follower.offset) == ([0, 1], 2)
+
+
+async def test_entry_missing_within_a_read_is_a_gap():
+    log = MemoryLog()
+    await put_many(log, range(5))
+    del log.store.streams["s"].entries[2]
+    reader = Process(log).follower.reader
+    first = await reader.read()
+    assert [item.record.number for item in first.records] == [0, 1]
+    assert isinstance(await reader.read(), PastRetention)
+
+
 @pytest.mark.parametrize("damage", ["torn", "flipped"])
 async def test_damaged_snapshot_falls_back_to_the_one_before(damage, monkeypatch):
     monkeypatch.setattr("briardeal_core.log._snapshots.PART_LIMIT_BYTES", 40)
--- a/tests/core/log/test_writer.py
+++ b/tests/core/log/test_writer.py
@@ -159,6 +159,22 @@
         await statistics
 
 
+async def test_rate_holds_and_statistics_leave_a_share():
+    log = MemoryLog()
+    loop = asyncio.get_running_loop()
+    process = Process(log)
+    process.writer.batch_limit_records = 1
+    async with running(process.writer):
+        for number in range(5):
+            await process.writer.append(Added(number), Priority.STATISTICS)
+        assert loop.time() < 0.05
+        await process.writer.append(Added(5), Priority.STATISTICS)
+        assert loop.time() >= 0.05
+        for number in range(100):
+            await process.writer.append(Added(number))
+    assert loop.time() >= (100 - 10) / 10
+
+
 @pytest.mark.parametrize(
     ("fault", "run_state"),
     [("outage", RunState.NOT_RUN), ("late_writes", RunState.UNKNOWN)],
