Check every decision against an independent account

Cause: random schedules with an exact search beside the scheduler found guarantees that pinned work could break, guarantees told short that fit, and jobs that could never start. Change: spares for the failure margin must be VMs without bookings; work that can't be preempted is placed by the same plan as the guarantees; a plan in which work stands in the way of a guarantee in use is refused; shortfalls are looked at again when such work leaves; a job keeps away from VMs that it failed on for ten minutes and is given up after six failures.

--- a/packages/scheduling/briardeal_scheduling/_admission.py
+++ b/packages/scheduling/briardeal_scheduling/_admission.py
@@ -8,12 +8,13 @@
 from briardeal_core.reasons import Reason, Refusal, RunState
 from briardeal_scheduling.decisions import Cause
 from briardeal_scheduling.fleet import groups_of
-from briardeal_scheduling.guarantees import GuaranteeKey, Want, make_plan
+from briardeal_scheduling.guarantees import GuaranteeKey, Want, covers, make_plan
 from briardeal_scheduling.placement import fits_empty
 
 if TYPE_CHECKING:
     from briardeal_core.jobs import JobRequest, WorkerShape
     from briardeal_scheduling._state import State
+    from briardeal_scheduling.guarantees import Plan
 
 
 def check_request(state: State, request: JobRequest) -> Refusal | None:
@@ -58,34 +59,45 @@
 
 def _fits_beside_guarantees(state: State, request: JobRequest, shapes: list[WorkerShape]) -> bool:
     """Return whether work that can't be preempted has room beside all guarantees, or in its own."""
-    for booking in state.ledger.by_customer.get(request.customer, ()):
-        guarantee = booking.guarantee
-        if (
-            guarantee.job_class == request.job_class
-            and guarantee.vms >= request.tasks
-            and guarantee.accelerators_per_vm >= request.accelerators_per_task
-        ):
-            return True
     key = (state.fleet.version, request.tasks, request.accelerators_per_task, request.adjacency)
     if key not in state.ledger.admitted:
         state.ledger.admitted[key] = _plans_beside(state, request, shapes)
-    return state.ledger.admitted[key]
+    return state.ledger.admitted[key] or _has_guarantee(state, request, shapes)
+
+
+def _has_guarantee(state: State, request: JobRequest, shapes: list[WorkerShape]) -> bool:
+    bookings = [
+        booking
+        for booking in state.ledger.by_customer.get(request.customer, ())
+        if covers(booking.guarantee, request)
+    ]
+    if not bookings:
+        return False
+    slots = _plan(state, shapes).slots
+    return any(len(slots[booking.key]) >= request.tasks for booking in bookings)
 
 
 def _plans_beside(state: State, request: JobRequest, shapes: list[WorkerShape]) -> bool:
-    rooms = {shape.worker_id: shape.accelerators for shape in shapes}
-    groups = {shape.worker_id: groups_of(shape) for shape in shapes}
-    wants = [Want(booking.key, booking.guarantee) for booking in state.ledger.bookings.values()]
+    """Return whether the guarantees have as much as ever while the job runs."""
     job = Guarantee(
         job_class=request.job_class,
         vms=request.tasks,
         accelerators_per_vm=request.accelerators_per_task,
         adjacency=request.adjacency,
     )
-    without = make_plan(rooms, groups, wants, state.ledger.margin_vms)
-    together = [*wants, Want(GuaranteeKey("", 0), job)]
-    beside = make_plan(rooms, groups, together, state.ledger.margin_vms)
-    return beside.whole and (beside.margin_held or not without.margin_held)
+    own = Want(GuaranteeKey("", 0), job)
+    without = _plan(state, shapes)
+    beside = _plan(state, shapes, own)
+    kept = all(len(beside.slots[key]) >= len(slots) for key, slots in without.slots.items())
+    whole = len(beside.slots[own.key]) == request.tasks
+    return kept and whole and (beside.margin_held or not without.margin_held)
+
+
+def _plan(state: State, shapes: list[WorkerShape], *more: Want) -> Plan:
+    rooms = {shape.worker_id: shape.accelerators for shape in shapes}
+    groups = {shape.worker_id: groups_of(shape) for shape in shapes}
+    wants = [Want(booking.key, booking.guarantee) for booking in state.ledger.bookings.values()]
+    return make_plan(rooms, groups, [*wants, *more], state.ledger.margin_vms)
 
 
 def _refuse(reason: Reason, detail: str) -> Refusal:
--- a/packages/scheduling/briardeal_scheduling/_round.py
+++ b/packages/scheduling/briardeal_scheduling/_round.py
@@ -61,7 +61,7 @@
         """Take and return all decisions."""
         self._try_set_aside_workers()
         if self.state.ledger.stale:
-            self.state.ledger.replan(self.state.fleet)
+            self._replan()
         self._stop_slow_checkpoints()
         self._start_opened()
         for job in self._in_order():
@@ -73,6 +73,19 @@
             self.state.fleet.set_usable(worker_id, usable=True)
             self.state.ledger.stale = True
 
+    def _replan(self) -> None:
+        """Plan the guarantees again; no job may wait for VMs that they are short of."""
+        ledger = self.state.ledger
+        ledger.replan(self.state.fleet)
+        if ledger.whole:
+            return
+        for job in list(self.state.table.opening.values()):
+            if job.pins:
+                self.state.requeue(job)
+                ledger.stale = True
+        if ledger.stale:
+            ledger.replan(self.state.fleet)
+
     def _stop_slow_checkpoints(self) -> None:
         for job in list(self.state.table.leaving.values()):
             if job.leaving is PreemptMode.CHECKPOINT and job.leave_by_s <= self.now_s:
@@ -136,7 +149,7 @@
 
     def _open_booking(self, job: Job, booking: Booking) -> Opening | None:
         request = job.request
-        failed_on = self.state.evidence.failed_on(job.job_id)
+        failed_on = self.state.avoided(job, self.now_s)
         workers = [
             worker_id
             for worker_id in booking.unclaimed
@@ -191,7 +204,7 @@
     def _start_on_free(self, job: Job) -> bool:
         need = Need.of(job.request)
         index = self._index_for(job)
-        failed_on = self.state.evidence.failed_on(job.job_id)
+        failed_on = self.state.avoided(job, self.now_s)
         held = self._held_workers(job)
         key = (need, id(index), frozenset(held) if held else None)
         if not failed_on and key in self.no_room:
@@ -219,13 +232,14 @@
         if self.replanned:
             return False
         fleet = self.state.fleet
-        avoid = self.state.evidence.failed_on(job.job_id) | held
-        workers = choose_workers(fleet, fleet.free, need, avoid)
-        if workers is None:
+        avoid = self.state.avoided(job, self.now_s) | held
+        if choose_workers(fleet, fleet.free, need, avoid) is None:
             return False
         self.replanned = True
-        placement = Placement(tuple(workers), job.request.accelerators_per_task)
-        if not self.state.ledger.replan(fleet, placement):
+        free = fleet.free.numbers.items()
+        allowed = {vm for vm, number in free if number >= need.number} - avoid
+        placement = self.state.ledger.replan_beside(fleet, job.request, frozenset(allowed))
+        if placement is None:
             return False
         self._open(
             job,
@@ -244,7 +258,7 @@
             self.state.fleet,
             Need.of(job.request),
             self._urgent_cost,
-            self.state.evidence.failed_on(job.job_id),
+            self.state.avoided(job, self.now_s),
             unbooked=pins,
         )
         if opening is None:
@@ -279,7 +293,7 @@
                 Need.of(job.request),
                 self._expected_end_s,
                 self.now_s,
-                kept | self.state.evidence.failed_on(job.job_id),
+                kept | self.state.avoided(job, self.now_s),
                 unbooked=self._pins(job),
             )
         job.hole = hole
--- a/packages/scheduling/briardeal_scheduling/_state.py
+++ b/packages/scheduling/briardeal_scheduling/_state.py
@@ -22,6 +22,9 @@
 ENDED_RECORDS_LIMIT = 5000
 """Jobs that are over and can still be explained."""
 
+AVOID_FAILED_S = 600.0
+"""How long a job that could start again is kept away from VMs that it failed on."""
+
 PREDICTION_TTL_S = 60.0
 """How long a prediction is used before it is made again."""
 
@@ -58,6 +61,12 @@
             self.predictions[job.job_id] = (now_s, prediction)
         return prediction
 
+    def avoided(self, job: Job, now_s: float) -> set[str]:
+        """Return the VMs that a job failed on, for as long as it is kept away from them."""
+        if now_s > job.retry_at_s + AVOID_FAILED_S:
+            return set()
+        return self.evidence.failed_on(job.job_id)
+
     def occupy(self, job: Job, placement: Placement) -> None:
         """Put a job on VMs that are free."""
         self.table.hold(job)
@@ -93,6 +102,8 @@
             if job.leaving:
                 self.fleet.leave(job.placement, -1)
             self.fleet.vacate(job.job_id, job.placement, job.pins)
+        if job.pins or job.job_id in self.ledger.by_job:
+            self.ledger.note_freed()
         self.ledger.release(job.job_id)
         self.table.hold(job, -1)
         job.pins = False
--- a/packages/scheduling/briardeal_scheduling/fleet/_fleet.py
+++ b/packages/scheduling/briardeal_scheduling/fleet/_fleet.py
@@ -27,7 +27,7 @@
     room
         Free accelerators of each VM that pinned work may take without touching a guarantee.
     spare
-        Accelerators of each VM that neither a guarantee nor pinned work takes.
+        Accelerators of each VM without bookings that pinned work does not take.
     slots
         Places of each VM for tasks without accelerators.
     absent
@@ -69,7 +69,8 @@
         free = worker.balance if worker.usable else 0
         self.free.set(worker_id, groups, free)
         self.room.set(worker_id, groups, min(free, worker.unbooked))
-        self.spare.set(worker_id, groups, worker.unbooked if worker.usable else 0)
+        spare = worker.usable and not worker.booked
+        self.spare.set(worker_id, groups, worker.unbooked if spare else 0)
         self.slots.set(worker_id, groups, worker.slots - worker.slots_used if worker.usable else 0)
 
     def occupy(self, job_id: str, placement: Placement, pinned: bool) -> None:
--- a/packages/scheduling/briardeal_scheduling/guarantees/_ledger.py
+++ b/packages/scheduling/briardeal_scheduling/guarantees/_ledger.py
@@ -7,13 +7,13 @@
 
 import attrs
 
-from briardeal_scheduling.guarantees._margin import spares_needed
+from briardeal_core.configuration import Guarantee
+from briardeal_scheduling.decisions import Placement
 from briardeal_scheduling.guarantees._plan import FINENESS, GuaranteeKey, Want, make_plan
 
 if TYPE_CHECKING:
-    from briardeal_core.configuration import Configuration, Guarantee
+    from briardeal_core.configuration import Configuration
     from briardeal_core.jobs import JobRequest
-    from briardeal_scheduling.decisions import Placement
     from briardeal_scheduling.fleet import Fleet, Group
     from briardeal_scheduling.guarantees._plan import Plan
 
@@ -69,6 +69,8 @@
     ----------
     by_job
         The guarantee that each job uses.
+    whole
+        Whether every guarantee holds.
     margin_held
         Whether the guarantees also hold after failures within the margin.
     stale
@@ -81,10 +83,10 @@
     by_customer: dict[str, list[Booking]] = attrs.field(factory=dict)
     by_job: dict[str, GuaranteeKey] = attrs.field(factory=dict)
     margin_vms: int = 0
+    whole: bool = True
     margin_held: bool = True
     stale: bool = False
     admitted: dict[tuple[object, ...], bool] = attrs.field(factory=dict)
-    booked_in: dict[Group, set[str]] = attrs.field(factory=dict)
     needs: dict[Group, int] = attrs.field(factory=dict)
 
     def configure(self, configuration: Configuration) -> list[str]:
@@ -109,43 +111,52 @@
         self.stale = True
         return sorted(before - set(self.by_job))
 
-    def replan(self, fleet: Fleet, pinned: Placement | None = None) -> bool:
-        """Plan all bookings again.
+    def replan(self, fleet: Fleet) -> None:
+        """Plan all bookings again."""
+        plan = make_plan(self._rooms(fleet), fleet.groups, self._wants(), self.margin_vms)
+        self._adopt_plan(plan, fleet)
+
+    def replan_beside(
+        self, fleet: Fleet, request: JobRequest, allowed: frozenset[str]
+    ) -> Placement | None:
+        """Move bookings so that work which can't be preempted may start now.
 
         Parameters
         ----------
         fleet
             The VMs.
-        pinned
-            Work to make room for; the bookings stay as they are where that is impossible.
+        request
+            The work.
+        allowed
+            VMs that are free enough for it.
 
         Returns
         -------
-        bool
-            Whether the new plan was taken.
+        Placement or None
+            Where it may start; `None`, with nothing moved, where that takes from a guarantee.
         """
-        rooms = {
-            worker.worker_id: worker.accelerators - worker.pinned if worker.usable else 0
-            for worker in fleet.workers.values()
-        }
-        for worker_id in pinned.workers if pinned else ():
-            rooms[worker_id] -= pinned.accelerators
-        wants = [
-            Want(booking.key, booking.guarantee, booking.claims)
-            for booking in self.bookings.values()
-        ]
-        plan = make_plan(rooms, fleet.groups, wants, self.margin_vms)
-        if pinned and not (plan.whole and (plan.margin_held or not self.margin_held)):
-            return False
+        shape = Guarantee(
+            job_class=request.job_class,
+            vms=request.tasks,
+            accelerators_per_vm=request.accelerators_per_task,
+            adjacency=request.adjacency,
+        )
+        own = Want(GuaranteeKey("", 0), shape, allowed=allowed)
+        wants = [*self._wants(), own]
+        plan = make_plan(self._rooms(fleet), fleet.groups, wants, self.margin_vms)
+        workers = plan.slots.pop(own.key)
+        if len(workers) < request.tasks or not self._no_worse(plan):
+            return None
         self._adopt_plan(plan, fleet)
-        return True
+        return Placement(tuple(workers), request.accelerators_per_task)
 
     def booking_for(self, request: JobRequest) -> Booking | None:
         """Return a guarantee of the job's customer with room for the whole job."""
         if not request.accelerators_per_task:
             return None
         for booking in self.by_customer.get(request.customer, ()):
-            if _covers(booking, request):
+            fits = len(booking.unclaimed) >= request.tasks
+            if fits and covers(booking.guarantee, request):
                 return booking
         return None
 
@@ -165,6 +176,11 @@
             if user == job_id:
                 slots[worker_id] = None
 
+    def note_freed(self) -> None:
+        """Note that work left which may have stood in the way of a guarantee."""
+        if not (self.whole and self.margin_held):
+            self.stale = True
+
     def drop_worker(self, worker_id: str) -> None:
         """Forget a VM that is gone."""
         for booking in self.bookings.values():
@@ -214,6 +230,30 @@
             if len(booking.slots) < booking.guarantee.vms
         ]
 
+    def _wants(self) -> list[Want]:
+        return [
+            Want(booking.key, booking.guarantee, booking.claims)
+            for booking in self.bookings.values()
+        ]
+
+    def _rooms(self, fleet: Fleet) -> dict[str, int]:
+        """Return what guarantees may take of each VM; of one set aside, only what they use."""
+        rooms = {
+            worker.worker_id: worker.accelerators - worker.pinned if worker.usable else 0
+            for worker in fleet.workers.values()
+        }
+        for booking in self.bookings.values():
+            for worker_id in booking.claims:
+                if not fleet.workers[worker_id].usable:
+                    rooms[worker_id] += booking.guarantee.accelerators_per_vm
+        return rooms
+
+    def _no_worse(self, plan: Plan) -> bool:
+        kept = all(
+            len(plan.slots[key]) >= len(booking.slots) for key, booking in self.bookings.items()
+        )
+        return kept and (plan.margin_held or not self.margin_held)
+
     def _adopt_plan(self, plan: Plan, fleet: Fleet) -> None:
         booked: dict[str, int] = defaultdict(int)
         for key, workers in plan.slots.items():
@@ -225,17 +265,16 @@
             if worker.booked != booked[worker_id]:
                 worker.booked = booked[worker_id]
                 fleet.refresh(worker_id)
+        self.whole = plan.whole
         self.margin_held = plan.margin_held
         self.stale = False
         self._index_bookings(fleet)
 
     def _index_bookings(self, fleet: Fleet) -> None:
-        self.booked_in = defaultdict(set)
         self.needs = defaultdict(int)
         for booking in self.bookings.values():
             for worker_id in booking.slots:
                 group = fleet.groups[worker_id][booking.guarantee.adjacency]
-                self.booked_in[group].add(worker_id)
                 self.needs[group] = max(self.needs[group], fleet.workers[worker_id].booked)
 
     def _shift(self, fleet: Fleet, booking: Booking, source: str, target: str) -> None:
@@ -251,31 +290,29 @@
         """Return whether no touched group has lost a spare VM that it needs."""
         if not self.margin_vms:
             return True
-        wanted = spares_needed(self.margin_vms)
         after = self._spares_in(fleet, touched)
         return all(
-            spares >= min(wanted, before.get(group, wanted)) for group, spares in after.items()
+            spares >= min(self.margin_vms, before.get(group, self.margin_vms))
+            for group, spares in after.items()
         )
 
     def _spares_in(self, fleet: Fleet, touched: set[Group]) -> dict[Group, int]:
         if not self.margin_vms:
             return {}
-        return {group: self._spares(fleet, group) for group in touched & self.needs.keys()}
-
-    def _spares(self, fleet: Fleet, group: Group) -> int:
-        need = self.needs[group]
-        spares = fleet.spare.count(group, need)
-        own = any(fleet.workers[vm].unbooked >= need for vm in self.booked_in[group])
-        return spares - own
+        return {
+            group: fleet.spare.count(group, self.needs[group])
+            for group in touched & self.needs.keys()
+        }
 
 
-def _covers(booking: Booking, request: JobRequest) -> bool:
-    guarantee = booking.guarantee
+def covers(guarantee: Guarantee, request: JobRequest) -> bool:
+    """Return whether a guarantee is for work of such a shape."""
+    close = FINENESS.index(guarantee.adjacency) <= FINENESS.index(request.adjacency)
     return (
         guarantee.job_class == request.job_class
         and guarantee.accelerators_per_vm >= request.accelerators_per_task
-        and FINENESS.index(guarantee.adjacency) <= FINENESS.index(request.adjacency)
-        and len(booking.unclaimed) >= request.tasks
+        and guarantee.vms >= request.tasks
+        and (close or request.tasks == 1)
     )
 
 
--- a/packages/scheduling/briardeal_scheduling/guarantees/_margin.py
+++ b/packages/scheduling/briardeal_scheduling/guarantees/_margin.py
@@ -11,15 +11,6 @@
     from briardeal_scheduling.fleet import Group
 
 
-def spares_needed(margin_vms: int) -> int:
-    """Return how many spare VMs make good for any failure of so many VMs.
-
-    A VM with bookings may serve as a spare too, and then fails together with the one that it
-    stands in for; hence more spares than failures.
-    """
-    return 2 * margin_vms - 1 if margin_vms else 0
-
-
 def margin_holds(
     rooms: Mapping[str, int],
     members: Mapping[Group, list[str]],
@@ -30,6 +21,9 @@
 ) -> bool:
     """Return whether every booked VM has enough spares in its closest group.
 
+    A spare is a VM without bookings that has room for all that is booked on the one that failed.
+    With as many spares as failures, every failed VM finds one of its own.
+
     Parameters
     ----------
     rooms
@@ -43,12 +37,11 @@
     margin_vms
         VMs that may fail.
     """
-    sorted_rooms: dict[Group, list[int]] = {}
+    spares: dict[Group, list[int]] = {}
     for worker_id, need in booked.items():
         group = groups[worker_id][finest[worker_id]]
-        if group not in sorted_rooms:
-            sorted_rooms[group] = sorted((rooms[vm] for vm in members[group]), reverse=True)
-        spares = sum(1 for room in sorted_rooms[group] if room >= need)
-        if spares - (rooms[worker_id] >= need) < spares_needed(margin_vms):
+        if group not in spares:
+            spares[group] = [rooms[vm] for vm in members[group] if vm not in booked]
+        if sum(room >= need for room in spares[group]) < margin_vms:
             return False
     return True
--- a/packages/scheduling/briardeal_scheduling/guarantees/_plan.py
+++ b/packages/scheduling/briardeal_scheduling/guarantees/_plan.py
@@ -11,7 +11,7 @@
 from briardeal_scheduling.guarantees._margin import margin_holds
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterator, Mapping
 
     from briardeal_core.configuration import Guarantee
     from briardeal_scheduling.fleet import Group
@@ -39,11 +39,14 @@
         The guarantee.
     claims
         VMs where its customer uses it already, with the job; these stay.
+    allowed
+        VMs that may be taken; all where `None`.
     """
 
     key: GuaranteeKey
     guarantee: Guarantee
     claims: dict[str, str] = attrs.field(factory=dict)
+    allowed: frozenset[str] | None = None
 
 
 @attrs.define
@@ -122,6 +125,8 @@
 
     def run(self) -> dict[GuaranteeKey, list[str]] | None:
         """Return the VMs for each guarantee, or `None` where none were found."""
+        if min(self.rooms.values(), default=0) < 0:
+            return None
         return self.slots if self._extend(0) else None
 
     def _extend(self, position: int) -> bool:
@@ -138,23 +143,30 @@
             self._take(chosen, -want.guarantee.accelerators_per_vm)
         return False
 
-    def _choices(self, want: Want) -> list[list[str]]:
-        guarantee = want.guarantee
-        missing = guarantee.vms - len(want.claims)
-        choices = []
+    def _choices(self, want: Want) -> Iterator[list[str]]:
+        """Yield sets of VMs for a guarantee, the tightest first."""
+        missing = want.guarantee.vms - len(want.claims)
+        options = []
         for group in _groups_for(want, self.members, self.groups):
-            self.examined += len(self.members[group])
-            fitting = [
-                (self.rooms[worker_id], worker_id)
-                for worker_id in self.members[group]
-                if worker_id not in want.claims
-                and self.rooms[worker_id] >= guarantee.accelerators_per_vm
-            ]
+            fitting = self._fitting(want, group)
             if len(fitting) >= missing:
-                fitting.sort()
-                choices.append((len(fitting), [vm for _, vm in fitting[:missing]]))
-        choices.sort()
-        return [chosen for _, chosen in choices]
+                options.append((len(fitting), fitting))
+        options.sort()
+        for _, fitting in options:
+            yield [worker_id for _, worker_id in fitting[:missing]]
+        for _, fitting in options:
+            yield from _windows(fitting, missing)
+
+    def _fitting(self, want: Want, group: Group) -> list[tuple[int, str]]:
+        need = want.guarantee.accelerators_per_vm
+        self.examined += len(self.members[group])
+        return sorted(
+            (self.rooms[worker_id], worker_id)
+            for worker_id in self.members[group]
+            if self.rooms[worker_id] >= need
+            and worker_id not in want.claims
+            and (want.allowed is None or worker_id in want.allowed)
+        )
 
     def _take(self, workers: list[str], accelerators: int) -> None:
         for worker_id in workers:
@@ -176,6 +188,17 @@
         return margin_holds(self.rooms, self.members, self.groups, booked, finest, self.margin_vms)
 
 
+def _windows(fitting: list[tuple[int, str]], size: int) -> Iterator[list[str]]:
+    """Yield runs of VMs by their room, one for each different set of rooms, but for the first."""
+    seen = {tuple(room for room, _ in fitting[:size])}
+    for start in range(1, len(fitting) - size + 1):
+        window = fitting[start : start + size]
+        rooms = tuple(room for room, _ in window)
+        if rooms not in seen:
+            seen.add(rooms)
+            yield [worker_id for _, worker_id in window]
+
+
 def _share(
     rooms: Mapping[str, int],
     groups: Mapping[str, Mapping[Adjacency, Group]],
@@ -219,7 +242,11 @@
         homes[want.key] = max(
             found, key=lambda group: sum(left[vm] >= need for vm in members[group])
         )
-    fitting = [vm for vm in members[homes[want.key]] if left[vm] >= need and vm not in taken]
+    fitting = [
+        vm
+        for vm in members[homes[want.key]]
+        if left[vm] >= need and vm not in taken and (want.allowed is None or vm in want.allowed)
+    ]
     return min(fitting, key=lambda vm: (left[vm], vm), default=None)
 
 
--- a/packages/scheduling/briardeal_scheduling/health/_evidence.py
+++ b/packages/scheduling/briardeal_scheduling/health/_evidence.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 import attrs
 
 WORKER_FAILURE_LIMIT = 3
@@ -10,6 +12,9 @@
 JOB_FAILURE_LIMIT = 3
 """Different VMs that a job fails on until it is given up."""
 
+JOB_ATTEMPT_LIMIT = 6
+"""Failures of a job, on whichever VMs, until it is given up."""
+
 FIRST_PROBE_S = 600.0
 """Time until a VM that was set aside is tried again, doubled with every failed try."""
 
@@ -45,12 +50,14 @@
 
     workers: dict[str, WorkerHealth] = attrs.field(factory=dict)
     jobs: dict[str, set[str]] = attrs.field(factory=dict)
+    attempts: Counter[str] = attrs.field(factory=Counter)
 
     def failed(self, job_id: str, worker_id: str, now_s: float) -> bool:
         """Count a failure and return whether the VM is set aside because of it."""
         health = self.workers.setdefault(worker_id, WorkerHealth())
         health.failures.add(job_id)
         self.jobs.setdefault(job_id, set()).add(worker_id)
+        self.attempts[job_id] += 1
         if self.fails_everywhere(job_id):
             self._clear_workers(job_id)
             return False
@@ -63,10 +70,12 @@
         """Clear the VMs that a job ran well on."""
         for worker_id in workers:
             self.workers.pop(worker_id, None)
-        self.jobs.pop(job_id, None)
+        self.forget_job(job_id)
 
     def fails_everywhere(self, job_id: str) -> bool:
         """Return whether a job failed on so many VMs that it is itself the cause."""
+        if self.attempts[job_id] >= JOB_ATTEMPT_LIMIT:
+            return True
         return len(self.jobs.get(job_id, ())) >= JOB_FAILURE_LIMIT
 
     def failed_on(self, job_id: str) -> set[str]:
@@ -75,11 +84,12 @@
 
     def retry_after_s(self, job_id: str) -> float:
         """Return how long a failed job waits before it is tried again."""
-        return JOB_RETRY_S * 2 ** max(0, len(self.failed_on(job_id)) - 1)
+        return JOB_RETRY_S * 2 ** max(0, self.attempts[job_id] - 1)
 
     def forget_job(self, job_id: str) -> None:
         """Drop the evidence on a job that is over; what it says of VMs stays."""
         self.jobs.pop(job_id, None)
+        self.attempts.pop(job_id, None)
 
     def due_for_trial(self, now_s: float) -> list[str]:
         """Return the VMs that are to be tried again, and take them back on trial."""
--- /dev/null
+++ b/tests/scheduling/checker.py
@@ -0,0 +1,155 @@
+"""An account of what runs, kept apart from the scheduler, and exact search for guarantees."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING
+
+from briardeal_core.configuration import Adjacency
+from briardeal_scheduling import Abandon, Preempt, Start
+
+if TYPE_CHECKING:
+    from briardeal_core.configuration import Configuration
+    from briardeal_core.jobs import JobRequest, WorkerShape
+    from briardeal_scheduling import Scheduler
+
+
+class Checker:
+    """Applies decisions to its own account and fails where one breaks a rule."""
+
+    def __init__(self, configuration: Configuration) -> None:
+        self.configuration = configuration
+        self.shapes: dict[str, WorkerShape] = {}
+        self.jobs: dict[str, JobRequest] = {}
+        self.running: dict[str, tuple[str, ...]] = {}
+        self.leaving: set[str] = set()
+        self.abandoned: set[str] = set()
+
+    def apply(self, decisions: list, scheduler: Scheduler) -> None:
+        """Apply the decisions of a round, in order, then check the whole."""
+        for decision in decisions:
+            if isinstance(decision, Start):
+                self._start(decision)
+            elif isinstance(decision, Preempt):
+                assert decision.job_id in self.running
+                self.leaving.add(decision.job_id)
+            elif isinstance(decision, Abandon):
+                assert decision.job_id not in self.running
+                self.abandoned.add(decision.job_id)
+            assert decision.explanation
+        self._check_guarantees(scheduler)
+
+    def end(self, job_id: str) -> None:
+        """Take an attempt off the account."""
+        del self.running[job_id]
+        self.leaving.discard(job_id)
+
+    def group(self, worker_id: str, adjacency: Adjacency) -> tuple[str, ...]:
+        """Return where a VM stands, as far as the adjacency asks."""
+        shape = self.shapes[worker_id]
+        parts = (shape.region, shape.failure_domain, shape.rack)
+        return parts[: 3 - list(Adjacency).index(adjacency)]
+
+    def _start(self, start: Start) -> None:
+        request = self.jobs[start.job_id]
+        workers = start.placement.workers
+        assert start.job_id not in self.running
+        assert start.job_id not in self.abandoned
+        assert len(workers) == request.tasks == len(set(workers))
+        assert start.placement.accelerators == request.accelerators_per_task
+        assert len({self.group(worker_id, request.adjacency) for worker_id in workers}) == 1
+        self.running[start.job_id] = workers
+        for worker_id in workers:
+            assert self._used(worker_id) <= self.shapes[worker_id].accelerators
+        customer = next(c for c in self.configuration.customers if c.name == request.customer)
+        held = sum(
+            self.jobs[job_id].accelerators_per_task * len(where)
+            for job_id, where in self.running.items()
+            if self.jobs[job_id].customer == customer.name
+        )
+        assert customer.quota_accelerators is None or held <= customer.quota_accelerators
+
+    def _used(self, worker_id: str) -> int:
+        return sum(
+            self.jobs[job_id].accelerators_per_task
+            for job_id, workers in self.running.items()
+            if worker_id in workers
+        )
+
+    def _check_guarantees(self, scheduler: Scheduler) -> None:
+        claims = self._claims(scheduler)
+        ledger = scheduler.state.ledger
+        if ledger.shortfalls():
+            workers = scheduler.state.fleet.workers.values()
+            set_aside = frozenset(vm.worker_id for vm in workers if not vm.usable)
+            pending = scheduler.state.ledger.by_job.keys() - self.running.keys()
+            assert pending or not self._fits(
+                claims, set_aside
+            ), "a guarantee is told short but fits"
+            return
+        margin = self.configuration.failure_margin_vms if ledger.margin_held else 0
+        for failed in itertools.combinations(self.shapes, margin):
+            assert self._fits(claims, frozenset(failed)), f"guarantees don't fit without {failed}"
+
+    def _claims(self, scheduler: Scheduler) -> dict[tuple[str, int], list[str]]:
+        """Return the jobs that run within each guarantee, after checking that they may."""
+        claims: dict[tuple[str, int], list[str]] = {}
+        for job_id, key in scheduler.state.ledger.by_job.items():
+            if job_id not in self.running:
+                continue
+            request = self.jobs[job_id]
+            guarantee = self._guarantee(key.customer, key.position)
+            assert request.customer == key.customer
+            assert request.job_class == guarantee.job_class
+            assert request.accelerators_per_task <= guarantee.accelerators_per_vm
+            claims.setdefault((key.customer, key.position), []).append(job_id)
+        return claims
+
+    def _guarantee(self, customer: str, position: int):
+        owner = next(c for c in self.configuration.customers if c.name == customer)
+        return owner.guarantees[position]
+
+    def _fits(self, claims: dict[tuple[str, int], list[str]], failed: frozenset[str]) -> bool:
+        """Search all ways to give every guarantee its VMs when some VMs have failed."""
+        alive = {
+            job_id: workers
+            for job_id, workers in self.running.items()
+            if not failed.intersection(workers)
+        }
+        room = {vm: shape.accelerators for vm, shape in self.shapes.items() if vm not in failed}
+        claimed = {job_id for jobs in claims.values() for job_id in jobs}
+        for job_id, workers in alive.items():
+            request = self.jobs[job_id]
+            if job_id not in claimed and not (request.idempotent and request.checkpointable):
+                for worker_id in workers:
+                    room[worker_id] -= request.accelerators_per_task
+        wants = []
+        for customer in self.configuration.customers:
+            for position, guarantee in enumerate(customer.guarantees):
+                jobs = claims.get((customer.name, position), [])
+                own = [vm for job_id in jobs if job_id in alive for vm in alive[job_id]]
+                assert len(own) == len(set(own)) <= guarantee.vms
+                for worker_id in own:
+                    room[worker_id] -= guarantee.accelerators_per_vm
+                wants.append((guarantee, own))
+        return min(room.values(), default=0) >= 0 and self._search(wants, room)
+
+    def _search(self, wants: list, room: dict[str, int]) -> bool:
+        if not wants:
+            return True
+        (guarantee, own), *rest = wants
+        need = guarantee.accelerators_per_vm
+        homes = {self.group(vm, guarantee.adjacency) for vm in own or room}
+        for home in homes:
+            members = [
+                vm
+                for vm in room
+                if vm not in own
+                and room[vm] >= need
+                and self.group(vm, guarantee.adjacency) == home
+            ]
+            for chosen in itertools.combinations(members, guarantee.vms - len(own)):
+                left = {vm: room[vm] - need * (vm in chosen) for vm in room}
+                if self._search(rest, left):
+                    return True
+        return False
