--- /dev/null
+++ b/bench/job_loads/_sizes.py
@@ -0,0 +1,212 @@
+"""The loads of today's two users and that of the target."""
+
+from __future__ import annotations
+
+import random
+
+from bench.job_loads._load import (
+    DAY_S,
+    Kind,
+    Load,
+    LoadJob,
+    draw_cancellations,
+    draw_jobs,
+    draw_outages,
+    scale_run_times,
+)
+from briardeal_core.configuration import Adjacency, Configuration, Customer, Guarantee, JobClass
+from briardeal_core.jobs import JobRequest, WorkerShape
+
+RACK, DOMAIN, REGION = Adjacency.RACK, Adjacency.FAILURE_DOMAIN, Adjacency.REGION
+HOUR_S = 3600.0
+OUTAGES_PER_WORKER_DAY = (7 + 48) / 630
+
+CLASSES = (
+    JobClass(name="urgent", finish_within_s=0.5 * HOUR_S, start_within_s=1.1),
+    JobClass(name="draw", finish_within_s=2 * HOUR_S),
+    JobClass(name="forecast", finish_within_s=8 * HOUR_S),
+    JobClass(name="nightly", finish_within_s=36 * HOUR_S),
+)
+
+
+def vzorec(seed: int) -> Load:
+    """Return the load of the franchise: many draws, some of them pending in the fieldwork."""
+    rng = random.Random(seed)
+    kinds = [
+        Kind("draw", 0.50, 900, 1.0, ((1, 1, REGION), (1, 2, REGION), (1, 4, REGION))),
+        Kind("urgent", 0.10, 240, 0.5, ((1, 1, REGION), (1, 2, REGION))),
+        Kind("forecast", 0.25, 4500, 1.0, ((1, 8, REGION), (2, 4, RACK), (2, 8, RACK)), 0.8),
+        Kind("nightly", 0.15, 18000, 1.0, ((1, 8, REGION), (3, 8, RACK), (4, 8, REGION)), 0.9),
+    ]
+    regions = [("ljubljana", 2), ("maribor", 1), ("koper", 1)]
+    return _small("vzorec", rng, regions, kinds, cores=64, memory_gb=256, jobs_per_day=120)
+
+
+def cooperative(seed: int) -> Load:
+    """Return the load of the co-operative: tallies at night, forecasts before sailings."""
+    rng = random.Random(seed)
+    night, morning = (21, 22, 23, 0), (2, 3, 4)
+    photos = ((1, 1, REGION), (1, 2, REGION))
+    kinds = [
+        Kind("draw", 0.40, 600, 1.0, photos, hours=tuple(range(6, 22))),
+        Kind("urgent", 0.10, 240, 0.5, photos),
+        Kind(
+            "forecast",
+            0.30,
+            3600,
+            0.8,
+            ((1, 4, REGION), (2, 8, RACK), (3, 4, RACK)),
+            0.8,
+            hours=morning,
+        ),
+        Kind(
+            "nightly",
+            0.20,
+            7200,
+            1.0,
+            ((2, 8, RACK), (3, 8, RACK), (4, 8, REGION)),
+            0.9,
+            hours=night,
+        ),
+    ]
+    regions = [("constanta", 2), ("mangalia", 1), ("sulina", 1)]
+    return _small("cooperative", rng, regions, kinds, cores=32, memory_gb=64, jobs_per_day=100)
+
+
+def target(seed: int) -> Load:
+    """Return the load of the target size."""
+    rng = random.Random(seed)
+    small = ((1, 1, REGION), (1, 2, REGION), (1, 2, REGION), (1, 4, REGION))
+    gangs = ((2, 8, RACK), (4, 2, RACK), (4, 8, DOMAIN), (8, 2, DOMAIN), (16, 2, REGION))
+    large = ((8, 8, REGION), (16, 2, DOMAIN), (32, 2, REGION), (64, 1, REGION), (64, 2, REGION))
+    fans = ((16, 0, REGION), (32, 0, REGION), (64, 0, REGION))
+    kinds = [
+        Kind("draw", 0.22, 1800, 1.0, small),
+        Kind("urgent", 0.08, 300, 0.5, small),
+        Kind("forecast", 0.15, 7200, 1.0, gangs, 0.85),
+        Kind("nightly", 0.10, 14400, 1.0, large, 0.95, 0.95),
+        Kind("nightly", 0.45, 18000, 1.0, fans, 0.9, 0.95),
+    ]
+    span_s = 3 * DAY_S
+    shapes = fleet_of(630)
+    names = {f"team{number}": 1 / (1 + number) ** 0.7 for number in range(130)}
+    customers = [
+        Customer(
+            name=name,
+            guarantees=_target_guarantees(number),
+            quota_accelerators=700 if number < 10 else 300,
+        )
+        for number, name in enumerate(names)
+    ]
+    configuration = Configuration(classes=CLASSES, customers=tuple(customers), failure_margin_vms=2)
+    jobs = draw_jobs(rng, kinds, names, 890, span_s)
+    load = Load("target", shapes, configuration, jobs, span_s)
+    _finish(load, rng, utilisation=0.85, waves=6)
+    return load
+
+
+def fleet_of(workers: int) -> list[WorkerShape]:
+    """Return VMs in the proportions of the target: 1,400 accelerators on 630."""
+    shapes = []
+    for number in range(workers):
+        rack = number // 16
+        domain = rack % 4
+        accelerators = 8 if number % 9 == 0 else (0 if number % 9 in (4, 8) else 2)
+        shapes.append(
+            WorkerShape(
+                worker_id=f"vm{number:04}",
+                region=f"region{domain // 2}",
+                failure_domain=f"domain{domain}",
+                rack=f"rack{rack}",
+                accelerators=accelerators,
+                cores=64,
+                memory_gb=256,
+            )
+        )
+    return shapes
+
+
+def burst(count: int) -> list[LoadJob]:
+    """Return a burst of equal small jobs."""
+    return [
+        LoadJob(
+            JobRequest(
+                job_id=f"small{number}",
+                customer="team0",
+                job_class="draw",
+                tasks=1,
+                accelerators_per_task=1,
+                checkpointable=True,
+            ),
+            0.0,
+            600.0,
+        )
+        for number in range(count)
+    ]
+
+
+def _small(
+    name: str,
+    rng: random.Random,
+    regions: list[tuple[str, int]],
+    kinds: list[Kind],
+    cores: int,
+    memory_gb: int,
+    jobs_per_day: float,
+) -> Load:
+    racks = [region for region, count in regions for _ in range(count)]
+    shapes = [
+        WorkerShape(
+            worker_id=f"vm{number:02}",
+            region=racks[number // 3],
+            failure_domain=f"{racks[number // 3]}-1",
+            rack=f"rack{number // 3}",
+            accelerators=8,
+            cores=cores,
+            memory_gb=memory_gb,
+        )
+        for number in range(11)
+    ]
+    customers = {"large": 0.45, "second": 0.3, "third": 0.15, "fourth": 0.1}
+    guarantees = {
+        "large": (_guarantee("urgent", 1, 4), _guarantee("forecast", 1, 8)),
+        "second": (_guarantee("urgent", 1, 4),),
+        "third": (_guarantee("urgent", 1, 2),),
+        "fourth": (_guarantee("urgent", 1, 2),),
+    }
+    configuration = Configuration(
+        classes=CLASSES,
+        customers=tuple(
+            Customer(name=customer, guarantees=guarantees[customer]) for customer in customers
+        ),
+        failure_margin_vms=1,
+    )
+    span_s = 10 * DAY_S
+    jobs = draw_jobs(rng, kinds, customers, jobs_per_day, span_s)
+    load = Load(name, shapes, configuration, jobs, span_s)
+    _finish(load, rng, utilisation=0.75, waves=4)
+    return load
+
+
+def _finish(load: Load, rng: random.Random, utilisation: float, waves: int) -> None:
+    scale_run_times(load, utilisation)
+    per_day = OUTAGES_PER_WORKER_DAY * len(load.shapes)
+    load.outages = draw_outages(rng, load.shapes, load.span_s, per_day)
+    draw_cancellations(rng, load, waves)
+    load.bad_worker = (load.shapes[-3].worker_id, load.span_s / 2)
+    load.checkpoint_s = {
+        customer.name: rng.choice([0.4, 2.0, 10.0, 30.0])
+        for customer in load.configuration.customers
+    }
+
+
+def _target_guarantees(number: int) -> tuple[Guarantee, ...]:
+    if number < 10:
+        return (_guarantee("urgent", 4, 2), _guarantee("forecast", 4, 4))
+    if number < 60:
+        return (_guarantee("urgent", 2, 2),)
+    return (_guarantee("urgent", 1, 1),)
+
+
+def _guarantee(job_class: str, vms: int, accelerators: int) -> Guarantee:
+    return Guarantee(job_class=job_class, vms=vms, accelerators_per_vm=accelerators)
--- /dev/null
+++ b/bench/jobs.py
@@ -0,0 +1,1 @@
+"""Completion time, fragmentation and guarantees of the scheduling decisions."""
--- a/packages/scheduling/briardeal_scheduling/_scheduler.py
+++ b/packages/scheduling/briardeal_scheduling/_scheduler.py
@@ -169,15 +169,13 @@
         orders, self.orders = self.orders, []
         return orders + Round(self.state, now_s).run()
 
-    def next_decision_s(self) -> float:
+    def next_decision_s(self, now_s: float) -> float:
         """Return when `decide` must be called even if nothing happens; infinity for never."""
         state = self.state
         times = [job.leave_by_s for job in state.table.leaving.values()]
-        times += [job.retry_at_s for job in state.table.waiting.values() if job.retry_at_s]
-        trial_s = state.evidence.next_trial_s()
-        if trial_s is not None:
-            times.append(trial_s)
-        return min(times, default=NEVER_S)
+        times += [job.retry_at_s for job in state.table.waiting.values()]
+        times.append(state.evidence.next_trial_s())
+        return min((at_s for at_s in times if at_s > now_s), default=NEVER_S)
 
     def explain(self, job_id: str, now_s: float) -> list[str]:
         """Return what was decided on a job and why, oldest first; empty for an unknown job."""
--- a/packages/scheduling/briardeal_scheduling/decisions/_record.py
+++ b/packages/scheduling/briardeal_scheduling/decisions/_record.py
@@ -51,11 +51,14 @@
     def add(
         self, at_s: float, cause: Cause, until_s: float | None = None, **fields: object
     ) -> Entry:
-        """Record a decision; the same cause again replaces the entry before."""
-        entry = Entry(at_s, cause, fields, until_s)
+        """Record a decision; the same again replaces the entry before."""
         if self.entries and self.entries[-1].cause is cause:
-            entry = attrs.evolve(entry, at_s=self.entries[-1].at_s)
+            last = self.entries[-1]
+            if last.until_s == until_s and last.fields == fields:
+                return last
+            at_s = last.at_s
             self.entries.pop()
+        entry = Entry(at_s, cause, fields, until_s)
         self.entries.append(entry)
         del self.entries[:-RECORD_LIMIT]
         return entry
--- a/packages/scheduling/briardeal_scheduling/health/_evidence.py
+++ b/packages/scheduling/briardeal_scheduling/health/_evidence.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 
 import attrs
@@ -104,10 +105,10 @@
             health.on_trial = True
         return due
 
-    def next_trial_s(self) -> float | None:
-        """Return when the next VM is to be tried again."""
+    def next_trial_s(self) -> float:
+        """Return when the next VM is to be tried again; infinity for never."""
         times = [health.set_aside_until_s for health in self.workers.values()]
-        return min((at_s for at_s in times if at_s is not None), default=None)
+        return min((at_s for at_s in times if at_s is not None), default=math.inf)
 
     def _set_aside(self, worker_id: str, health: WorkerHealth, now_s: float) -> None:
         health.set_aside_until_s = now_s + health.wait_s
