Repair bookings in place when a VM goes

Cause: at the target size every lost or returned VM, and every end of pinned work while the failure margin was short, planned all guarantees again, and the search tried many sets that all failed. Change: a lost VM's bookings move to another VM of its group; a full plan follows only where that fails, or once a minute to bring the margin back; the search counts the check of the margin. The longest rounds are still full plans.

--- a/packages/scheduling/briardeal_scheduling/_admission.py
+++ b/packages/scheduling/briardeal_scheduling/_admission.py
@@ -59,7 +59,7 @@
 
 def _fits_beside_guarantees(state: State, request: JobRequest, shapes: list[WorkerShape]) -> bool:
     """Return whether work that can't be preempted has room beside all guarantees, or in its own."""
-    key = (state.fleet.version, request.tasks, request.accelerators_per_task, request.adjacency)
+    key = (state.fleet.known, request.tasks, request.accelerators_per_task, request.adjacency)
     if key not in state.ledger.admitted:
         state.ledger.admitted[key] = _plans_beside(state, request, shapes)
     return state.ledger.admitted[key] or _has_guarantee(state, request, shapes)
--- a/packages/scheduling/briardeal_scheduling/_endings.py
+++ b/packages/scheduling/briardeal_scheduling/_endings.py
@@ -55,7 +55,7 @@
             job.hole = None
     for job_id in lost:
         end_attempt(state, state.table.jobs[job_id], Lost(worker_id), now_s, orders)
-    state.ledger.drop_worker(worker_id)
+    state.ledger.lose_worker(state.fleet, worker_id)
     state.fleet.remove(worker_id)
     return lost
 
--- a/packages/scheduling/briardeal_scheduling/_round.py
+++ b/packages/scheduling/briardeal_scheduling/_round.py
@@ -30,6 +30,9 @@
 URGENT_RESERVE_S = 0.4
 """Part of the target for an urgent start that is left for stopping and starting."""
 
+MARGIN_RETRY_S = 60.0
+"""Time until the guarantees are planned again to bring the failure margin back."""
+
 HOLE_LIMIT = 2
 """Jobs that VMs are kept for at a time."""
 
@@ -60,7 +63,7 @@
     def run(self) -> list[Decision]:
         """Take and return all decisions."""
         self._try_set_aside_workers()
-        if self.state.ledger.stale:
+        if self._plan_due():
             self._replan()
         self._stop_slow_checkpoints()
         self._start_opened()
@@ -73,9 +76,15 @@
             self.state.fleet.set_usable(worker_id, usable=True)
             self.state.ledger.stale = True
 
+    def _plan_due(self) -> bool:
+        ledger = self.state.ledger
+        waited = self.now_s - self.state.planned_s >= MARGIN_RETRY_S
+        return ledger.stale or (ledger.margin_stale and waited)
+
     def _replan(self) -> None:
         """Plan the guarantees again; no job may wait for VMs that they are short of."""
         ledger = self.state.ledger
+        self.state.planned_s = self.now_s
         ledger.replan(self.state.fleet)
         if ledger.whole:
             return
--- a/packages/scheduling/briardeal_scheduling/_scheduler.py
+++ b/packages/scheduling/briardeal_scheduling/_scheduler.py
@@ -56,7 +56,7 @@
         if shape.worker_id in self.state.fleet.workers:
             self.worker_down(shape.worker_id, now_s)
         self.state.fleet.add(shape)
-        self.state.ledger.stale = True
+        self.state.ledger.note_freed()
 
     def worker_down(self, worker_id: str, now_s: float) -> list[str]:
         """Take out a VM and return the jobs that were lost with it.
--- a/packages/scheduling/briardeal_scheduling/_state.py
+++ b/packages/scheduling/briardeal_scheduling/_state.py
@@ -37,6 +37,10 @@
     ----------
     ended
         Records of jobs that are over, oldest first.
+    predictions
+        Predictions in use, with the time at which each was made.
+    planned_s
+        When the guarantees were planned last.
     """
 
     configuration: Configuration = attrs.field(factory=Configuration)
@@ -49,6 +53,7 @@
     evidence: Evidence = attrs.field(factory=Evidence)
     ended: OrderedDict[str, Record] = attrs.field(factory=OrderedDict)
     predictions: dict[str, tuple[float, Prediction]] = attrs.field(factory=dict)
+    planned_s: float = float("-inf")
 
     def predict(self, job: Job, now_s: float) -> Prediction:
         """Return the expected run time of a job in all."""
--- a/packages/scheduling/briardeal_scheduling/fleet/_fleet.py
+++ b/packages/scheduling/briardeal_scheduling/fleet/_fleet.py
@@ -32,8 +32,8 @@
         Places of each VM for tasks without accelerators.
     absent
         Shapes of VMs that were lost; they may come back.
-    version
-        Number that changes with the VMs.
+    known
+        VMs that came up and had not been there before with the same shape.
     """
 
     workers: dict[str, Worker] = attrs.field(factory=dict)
@@ -43,14 +43,13 @@
     spare: CapacityIndex = attrs.field(factory=CapacityIndex)
     slots: CapacityIndex = attrs.field(factory=CapacityIndex)
     absent: dict[str, WorkerShape] = attrs.field(factory=dict)
-    version: int = 0
+    known: int = 0
 
     def add(self, shape: WorkerShape) -> None:
         """Add a VM that came up."""
         self.workers[shape.worker_id] = Worker(shape)
         self.groups[shape.worker_id] = groups_of(shape)
-        self.absent.pop(shape.worker_id, None)
-        self.version += 1
+        self.known += self.absent.pop(shape.worker_id, None) != shape
         self.refresh(shape.worker_id)
 
     def remove(self, worker_id: str) -> None:
@@ -60,7 +59,6 @@
         groups = list(self.groups.pop(worker_id).values())
         for index in (self.free, self.room, self.spare, self.slots):
             index.remove(worker_id, groups)
-        self.version += 1
 
     def refresh(self, worker_id: str) -> None:
         """Bring the indexes up to date with a VM."""
@@ -100,7 +98,6 @@
         if worker_id in self.workers:
             self.workers[worker_id].usable = usable
             self.refresh(worker_id)
-            self.version += 1
 
     def leave(self, placement: Placement, sign: int = 1) -> None:
         """Count a running placement as one that was told to leave, or no longer."""
--- a/packages/scheduling/briardeal_scheduling/guarantees/_ledger.py
+++ b/packages/scheduling/briardeal_scheduling/guarantees/_ledger.py
@@ -75,6 +75,8 @@
         Whether the guarantees also hold after failures within the margin.
     stale
         Whether the bookings must be planned again before the next decision.
+    margin_stale
+        Whether another plan might bring the margin back.
     admitted
         Whether work of a shape fits beside all guarantees, by the shape and the set of VMs.
     """
@@ -86,6 +88,7 @@
     whole: bool = True
     margin_held: bool = True
     stale: bool = False
+    margin_stale: bool = False
     admitted: dict[tuple[object, ...], bool] = attrs.field(factory=dict)
     needs: dict[Group, int] = attrs.field(factory=dict)
 
@@ -177,15 +180,24 @@
                 slots[worker_id] = None
 
     def note_freed(self) -> None:
-        """Note that work left which may have stood in the way of a guarantee."""
-        if not (self.whole and self.margin_held):
+        """Note that work left, or a VM came, so that more of the guarantees may hold."""
+        if not self.whole:
             self.stale = True
+        elif not self.margin_held:
+            self.margin_stale = True
 
-    def drop_worker(self, worker_id: str) -> None:
-        """Forget a VM that is gone."""
+    def lose_worker(self, fleet: Fleet, worker_id: str) -> None:
+        """Set other VMs aside in place of one that is about to go."""
         for booking in self.bookings.values():
-            booking.slots.pop(worker_id, None)
-        self.stale = True
+            if worker_id not in booking.slots:
+                continue
+            target = self._replacement(fleet, booking, worker_id)
+            if target is None or not self.move(fleet, booking, worker_id, target):
+                del booking.slots[worker_id]
+                self.stale = True
+        if not self.stale and self.margin_vms:
+            self.margin_held &= self._margin_left(fleet, worker_id)
+            self.margin_stale |= not self.margin_held
 
     def move(self, fleet: Fleet, booking: Booking, source: str, target: str) -> bool:
         """Set another VM aside in place of one that is lent, where nothing else changes."""
@@ -268,6 +280,7 @@
         self.whole = plan.whole
         self.margin_held = plan.margin_held
         self.stale = False
+        self.margin_stale = False
         self._index_bookings(fleet)
 
     def _index_bookings(self, fleet: Fleet) -> None:
@@ -277,6 +290,26 @@
                 group = fleet.groups[worker_id][booking.guarantee.adjacency]
                 self.needs[group] = max(self.needs[group], fleet.workers[worker_id].booked)
 
+    def _replacement(self, fleet: Fleet, booking: Booking, worker_id: str) -> str | None:
+        need = booking.guarantee.accelerators_per_vm
+        group = fleet.groups[worker_id][booking.guarantee.adjacency]
+        for index in (fleet.room, fleet.spare):
+            for _, bucket in index.ascending(group, need):
+                for target in bucket:
+                    if target != worker_id and target not in booking.slots:
+                        return target
+        return None
+
+    def _margin_left(self, fleet: Fleet, worker_id: str) -> bool:
+        """Return whether enough spare VMs are left in each group once a VM is gone."""
+        gone = fleet.workers[worker_id]
+        for group, need in self.needs.items():
+            counted = not gone.booked and gone.unbooked >= need
+            own = counted and fleet.groups[worker_id][group.adjacency] == group
+            if fleet.spare.count(group, need) - own < self.margin_vms:
+                return False
+        return True
+
     def _shift(self, fleet: Fleet, booking: Booking, source: str, target: str) -> None:
         need = booking.guarantee.accelerators_per_vm
         del booking.slots[source]
--- a/packages/scheduling/briardeal_scheduling/guarantees/_plan.py
+++ b/packages/scheduling/briardeal_scheduling/guarantees/_plan.py
@@ -21,6 +21,10 @@
 """VMs looked at before a search is given up."""
 
 
+MARGIN_CHECK_COST = 30
+"""What the check of the failure margin counts for in the search, per VM."""
+
+
 @attrs.frozen(order=True)
 class GuaranteeKey:
     """A guarantee, by its customer and its position there."""
@@ -175,6 +179,7 @@
     def _margin_holds(self) -> bool:
         if not self.margin_vms:
             return True
+        self.examined += MARGIN_CHECK_COST * len(self.rooms)
         booked: dict[str, int] = defaultdict(int)
         finest: dict[str, Adjacency] = {}
         for want in self.wants:
