Let gangs stop smaller work that can go on later

Cause: a gang waited for scattered small work while accelerators stood free. Change: a gang of four accelerators or more may checkpoint smaller work outside guarantees that has run for five minutes, where that loses less than a twentieth of the gang's own work.

--- a/packages/scheduling/briardeal_scheduling/_round.py
+++ b/packages/scheduling/briardeal_scheduling/_round.py
@@ -33,6 +33,15 @@
 MARGIN_RETRY_S = 60.0
 """Time until the guarantees are planned again to bring the failure margin back."""
 
+GANG_ACCELERATORS = 4
+"""Accelerators from which a job counts as a gang that others make room for."""
+
+LEAST_RUN_S = 300.0
+"""Time for which work runs before it has to make room for a gang."""
+
+MOST_LOST_SHARE = 0.05
+"""Most that may be lost to make room for a gang, as a part of its own work."""
+
 HOLE_LIMIT = 2
 """Jobs that VMs are kept for at a time."""
 
@@ -59,6 +68,7 @@
         self.no_room: set[tuple[object, ...]] = set()
         self.over_quota: set[str] = set()
         self.replanned = False
+        self.preempting: Job | None = None
 
     def run(self) -> list[Decision]:
         """Take and return all decisions."""
@@ -124,7 +134,7 @@
             return
         if self._claim_guarantee(job) or self._start_on_free(job):
             return
-        if self._preempt_for_urgent(job):
+        if self._preempt_for_urgent(job) or self._preempt_smaller(job):
             return
         self._keep_hole(job)
 
@@ -284,6 +294,51 @@
         )
         return True
 
+    def _preempt_smaller(self, job: Job) -> bool:
+        """Make room for a gang by stopping smaller work, which finds room elsewhere sooner."""
+        if job.request.tasks * job.request.accelerators_per_task < GANG_ACCELERATORS:
+            return False
+        self.preempting = job
+        pins = self._pins(job)
+        opening = open_room_anywhere(
+            self.state.fleet,
+            Need.of(job.request),
+            self._smaller_cost,
+            self.state.avoided(job, self.now_s) | self._held_workers(job),
+            unbooked=pins,
+        )
+        if opening is None or opening.cost > MOST_LOST_SHARE * self._work(job):
+            return False
+        placement = Placement(tuple(opening.workers), job.request.accelerators_per_task)
+        if pins and not self.state.ledger.allows_pinned(self.state.fleet, placement):
+            return False
+        self._open(
+            job,
+            placement.workers,
+            opening.victims,
+            Cause.STARTED_ON_FREE,
+            Cause.PREEMPTED_FOR_TARGET,
+        )
+        return True
+
+    def _work(self, job: Job) -> float:
+        """Return the work that a job is expected to have left, in accelerator seconds."""
+        prediction = self.state.predict(job, self.now_s)
+        return prediction.remaining_s(job.kept_s) * job.accelerators
+
+    def _smaller_cost(self, job_id: str) -> float | None:
+        victim = self.state.table.jobs[job_id]
+        lent = victim.preemptible and job_id not in self.state.ledger.by_job
+        if not lent or victim.leaving or victim.urgent or victim.phase is not JobPhase.RUNNING:
+            return None
+        if victim.accelerators >= self.preempting.accelerators:
+            return None
+        if self.now_s - victim.started_s < LEAST_RUN_S:
+            return None
+        request = victim.request
+        checkpoint_s = self.state.history.checkpoint_s(request.customer, request.job_class)
+        return min(RECLAIM_LIMIT_S, checkpoint_s) * victim.accelerators
+
     def _urgent_cost(self, job_id: str) -> float | None:
         if self.state.table.jobs[job_id].urgent:
             return None
