Order work by a time in proportion to its run; let preemptible work use kept VMs

Change: a job is due after four times its expected run or at its class target, whichever is first; gangs stop only work that is due later, and is smaller or has three times as long to go; work that can be preempted may use VMs kept for a gang.

--- a/packages/scheduling/briardeal_scheduling/_round.py
+++ b/packages/scheduling/briardeal_scheduling/_round.py
@@ -14,7 +14,7 @@
     open_room,
     open_room_anywhere,
 )
-from briardeal_scheduling.queue import Hole, JobPhase, order_key
+from briardeal_scheduling.queue import Hole, JobPhase, due_s, order_key
 
 if TYPE_CHECKING:
     from briardeal_scheduling._state import State
@@ -39,6 +39,12 @@
 LEAST_RUN_S = 300.0
 """Time for which work runs before it has to make room for a gang."""
 
+LONGER_FACTOR = 3.0
+"""How much longer work of the same size must have left to make room for a gang."""
+
+GANGS_TRIED_LIMIT = 3
+"""Gangs for which others may be asked to make room in one round."""
+
 MOST_LOST_SHARE = 0.05
 """Most that may be lost to make room for a gang, as a part of its own work."""
 
@@ -69,6 +75,9 @@
         self.over_quota: set[str] = set()
         self.replanned = False
         self.preempting: Job | None = None
+        self.preempting_due_s = 0.0
+        self.preempting_longest_s = 0.0
+        self.gangs_tried = 0
 
     def run(self) -> list[Decision]:
         """Take and return all decisions."""
@@ -124,7 +133,7 @@
                 self._note_retry(job)
                 continue
             prediction = self.state.predict(job, self.now_s)
-            ready.append((order_key(job, prediction, self.now_s), job))
+            ready.append((order_key(job, prediction), job))
         ready.sort(key=lambda pair: pair[0])
         return [job for _, job in ready]
 
@@ -298,7 +307,13 @@
         """Make room for a gang by stopping smaller work, which finds room elsewhere sooner."""
         if job.request.tasks * job.request.accelerators_per_task < GANG_ACCELERATORS:
             return False
+        if self.gangs_tried >= GANGS_TRIED_LIMIT:
+            return False
+        self.gangs_tried += 1
+        prediction = self.state.predict(job, self.now_s)
         self.preempting = job
+        self.preempting_due_s = due_s(job, prediction)
+        self.preempting_longest_s = LONGER_FACTOR * prediction.remaining_s(job.kept_s)
         pins = self._pins(job)
         opening = open_room_anywhere(
             self.state.fleet,
@@ -331,7 +346,12 @@
         lent = victim.preemptible and job_id not in self.state.ledger.by_job
         if not lent or victim.leaving or victim.urgent or victim.phase is not JobPhase.RUNNING:
             return None
-        if victim.accelerators >= self.preempting.accelerators:
+        prediction = self.state.predict(victim, self.now_s)
+        if due_s(victim, prediction) <= self.preempting_due_s:
+            return None
+        smaller = victim.accelerators < self.preempting.accelerators
+        longer = prediction.remaining_s(victim.elapsed_s(self.now_s)) > self.preempting_longest_s
+        if not smaller and not longer:
             return None
         if self.now_s - victim.started_s < LEAST_RUN_S:
             return None
@@ -378,12 +398,16 @@
 
     def _held_workers(self, job: Job) -> set[str]:
         """Return VMs kept for other jobs that this one would not leave in time."""
-        if not self.holes:
+        if not self.holes or self._yields(job):
             return set()
         prediction = self.state.predict(job, self.now_s)
         end_s = self.now_s + prediction.remaining_high_s(job.kept_s)
         return {vm for _, hole in self.holes if end_s > hole.at_s for vm in hole.workers}
 
+    def _yields(self, job: Job) -> bool:
+        """Return whether a job can leave again when a larger one is to start."""
+        return job.preemptible
+
     def _index_for(self, job: Job) -> CapacityIndex:
         fleet = self.state.fleet
         if not job.request.accelerators_per_task:
--- a/packages/scheduling/briardeal_scheduling/queue/_order.py
+++ b/packages/scheduling/briardeal_scheduling/queue/_order.py
@@ -8,13 +8,22 @@
     from briardeal_scheduling.predictions import Prediction
     from briardeal_scheduling.queue._job import Job
 
+STRETCH = 4.0
+"""How many times its run time a job should take in all, within the target of its class."""
 
-def latest_start_s(job: Job, prediction: Prediction, now_s: float) -> float:
-    """Return when a job must start to meet its target, as predicted."""
-    due_s = job.accepted_s + job.job_class.finish_within_s
-    return due_s - prediction.remaining_s(job.elapsed_s(now_s))
+LEAST_DUE_S = 600.0
+"""Time that even the shortest job is given."""
 
 
-def order_key(job: Job, prediction: Prediction, now_s: float) -> tuple[bool, float, str]:
-    """Return the sort key of a job: urgent work first, then the least time to spare."""
-    return not job.urgent, latest_start_s(job, prediction, now_s), job.job_id
+def due_s(job: Job, prediction: Prediction) -> float:
+    """Return when a job should be finished: in proportion to its run time, or by its target.
+
+    The time is fixed by the acceptance, so a job that waits comes to the head in the end.
+    """
+    fair_s = max(LEAST_DUE_S, STRETCH * prediction.median_s)
+    return job.accepted_s + min(job.job_class.finish_within_s, fair_s)
+
+
+def order_key(job: Job, prediction: Prediction) -> tuple[bool, float, str]:
+    """Return the sort key of a job: urgent work first, then what should be finished first."""
+    return not job.urgent, due_s(job, prediction), job.job_id
