--- a/packages/scheduling/briardeal_scheduling/_round.py
+++ b/packages/scheduling/briardeal_scheduling/_round.py
@@ -14,7 +14,7 @@
     open_room,
     open_room_anywhere,
 )
-from briardeal_scheduling.queue import Hole, JobPhase, order_key
+from briardeal_scheduling.queue import Hole, JobPhase, due_s, order_key
 
 if TYPE_CHECKING:
     from briardeal_scheduling._state import State
@@ -30,6 +30,24 @@
 URGENT_RESERVE_S = 0.4
 """Part of the target for an urgent start that is left for stopping and starting."""
 
+MARGIN_RETRY_S = 60.0
+"""Time until the guarantees are planned again to bring the failure margin back."""
+
+GANG_ACCELERATORS = 4
+"""Accelerators from which a job counts as a gang that others make room for."""
+
+LEAST_RUN_S = 300.0
+"""Time for which work runs before it has to make room for a gang."""
+
+LONGER_FACTOR = 3.0
+"""How much longer work of the same size must have left to make room for a gang."""
+
+GANGS_TRIED_LIMIT = 3
+"""Gangs for which others may be asked to make room in one round."""
+
+MOST_LOST_SHARE = 0.05
+"""Most that may be lost to make room for a gang, as a part of its own work."""
+
 HOLE_LIMIT = 2
 """Jobs that VMs are kept for at a time."""
 
@@ -56,12 +74,16 @@
         self.no_room: set[tuple[object, ...]] = set()
         self.over_quota: set[str] = set()
         self.replanned = False
+        self.preempting: Job | None = None
+        self.preempting_due_s = 0.0
+        self.preempting_longest_s = 0.0
+        self.gangs_tried = 0
 
     def run(self) -> list[Decision]:
         """Take and return all decisions."""
         self._try_set_aside_workers()
-        if self.state.ledger.stale:
-            self.state.ledger.replan(self.state.fleet)
+        if self._plan_due():
+            self._replan()
         self._stop_slow_checkpoints()
         self._start_opened()
         for job in self._in_order():
@@ -73,6 +95,25 @@
             self.state.fleet.set_usable(worker_id, usable=True)
             self.state.ledger.stale = True
 
+    def _plan_due(self) -> bool:
+        ledger = self.state.ledger
+        waited = self.now_s - self.state.planned_s >= MARGIN_RETRY_S
+        return ledger.stale or (ledger.margin_stale and waited)
+
+    def _replan(self) -> None:
+        """Plan the guarantees again; no job may wait for VMs that they are short of."""
+        ledger = self.state.ledger
+        self.state.planned_s = self.now_s
+        ledger.replan(self.state.fleet)
+        if ledger.whole:
+            return
+        for job in list(self.state.table.opening.values()):
+            if job.pins:
+                self.state.requeue(job)
+                ledger.stale = True
+        if ledger.stale:
+            ledger.replan(self.state.fleet)
+
     def _stop_slow_checkpoints(self) -> None:
         for job in list(self.state.table.leaving.values()):
             if job.leaving is PreemptMode.CHECKPOINT and job.leave_by_s <= self.now_s:
@@ -92,7 +133,7 @@
                 self._note_retry(job)
                 continue
             prediction = self.state.predict(job, self.now_s)
-            ready.append((order_key(job, prediction, self.now_s), job))
+            ready.append((order_key(job, prediction), job))
         ready.sort(key=lambda pair: pair[0])
         return [job for _, job in ready]
 
@@ -102,7 +143,7 @@
             return
         if self._claim_guarantee(job) or self._start_on_free(job):
             return
-        if self._preempt_for_urgent(job):
+        if self._preempt_for_urgent(job) or self._preempt_smaller(job):
             return
         self._keep_hole(job)
 
@@ -136,7 +177,7 @@
 
     def _open_booking(self, job: Job, booking: Booking) -> Opening | None:
         request = job.request
-        failed_on = self.state.evidence.failed_on(job.job_id)
+        failed_on = self.state.avoided(job, self.now_s)
         workers = [
             worker_id
             for worker_id in booking.unclaimed
@@ -191,7 +232,7 @@
     def _start_on_free(self, job: Job) -> bool:
         need = Need.of(job.request)
         index = self._index_for(job)
-        failed_on = self.state.evidence.failed_on(job.job_id)
+        failed_on = self.state.avoided(job, self.now_s)
         held = self._held_workers(job)
         key = (need, id(index), frozenset(held) if held else None)
         if not failed_on and key in self.no_room:
@@ -219,13 +260,14 @@
         if self.replanned:
             return False
         fleet = self.state.fleet
-        avoid = self.state.evidence.failed_on(job.job_id) | held
-        workers = choose_workers(fleet, fleet.free, need, avoid)
-        if workers is None:
+        avoid = self.state.avoided(job, self.now_s) | held
+        if choose_workers(fleet, fleet.free, need, avoid) is None:
             return False
         self.replanned = True
-        placement = Placement(tuple(workers), job.request.accelerators_per_task)
-        if not self.state.ledger.replan(fleet, placement):
+        free = fleet.free.numbers.items()
+        allowed = {vm for vm, number in free if number >= need.number} - avoid
+        placement = self.state.ledger.replan_beside(fleet, job.request, frozenset(allowed))
+        if placement is None:
             return False
         self._open(
             job,
@@ -244,7 +286,7 @@
             self.state.fleet,
             Need.of(job.request),
             self._urgent_cost,
-            self.state.evidence.failed_on(job.job_id),
+            self.state.avoided(job, self.now_s),
             unbooked=pins,
         )
         if opening is None:
@@ -261,6 +303,62 @@
         )
         return True
 
+    def _preempt_smaller(self, job: Job) -> bool:
+        """Make room for a gang by stopping smaller work, which finds room elsewhere sooner."""
+        if job.request.tasks * job.request.accelerators_per_task < GANG_ACCELERATORS:
+            return False
+        if self.gangs_tried >= GANGS_TRIED_LIMIT:
+            return False
+        self.gangs_tried += 1
+        prediction = self.state.predict(job, self.now_s)
+        self.preempting = job
+        self.preempting_due_s = due_s(job, prediction)
+        self.preempting_longest_s = LONGER_FACTOR * prediction.remaining_s(job.kept_s)
+        pins = self._pins(job)
+        opening = open_room_anywhere(
+            self.state.fleet,
+            Need.of(job.request),
+            self._smaller_cost,
+            self.state.avoided(job, self.now_s) | self._held_workers(job),
+            unbooked=pins,
+        )
+        if opening is None or opening.cost > MOST_LOST_SHARE * self._work(job):
+            return False
+        placement = Placement(tuple(opening.workers), job.request.accelerators_per_task)
+        if pins and not self.state.ledger.allows_pinned(self.state.fleet, placement):
+            return False
+        self._open(
+            job,
+            placement.workers,
+            opening.victims,
+            Cause.STARTED_ON_FREE,
+            Cause.PREEMPTED_FOR_TARGET,
+        )
+        return True
+
+    def _work(self, job: Job) -> float:
+        """Return the work that a job is expected to have left, in accelerator seconds."""
+        prediction = self.state.predict(job, self.now_s)
+        return prediction.remaining_s(job.kept_s) * job.accelerators
+
+    def _smaller_cost(self, job_id: str) -> float | None:
+        victim = self.state.table.jobs[job_id]
+        lent = victim.preemptible and job_id not in self.state.ledger.by_job
+        if not lent or victim.leaving or victim.urgent or victim.phase is not JobPhase.RUNNING:
+            return None
+        prediction = self.state.predict(victim, self.now_s)
+        if due_s(victim, prediction) <= self.preempting_due_s:
+            return None
+        smaller = victim.accelerators < self.preempting.accelerators
+        longer = prediction.remaining_s(victim.elapsed_s(self.now_s)) > self.preempting_longest_s
+        if not smaller and not longer:
+            return None
+        if self.now_s - victim.started_s < LEAST_RUN_S:
+            return None
+        request = victim.request
+        checkpoint_s = self.state.history.checkpoint_s(request.customer, request.job_class)
+        return min(RECLAIM_LIMIT_S, checkpoint_s) * victim.accelerators
+
     def _urgent_cost(self, job_id: str) -> float | None:
         if self.state.table.jobs[job_id].urgent:
             return None
@@ -279,7 +377,7 @@
                 Need.of(job.request),
                 self._expected_end_s,
                 self.now_s,
-                kept | self.state.evidence.failed_on(job.job_id),
+                kept | self.state.avoided(job, self.now_s),
                 unbooked=self._pins(job),
             )
         job.hole = hole
@@ -300,12 +398,16 @@
 
     def _held_workers(self, job: Job) -> set[str]:
         """Return VMs kept for other jobs that this one would not leave in time."""
-        if not self.holes:
+        if not self.holes or self._yields(job):
             return set()
         prediction = self.state.predict(job, self.now_s)
         end_s = self.now_s + prediction.remaining_high_s(job.kept_s)
         return {vm for _, hole in self.holes if end_s > hole.at_s for vm in hole.workers}
 
+    def _yields(self, job: Job) -> bool:
+        """Return whether a job can leave again when a larger one is to start."""
+        return job.preemptible
+
     def _index_for(self, job: Job) -> CapacityIndex:
         fleet = self.state.fleet
         if not job.request.accelerators_per_task:
--- a/packages/scheduling/briardeal_scheduling/_state.py
+++ b/packages/scheduling/briardeal_scheduling/_state.py
@@ -22,6 +22,9 @@
 ENDED_RECORDS_LIMIT = 5000
 """Jobs that are over and can still be explained."""
 
+AVOID_FAILED_S = 600.0
+"""How long a job that could start again is kept away from VMs that it failed on."""
+
 PREDICTION_TTL_S = 60.0
 """How long a prediction is used before it is made again."""
 
@@ -34,6 +37,10 @@
     ----------
     ended
         Records of jobs that are over, oldest first.
+    predictions
+        Predictions in use, with the time at which each was made.
+    planned_s
+        When the guarantees were planned last.
     """
 
     configuration: Configuration = attrs.field(factory=Configuration)
@@ -46,6 +53,7 @@
     evidence: Evidence = attrs.field(factory=Evidence)
     ended: OrderedDict[str, Record] = attrs.field(factory=OrderedDict)
     predictions: dict[str, tuple[float, Prediction]] = attrs.field(factory=dict)
+    planned_s: float = float("-inf")
 
     def predict(self, job: Job, now_s: float) -> Prediction:
         """Return the expected run time of a job in all."""
@@ -58,6 +66,12 @@
             self.predictions[job.job_id] = (now_s, prediction)
         return prediction
 
+    def avoided(self, job: Job, now_s: float) -> set[str]:
+        """Return the VMs that a job failed on, for as long as it is kept away from them."""
+        if now_s > job.retry_at_s + AVOID_FAILED_S:
+            return set()
+        return self.evidence.failed_on(job.job_id)
+
     def occupy(self, job: Job, placement: Placement) -> None:
         """Put a job on VMs that are free."""
         self.table.hold(job)
@@ -93,6 +107,8 @@
             if job.leaving:
                 self.fleet.leave(job.placement, -1)
             self.fleet.vacate(job.job_id, job.placement, job.pins)
+        if job.pins or job.job_id in self.ledger.by_job:
+            self.ledger.note_freed()
         self.ledger.release(job.job_id)
         self.table.hold(job, -1)
         job.pins = False
--- a/packages/scheduling/briardeal_scheduling/fleet/_fleet.py
+++ b/packages/scheduling/briardeal_scheduling/fleet/_fleet.py
@@ -27,13 +27,13 @@
     room
         Free accelerators of each VM that pinned work may take without touching a guarantee.
     spare
-        Accelerators of each VM that neither a guarantee nor pinned work takes.
+        Accelerators of each VM without bookings that pinned work does not take.
     slots
         Places of each VM for tasks without accelerators.
     absent
         Shapes of VMs that were lost; they may come back.
-    version
-        Number that changes with the VMs.
+    known
+        VMs that came up and had not been there before with the same shape.
     """
 
     workers: dict[str, Worker] = attrs.field(factory=dict)
@@ -43,14 +43,13 @@
     spare: CapacityIndex = attrs.field(factory=CapacityIndex)
     slots: CapacityIndex = attrs.field(factory=CapacityIndex)
     absent: dict[str, WorkerShape] = attrs.field(factory=dict)
-    version: int = 0
+    known: int = 0
 
     def add(self, shape: WorkerShape) -> None:
         """Add a VM that came up."""
         self.workers[shape.worker_id] = Worker(shape)
         self.groups[shape.worker_id] = groups_of(shape)
-        self.absent.pop(shape.worker_id, None)
-        self.version += 1
+        self.known += self.absent.pop(shape.worker_id, None) != shape
         self.refresh(shape.worker_id)
 
     def remove(self, worker_id: str) -> None:
@@ -60,7 +59,6 @@
         groups = list(self.groups.pop(worker_id).values())
         for index in (self.free, self.room, self.spare, self.slots):
             index.remove(worker_id, groups)
-        self.version += 1
 
     def refresh(self, worker_id: str) -> None:
         """Bring the indexes up to date with a VM."""
@@ -69,7 +67,8 @@
         free = worker.balance if worker.usable else 0
         self.free.set(worker_id, groups, free)
         self.room.set(worker_id, groups, min(free, worker.unbooked))
-        self.spare.set(worker_id, groups, worker.unbooked if worker.usable else 0)
+        spare = worker.usable and not worker.booked
+        self.spare.set(worker_id, groups, worker.unbooked if spare else 0)
         self.slots.set(worker_id, groups, worker.slots - worker.slots_used if worker.usable else 0)
 
     def occupy(self, job_id: str, placement: Placement, pinned: bool) -> None:
@@ -99,7 +98,6 @@
         if worker_id in self.workers:
             self.workers[worker_id].usable = usable
             self.refresh(worker_id)
-            self.version += 1
 
     def leave(self, placement: Placement, sign: int = 1) -> None:
         """Count a running placement as one that was told to leave, or no longer."""
