Move the site of entries and agents among the stand-ins

Change: moved, with busier slots; a wait shorter than the clock can tell no longer spins.

Conclusion: the checker alone stays among the tests.

--- a/packages/entry/briardeal/requests/_router.py
+++ b/packages/entry/briardeal/requests/_router.py
@@ -32,6 +32,7 @@
 
 BACKOFF_MIN_S = 0.025
 BACKOFF_MAX_S = 1.0
+WAIT_MIN_S = 0.001
 POLL_MIN_S = 0.05
 POLL_MAX_S = 0.4
 NO_ENDPOINT_RETRY_S = 1.0
@@ -158,7 +159,7 @@
     async def _wait_for_slot(self, attempts: Attempts, waiter: Waiter) -> Permit | Refusal:
         until_s = min(attempts.request.deadline_s, self.table.now_s() + WAIT_MAX_S)
         poll_s = POLL_MIN_S
-        while (left_s := until_s - self.table.now_s()) > 0:
+        while (left_s := until_s - self.table.now_s()) > WAIT_MIN_S:
             await waiter.wait(min(left_s, poll_s * self.rng.uniform(0.75, 1.25)))
             poll_s = min(2 * poll_s, POLL_MAX_S)
             if not waiter.is_first:
@@ -166,7 +167,7 @@
             outcome = await self._ask_agents(attempts, waiter.line)
             if isinstance(outcome, Permit) or outcome.reason is not Reason.ENDPOINTS_BUSY:
                 return outcome
-        if self.table.now_s() >= attempts.request.deadline_s:
+        if attempts.request.deadline_s - self.table.now_s() <= WAIT_MIN_S:
             return Refusal(Reason.DEADLINE_PASSED, RunState.NOT_RUN)
         retry_after_s = self.lines.retry_after_s(waiter.line)
         return Refusal(Reason.ENDPOINTS_BUSY, RunState.NOT_RUN, retry_after_s)
--- a/tests/checkers/faults.py
+++ b/packages/standins/briardeal_standins/site/_faults.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from tests.checkers.site import Site
+    from briardeal_standins.site._site import Site
 
 HEAL_S = 4.0
 
--- a/tests/checkers/site.py
+++ b/packages/standins/briardeal_standins/site/_site.py
@@ -17,7 +17,7 @@
 from briardeal_protocol.connections import MemoryNetwork
 from briardeal_standins.endpoint import MemoryEndpoint, MemoryEndpointClient
 from briardeal_standins.log import MemoryLog
-from tests.checkers.requests import Call, find_violations
+from briardeal_standins.site._calls import Call
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -211,10 +211,6 @@
         self.left_s[name] = asyncio.get_running_loop().time()
         self.vms[name].leave()
 
-    def violations(self) -> list[str]:
-        """Return a line for each promise that was broken."""
-        return find_violations(self.calls, self.vms.values(), self.left_s)
-
     def clock(self) -> WallClock:
         """Return wall time that starts at the same moment in every run."""
         return WallClock(EPOCH_S)
@@ -222,44 +218,3 @@
     def _announcements(self, name: str) -> object | None:
         agent = self.agents.get(name)
         return None if agent is None else agent.announcements
-
-
-async def drive(
-    site: Site, *, seconds: float, per_second: float, keyed: float = 0.0, timeout_s: float = 5.0
-) -> None:
-    """Send requests at random moments through random entries and wait for what they are told.
-
-    Parameters
-    ----------
-    site
-        The system under test.
-    seconds
-        How long to send.
-    per_second
-        Mean rate.
-    keyed
-        Share of requests that are not idempotent; a quarter of them is sent twice.
-    timeout_s
-        Deadline of each request, in seconds.
-    """
-    loop = asyncio.get_running_loop()
-    until_s = loop.time() + seconds
-    sending: list[asyncio.Task[Call]] = []
-    while loop.time() < until_s:
-        await asyncio.sleep(site.rng.expovariate(per_second))
-        ready = [name for name, entry in site.running.items() if entry.ready]
-        if not ready:
-            continue
-        name = site.rng.choice(ready)
-        body = f"{site.seed}-{len(site.calls)}".encode()
-        key = site.key(name) if site.rng.random() < keyed else ""
-        copies = 2 if key and site.rng.random() < 0.25 else 1
-        for _ in range(copies):
-            call = site.send(name, body, timeout_s=timeout_s, key=key)
-            sending.append(asyncio.create_task(call))
-            site.tasks.setdefault(name, []).append(sending[-1])
-    if sending:
-        await asyncio.wait(sending)
-    broken = [task.exception() for task in sending if not task.cancelled() and task.exception()]
-    if broken:
-        raise broken[0]
--- a/tests/checkers/requests.py
+++ b/tests/checkers/requests.py
@@ -5,76 +5,27 @@
 from collections import Counter, defaultdict
 from typing import TYPE_CHECKING
 
-import attrs
-
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from briardeal_standins.endpoint import MemoryEndpoint
+    from briardeal_standins.site import Call, Site
 
 DEADLINE_SLACK_S = 0.1
 LEAVING_LIMIT_S = 3.0
 
 
-@attrs.define(eq=False)
-class Call:
-    """One call of a caller and what it was told.
-
-    Parameters
-    ----------
-    body
-        Content; calls with the same content repeat the same request.
-    idempotent
-        Whether the request may run more than once.
-    deadline_s
-        When the caller gives up, on the loop's clock.
-    told
-        `answer`, or the run state of the refusal; empty while there is none.
-    answer
-        Content of the answer.
-    reason
-        Code of the reason for a refusal.
-    ended_s
-        When the caller was told, on the loop's clock.
-    entry_halted
-        Whether the entry was killed or paused meanwhile, so that it could tell nothing in time.
-    """
-
-    body: bytes
-    idempotent: bool
-    deadline_s: float
-    told: str = ""
-    answer: bytes = b""
-    reason: str = ""
-    ended_s: float = 0.0
-    entry_halted: bool = False
-
-
-def find_violations(
-    calls: Iterable[Call], endpoints: Iterable[MemoryEndpoint], left_s: dict[str, float]
-) -> list[str]:
-    """Return a line for each promise that was broken.
-
-    Parameters
-    ----------
-    calls
-        All calls.
-    endpoints
-        All endpoints, with their runs.
-    left_s
-        When each endpoint that is leaving said so, on the loop's clock.
-    """
-    endpoints = list(endpoints)
+def find_violations(site: Site) -> list[str]:
+    """Return a line for each promise that was broken so far."""
+    endpoints = list(site.vms.values())
     runs = Counter(run.body for endpoint in endpoints for run in endpoint.runs)
     by_body = defaultdict(list)
-    for call in calls:
+    for call in site.calls:
         by_body[call.body].append(call)
     found = []
     for body, same in by_body.items():
         found += [line for call in same for line in _check_call(call)]
         found += _check_runs(body, same, runs[body])
     for endpoint in endpoints:
-        found += _check_endpoint(endpoint, left_s.get(endpoint.name))
+        found += _check_endpoint(endpoint, site.left_s.get(endpoint.name))
     return found
 
 
--- a/tests/entry/requests/test_faults.py
+++ b/tests/entry/requests/test_faults.py
@@ -7,12 +7,19 @@
 
 import pytest
 
-from tests.checkers.faults import FAULTS
-from tests.checkers.site import Site, drive
+from briardeal_standins.site import FAULTS, Site, drive
+from tests.checkers.requests import find_violations
 
 pytestmark = pytest.mark.looptime
 
 PAIR_SEEDS = range(12)
+WORK_S = 0.15
+
+
+def busy_site(seed):
+    """Return a site whose slots are mostly held."""
+    times = random.Random(seed)
+    return Site(entries=3, slots=4, seed=seed, work_s=lambda: times.expovariate(1 / WORK_S))
 
 
 async def suffer(site, faults):
@@ -28,15 +35,15 @@
 
 @pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.__name__)
 async def test_one_fault(fault):
-    async with Site(entries=3, slots=4) as site:
+    async with busy_site(seed=1) as site:
         await suffer(site, [fault])
-        assert site.violations() == []
+        assert find_violations(site) == []
         assert sum(call.told == "answer" for call in site.calls) > len(site.calls) / 2
 
 
 @pytest.mark.parametrize("seed", PAIR_SEEDS)
 async def test_two_faults(seed):
     faults = random.Random(seed).sample(FAULTS, 2)
-    async with Site(entries=3, slots=4, seed=seed) as site:
+    async with busy_site(seed) as site:
         await suffer(site, faults)
-        assert site.violations() == []
+        assert find_violations(site) == []
