Let an idle endpoint's failures fade and free given-up slots sooner

Cause: an endpoint that failed twice was avoided for ever without being taken out, and a request given up held its slot for the whole time in which it could have been sent.

Change: the failure rate halves every 5 s without a request; a release that ends in doubt also ends the time for sending.

Conclusion: evidence must age, as load does.

--- a/packages/agent/briardeal_agent/permits/_permits.py
+++ b/packages/agent/briardeal_agent/permits/_permits.py
@@ -146,6 +146,7 @@
             self.keys.pop(permit.key, None)
         if call.started and not call.finished:
             permit.loose = True
+            permit.start_by_s = self.now_s()
         else:
             self._free(permit)
 
--- a/packages/entry/briardeal/requests/_health.py
+++ b/packages/entry/briardeal/requests/_health.py
@@ -14,6 +14,9 @@
 FAILURE_WEIGHT = 0.2
 """Weight of the newest outcome in the failure rate."""
 
+FAILURE_HALF_LIFE_S = 5.0
+"""Time without a request in which the failure rate halves."""
+
 EVIDENCE_MIN = 3
 """Fewest outcomes that an endpoint is judged by."""
 
@@ -59,8 +62,8 @@
         Since when it is in, on the loop's clock.
     probing
         Whether a probe is under way.
-    sent_s
-        When it was last sent a request, on the loop's clock.
+    sent_s, ended_s
+        When it was last sent a request, and when one last ended, on the loop's clock.
     """
 
     failure_rate: float = 0.0
@@ -70,6 +73,7 @@
     in_since_s: float = 0.0
     probing: bool = False
     sent_s: float = 0.0
+    ended_s: float = 0.0
 
 
 class Health:
@@ -102,9 +106,12 @@
         return Standing.PROBE
 
     def failure_rate(self, name: str) -> float:
-        """Return the share of failures of an endpoint."""
+        """Return the share of failures of an endpoint, which halves while it is sent nothing."""
         record = self.records.get(name)
-        return 0.0 if record is None else record.failure_rate
+        if record is None:
+            return 0.0
+        idle_s = self.now_s() - record.ended_s
+        return record.failure_rate * 0.5 ** (idle_s / FAILURE_HALF_LIFE_S)
 
     def begin(self, name: str) -> None:
         """Take note that a request is being sent to an endpoint."""
@@ -120,8 +127,10 @@
     def finish(self, name: str, failed: bool, peers: Iterable[str]) -> bool:
         """Take the outcome of a request; return whether the endpoint was taken out now."""
         record = self._record(name)
+        failure_rate = self.failure_rate(name)
         record.outcomes += 1
-        record.failure_rate += FAILURE_WEIGHT * (failed - record.failure_rate)
+        record.failure_rate = failure_rate + FAILURE_WEIGHT * (failed - failure_rate)
+        record.ended_s = self.now_s()
         if record.probing:
             return self._finish_probe(record, failed)
         if not failed or record.out_until_s is not None:
--- a/packages/standins/briardeal_standins/site/_calls.py
+++ b/packages/standins/briardeal_standins/site/_calls.py
@@ -23,6 +23,8 @@
         Content of the answer.
     reason
         Code of the reason for a refusal.
+    retry_after_s
+        When to come back, in seconds; 0 where nothing was said.
     ended_s
         When the caller was told, on the loop's clock.
     entry_halted
@@ -35,5 +37,6 @@
     told: str = ""
     answer: bytes = b""
     reason: str = ""
+    retry_after_s: float = 0.0
     ended_s: float = 0.0
     entry_halted: bool = False
--- a/packages/standins/briardeal_standins/site/_site.py
+++ b/packages/standins/briardeal_standins/site/_site.py
@@ -200,6 +200,7 @@
         else:
             call.told = outcome.run_state.value
             call.reason = outcome.reason.code
+            call.retry_after_s = outcome.retry_after_s or 0.0
         return call
 
     def key(self, entry: str) -> str:
--- /dev/null
+++ b/tests/entry/requests/test_load.py
@@ -0,0 +1,85 @@
+"""Overload is refused early, shares hold, and bad endpoints draw no load."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from briardeal.requests._health import Health, Standing
+from briardeal_core.configuration import Configuration, Customer
+from briardeal_standins.endpoint import Fault
+from briardeal_standins.site import Site
+from tests.checkers.requests import find_violations
+
+pytestmark = pytest.mark.looptime(noop_cycles=1)
+
+
+async def send_steadily(site, customer, interval_s, count):
+    """Send requests of one customer at a fixed interval, through all entries in turn."""
+    names = sorted(site.running)
+    sending = []
+    for number in range(count):
+        await asyncio.sleep(interval_s)
+        body = f"{customer}-{number}".encode()
+        call = site.send(names[number % len(names)], body, customer=customer, timeout_s=10)
+        sending.append(asyncio.create_task(call))
+    return await asyncio.gather(*sending)
+
+
+async def test_a_customer_within_its_share_is_not_refused_in_the_burst_of_another():
+    async with Site(entries=2, endpoints=3, slots=4, work_s=lambda: 0.5) as site:
+        customers = (Customer(name="audit", request_share=0.25), Customer(name="desk"))
+        for entry in site.running.values():
+            entry.router.set_configuration(Configuration(customers=customers))
+        desk = asyncio.create_task(send_steadily(site, "desk", 0.01, 600))
+        await asyncio.sleep(1)
+        audit = await send_steadily(site, "audit", 0.2, 25)
+        assert {call.told for call in audit} == {"answer"}
+        assert "endpoints_busy" in {call.reason for call in await desk}
+
+
+async def test_overload_is_refused_early_with_a_time_to_come_back():
+    async with Site(entries=1, endpoints=1, slots=2, work_s=lambda: 0.5) as site:
+        loop = asyncio.get_running_loop()
+        calls = await send_steadily(site, "desk", 0.02, 400)
+        refused = [call for call in calls if call.reason == "endpoints_busy"]
+        assert len(refused) > len(calls) / 2
+        assert all(call.retry_after_s > 0 for call in refused)
+        waited_s = sorted(call.ended_s - (call.deadline_s - 10) for call in refused)
+        assert waited_s[len(waited_s) // 2] < 0.1
+        assert loop.time() < 5 + 8 + 3
+        assert find_violations(site) == []
+
+
+async def test_an_endpoint_that_fails_fast_is_left_out_and_probed_sparingly():
+    async with Site(entries=1, endpoints=4) as site:
+        site.vms["vm-0"].fault = Fault.FAIL_FAST
+        calls = await send_steadily(site, "audit", 0.02, 1000)
+        assert {call.told for call in calls} == {"answer"}
+        wasted = len(site.vms["vm-0"].runs)
+        assert wasted <= 3 + 2 + 4
+        site.vms["vm-0"].fault = Fault.NONE
+        await send_steadily(site, "audit", 0.02, 1500)
+        assert len(site.vms["vm-0"].runs) > 100
+
+
+async def test_retries_are_a_bounded_share_when_everything_fails():
+    async with Site(entries=1, endpoints=3) as site:
+        for vm in site.vms.values():
+            vm.fault = Fault.CUT
+        calls = await send_steadily(site, "audit", 0.1, 200)
+        runs = sum(len(vm.runs) for vm in site.vms.values())
+        assert {call.told for call in calls} == {"unknown"}
+        assert runs <= len(calls) * 1.1 + 10
+
+
+def test_requests_that_fail_everywhere_take_no_endpoint_out():
+    health = Health(lambda: 0.0, random.Random(1))
+    names = [f"vm-{number}" for number in range(5)]
+    for _ in range(20):
+        for name in names:
+            health.begin(name)
+            health.finish(name, True, names)
+    assert sum(health.standing(name) is Standing.IN for name in names) >= 3
