Free a slot in doubt only when two reports of the endpoint miss it

A paused endpoint reported before it took up the requests that waited in its sockets, and the agent took them for ended.

Change: a slot in doubt is free after two reports in a row without it; an endpoint whose lease had lapsed is used again after its second report; a deadline alone frees a slot only where the endpoint makes no reports.

Conclusion: reports count only once they can be complete.

--- a/packages/agent/briardeal_agent/permits/_permits.py
+++ b/packages/agent/briardeal_agent/permits/_permits.py
@@ -26,6 +26,12 @@
 QUARANTINE_S = START_WITHIN_S + 2 * GRACE_S
 """Time after a start in which permits of the agent's earlier life may still be used."""
 
+REPORT_SPACING_S = 0.25
+"""Least time between two reports of the endpoint that count as two.
+
+A process that was paused may report before it takes up what waits in its sockets.
+"""
+
 KEY_LIMIT = 4096
 """Most keys that are remembered."""
 
@@ -52,6 +58,9 @@
         When the endpoint must have ended the request, on the loop's clock.
     loose
         Whether no release can be counted on any more.
+    missing_s
+        Since when the endpoint's reports don't name it, on the loop's clock; `None` where the last
+        one does.
     """
 
     permit_id: str
@@ -62,6 +71,7 @@
     start_by_s: float
     expires_s: float
     loose: bool = False
+    missing_s: float | None = None
 
 
 class Permits:
@@ -80,6 +90,10 @@
     ----------
     endpoint
         The endpoint as it last announced itself; `None` where it has not, or lapsed.
+    running
+        Permits in the endpoint's last report; `None` where it makes none.
+    settled
+        Whether the reports name all that the endpoint works on.
     held
         Permits by name.
     leaving
@@ -94,6 +108,8 @@
         self.endpoint: EndpointState | None = None
         self.expires_s = 0.0
         self.running: frozenset[str] | None = None
+        self.reports_since_s = 0.0
+        self.settled = False
         self.held: dict[str, Permit] = {}
         self.keys: OrderedDict[str, None] = OrderedDict()
         self.shares = Shares(name, now_s)
@@ -105,20 +121,23 @@
         self.expires_s = expires_s
         if endpoint is None:
             self.running = None
+            self.settled = False
             return
         for permit in self.held.values():
             permit.loose |= permit.incarnation != endpoint.incarnation
 
     def report(self, running: tuple[str, ...]) -> None:
         """Take the names of the permits whose requests the endpoint works on."""
-        first = self.running is None
+        now_s = self.now_s()
+        if self.running is None:
+            self.reports_since_s = now_s
         self.running = frozenset(running)
-        if first or self.now_s() < self.opens_s:
+        if not self.settled:
             self._adopt()
-        latest_s = self.now_s() - GRACE_S
-        for permit in [permit for permit in self.held.values() if permit.loose]:
-            if permit.permit_id not in self.running and permit.start_by_s <= latest_s:
-                self._free(permit)
+            settles_s = max(self.reports_since_s + REPORT_SPACING_S, self.opens_s)
+            self.settled = now_s >= settles_s
+        for permit in list(self.held.values()):
+            self._compare(permit, now_s)
 
     def admit(self, entry: EntryHello, call: Admit) -> Admitted | NotAdmitted:
         """Hold a slot for a request, or say why not."""
@@ -156,24 +175,30 @@
             permit.loose |= permit.holder == _holder(entry)
 
     def expire(self) -> None:
-        """Free the slots whose time has passed and that the endpoint does not report."""
+        """Free the slots whose time has passed, or leave them to the endpoint's reports."""
         now_s = self.now_s()
         if self.expires_s <= now_s:
             self.announce(None)
         for permit in [permit for permit in self.held.values() if permit.expires_s <= now_s]:
-            if self.running is None or permit.permit_id not in self.running:
+            permit.loose = True
+            if self.running is None:
                 self._free(permit)
         self.shares.forget_idle()
 
     def state(self) -> EndpointState | None:
         """Return the endpoint with its load and whether it takes new work."""
-        if self.endpoint is None or self.now_s() < self.opens_s:
+        if not self._is_open():
             return None
         leaving = self.endpoint.leaving or self.leaving
         return msgspec.structs.replace(self.endpoint, slots_in_use=len(self.held), leaving=leaving)
 
-    def _refusal(self, call: Admit) -> Reason | None:
+    def _is_open(self) -> bool:
         if self.endpoint is None or self.now_s() < self.opens_s:
+            return False
+        return self.running is None or self.settled
+
+    def _refusal(self, call: Admit) -> Reason | None:
+        if not self._is_open():
             return Reason.NO_ENDPOINT
         if self.endpoint.incarnation != call.incarnation:
             return Reason.ENDPOINT_REPLACED
@@ -211,6 +236,17 @@
             self.held[permit_id] = permit
             self.shares.take(permit.customer)
 
+    def _compare(self, permit: Permit, now_s: float) -> None:
+        """Free a loose permit that two reports in a row do not name."""
+        if permit.permit_id in self.running:
+            permit.missing_s = None
+        elif permit.missing_s is None:
+            permit.missing_s = now_s
+        elif permit.loose and now_s >= max(
+            permit.missing_s + REPORT_SPACING_S, permit.start_by_s + GRACE_S
+        ):
+            self._free(permit)
+
     def _free(self, permit: Permit) -> None:
         del self.held[permit.permit_id]
         self.shares.give_back(permit.customer)
--- a/packages/standins/briardeal_standins/site/_faults.py
+++ b/packages/standins/briardeal_standins/site/_faults.py
@@ -42,7 +42,7 @@
 
 async def retire_endpoint(site: Site) -> None:
     """Let an endpoint announce that it leaves."""
-    site.leave(site.rng.choice(sorted(site.vms)))
+    site.vms[site.rng.choice(sorted(site.vms))].leave()
 
 
 async def fail_endpoint(site: Site) -> None:
--- a/packages/standins/briardeal_standins/site/_site.py
+++ b/packages/standins/briardeal_standins/site/_site.py
@@ -51,7 +51,6 @@
     work_s: Callable[[], float] = lambda: 0.05
     network: MemoryNetwork = attrs.field(factory=MemoryNetwork)
     calls: list[Call] = attrs.field(factory=list)
-    left_s: dict[str, float] = attrs.field(factory=dict)
     running: dict[str, Entry] = attrs.field(factory=dict)
     clients: dict[str, MemoryEndpointClient] = attrs.field(factory=dict)
     agents: dict[str, Agent] = attrs.field(factory=dict)
@@ -207,11 +206,6 @@
         """Return a key issued by an entry."""
         return str(self.running[entry].keys.issue())
 
-    def leave(self, name: str) -> None:
-        """Let an endpoint say that it leaves."""
-        self.left_s[name] = asyncio.get_running_loop().time()
-        self.vms[name].leave()
-
     def clock(self) -> WallClock:
         """Return wall time that starts at the same moment in every run."""
         return WallClock(EPOCH_S)
--- a/tests/checkers/requests.py
+++ b/tests/checkers/requests.py
@@ -25,7 +25,7 @@
         found += [line for call in same for line in _check_call(call)]
         found += _check_runs(body, same, runs[body])
     for endpoint in endpoints:
-        found += _check_endpoint(endpoint, site.left_s.get(endpoint.name))
+        found += _check_endpoint(endpoint)
     return found
 
 
@@ -54,7 +54,8 @@
     return found
 
 
-def _check_endpoint(endpoint: MemoryEndpoint, left_s: float | None) -> list[str]:
+def _check_endpoint(endpoint: MemoryEndpoint) -> list[str]:
+    left_s = endpoint.left_s
     found = []
     if endpoint.most_at_once > endpoint.slots:
         found.append(f"over-admission: {endpoint.name} ran {endpoint.most_at_once} at once")
--- a/tests/entry/requests/test_admission.py
+++ b/tests/entry/requests/test_admission.py
@@ -96,7 +96,7 @@
     async with Site(entries=2, endpoints=2, work_s=lambda: 1.0) as site:
         before = asyncio.create_task(burst(site, 8))
         await asyncio.sleep(0.2)
-        left_s = site.left_s["vm-0"] = asyncio.get_running_loop().time()
+        left_s = site.vms["vm-0"].left_s = asyncio.get_running_loop().time()
         if how == "endpoint":
             site.vms["vm-0"].leave()
             stopping = None
