--- a/tests/entry/requests/test_admission.py
+++ b/tests/entry/requests/test_admission.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from briardeal_agent.permits import START_WITHIN_S
 from briardeal_standins.endpoint import Fault
 from briardeal_standins.site import Site
 from tests.checkers.requests import find_violations
@@ -35,6 +36,18 @@
         assert find_violations(site) == []
 
 
+async def test_a_restarted_agent_waits_while_old_grants_can_be_used():
+    async with Site(entries=1, endpoints=1) as site:
+        site.kill_agent("vm-0")
+        agent = await site.start_agent("vm-0")
+        for _ in range(2):
+            site.vms["vm-0"].tell_agent()
+            await asyncio.sleep(START_WITHIN_S / 2)
+        assert agent.endpoint() is None
+        await asyncio.sleep(2)
+        assert agent.endpoint() is not None
+
+
 async def test_a_request_given_up_holds_its_slot_while_it_runs():
     async with Site(entries=2, endpoints=1, slots=2, work_s=lambda: 6.0) as site:
         given_up = await burst(site, 2, timeout_s=1)
--- a/tests/entry/requests/test_load.py
+++ b/tests/entry/requests/test_load.py
@@ -54,7 +54,7 @@
 
 
 async def test_an_endpoint_that_fails_fast_is_left_out_and_probed_sparingly():
-    async with Site(entries=1, endpoints=4) as site:
+    async with Site(entries=1, endpoints=4, slots=2, work_s=lambda: 0.08) as site:
         site.vms["vm-0"].fault = Fault.FAIL_FAST
         calls = await send_steadily(site, "audit", 0.02, 1000)
         assert {call.told for call in calls} == {"answer"}
