--- a/tests/checkers/faults.py
+++ b/packages/standins/briardeal_standins/site/_faults.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from tests.checkers.site import Site
+    from briardeal_standins.site._site import Site
 
 HEAL_S = 4.0
 
@@ -42,7 +42,7 @@
 
 async def retire_endpoint(site: Site) -> None:
     """Let an endpoint announce that it leaves."""
-    site.leave(site.rng.choice(sorted(site.vms)))
+    site.vms[site.rng.choice(sorted(site.vms))].leave()
 
 
 async def fail_endpoint(site: Site) -> None:
