--- a/packages/entry/briardeal/peers/_dialing.py
+++ b/packages/entry/briardeal/peers/_dialing.py
@@ -8,6 +8,7 @@
 import attrs
 
 from briardeal.peers._carriers import DomainName, rank
+from briardeal.peers._link import LEASE_S
 
 if TYPE_CHECKING:
     import random
@@ -24,7 +25,8 @@
     """Keeps the list of addresses to connect to.
 
     Within a region, the entry with the lower name dials. Between two failure domains of different
-    regions, the carrier of the lower one dials.
+    regions, the carrier of the lower one dials. The other side dials too when nothing has come of
+    it for a lease: a restarted entry may know nobody who is alive.
 
     Parameters
     ----------
@@ -42,6 +44,7 @@
     dialing: set[str] = attrs.field(factory=set)
     retry_s: dict[str, float] = attrs.field(factory=dict)
     failures: dict[DomainName, int] = attrs.field(factory=lambda: defaultdict(int))
+    missing_s: dict[str | DomainName, float] = attrs.field(factory=dict)
 
     def due(self) -> list[str]:
         """Return the addresses to dial now."""
@@ -60,28 +63,45 @@
 
     def wants_stream(self, remote: DomainName) -> bool:
         """Return whether this entry has to open the stream to a failure domain."""
-        streams = self.table.streams()
-        is_open = any(link.domain == remote and not link.leaving for link in streams)
-        return self.carries(remote) and not is_open
+        return self.carries(remote) and not self._has_stream(remote)
 
     def carries(self, remote: DomainName) -> bool:
         """Return whether this entry opens and keeps the stream to a failure domain."""
-        own = DomainName.of(self.table.myself)
-        names = [member.entry_id for member in self.table.domain_members()]
-        return own < remote and names and rank(own, remote, names)[0] == self.table.myself.entry_id
+        return DomainName.of(self.table.myself) < remote and self._is_carrier(remote)
 
     def _wanted(self) -> Iterator[str]:
         myself = self.table.myself
-        for member in self.table.out_of_reach():
-            if myself.entry_id < member.entry_id:
-                yield member.peer_address
-        for remote, addresses in self._remote_addresses().items():
-            if self.wants_stream(remote):
-                names = rank(DomainName.of(myself), remote, addresses)
+        own = DomainName.of(myself)
+        missing = {member.entry_id: member.peer_address for member in self.table.out_of_reach()}
+        streams = self._remote_addresses()
+        streams = {name: them for name, them in streams.items() if not self._has_stream(name)}
+        self._note_missing({*missing, *streams})
+        for name, address in missing.items():
+            if myself.entry_id < name or self._waited(name):
+                yield address
+        for remote, addresses in streams.items():
+            if self._is_carrier(remote) and (own < remote or self._waited(remote)):
+                names = rank(own, remote, addresses)
                 yield addresses[names[self.failures[remote] % len(names)]]
         known = {member.peer_address for member in self.table.book.members()}
         yield from set(self.seeds) - known - {myself.peer_address}
 
+    def _has_stream(self, remote: DomainName) -> bool:
+        streams = self.table.streams()
+        return any(link.domain == remote and not link.leaving for link in streams)
+
+    def _is_carrier(self, remote: DomainName) -> bool:
+        names = [member.entry_id for member in self.table.domain_members()]
+        own = DomainName.of(self.table.myself)
+        return rank(own, remote, names)[:1] == [self.table.myself.entry_id]
+
+    def _note_missing(self, missing: set[str | DomainName]) -> None:
+        now_s = self.table.now_s()
+        self.missing_s = {what: self.missing_s.get(what, now_s) for what in missing}
+
+    def _waited(self, what: str | DomainName) -> bool:
+        return self.table.now_s() - self.missing_s[what] >= LEASE_S
+
     def _remote_addresses(self) -> dict[DomainName, dict[str, str]]:
         leaving = {link.member.entry_id for link in self.table.links.values() if link.leaving}
         addresses: dict[DomainName, dict[str, str]] = defaultdict(dict)
--- a/tests/entry/peers/test_forwarding.py
+++ b/tests/entry/peers/test_forwarding.py
@@ -8,11 +8,12 @@
 
 from briardeal.requests import Answer
 from briardeal_core.reasons import Reason, RunState
-from briardeal_protocol.peers import DomainLoad, ServiceLoad
+from briardeal_protocol.peers import DomainLoad, Forward, Forwarded, ServiceLoad
 from tests.entry.peers.cluster import Cluster, request
 
 pytestmark = pytest.mark.looptime
 
+COPIES_TTL_S = 600.0
 BODY_LIMIT_BYTES = 16 * 1024 * 1024
 
 
@@ -130,3 +131,18 @@
         await home.service.leave()
         await home.service.stop()
         assert isinstance(await calling, Answer)
+
+
+async def test_a_copy_that_arrives_after_the_end_is_not_run_until_it_is_forgotten():
+    async with Cluster(regions=1, domains=1) as cluster:
+        home = cluster.nodes["r0-d0-e0"]
+        fields = ("r0-d0-e1", 1, 1, "", "r0", "r0-d0", 3, 5.0, "draws", "", "text/plain", False)
+        forward = Forward(7, *fields, "k", b"body")
+        assert await home.service.forwarder.take(forward) == Forwarded(
+            7, 200, "text/plain", b"body"
+        )
+        late = await home.service.forwarder.take(forward)
+        assert (late.reason, late.run_state) == ("forward_lost", "unknown")
+        assert runs(cluster) == 1
+        await asyncio.sleep(COPIES_TTL_S + 1)
+        assert not home.service.forwarder.ended
--- a/tests/entry/peers/test_membership.py
+++ b/tests/entry/peers/test_membership.py
@@ -67,6 +67,25 @@
         assert near.table.links[far.name] is not link
 
 
+async def test_restarted_seeds_that_know_nobody_alive_are_found_by_the_others():
+    async with Cluster() as cluster:
+        for name in cluster.seeds:
+            cluster.kill(name)
+        await asyncio.sleep(NOTICE_S)
+        await cluster.start("r0", "r0-d0", cluster.seeds[0])
+        assert await settles(cluster, NOTICE_S)
+
+
+async def test_both_ends_notice_a_cut_in_one_direction_within_one_lease():
+    async with Cluster(regions=1) as cluster:
+        deaf, heard = cluster.nodes["r0-d0-e0"], cluster.nodes["r0-d2-e1"]
+        cluster.fabric.block([heard.name], [deaf.name])
+        await asyncio.sleep(LEASE_S - 0.5)
+        cluster.fabric.block([deaf.name], [heard.name])
+        await asyncio.sleep(1.5)
+        assert deaf.name not in heard.table.links
+
+
 async def test_a_cut_in_one_direction_ends_the_link_at_both_ends():
     async with Cluster(regions=1) as cluster:
         deaf, heard = cluster.nodes["r0-d0-e0"], cluster.nodes["r0-d2-e1"]
