--- a/packages/entry/briardeal/structure/_entry.py
+++ b/packages/entry/briardeal/structure/_entry.py
@@ -3,28 +3,41 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from typing import TYPE_CHECKING
 
 from mode import Service
 
 from briardeal.jobs import JobBoard, JobService
 from briardeal.membership import AgentListener, AgentTable
-from briardeal.requests import Answer, IssuedKey, Keys, Router
+from briardeal.peers import AgentLoads, PeerHooks, PeerService
+from briardeal.requests import Admissions, Keys, Router
+from briardeal.structure._gateway import Gateway
+from briardeal.structure._sources import ReadLog, StoredConfiguration
 from briardeal_core.clock import WallClock
+from briardeal_core.configuration.store import ConfigurationStore
 from briardeal_core.events import Event, log_event
+from briardeal_core.log import AppendBudget
 from briardeal_core.metrics import Metrics
-from briardeal_core.reasons import Reason, Refusal, RunState
 from briardeal_protocol.messages import EntryHello
+from briardeal_protocol.peers import Member
 
 if TYPE_CHECKING:
     from briardeal.config import EntrySettings
-    from briardeal.requests import EndpointClient, Request
+    from briardeal.requests import Answer, EndpointClient, Request
     from briardeal_core.clock import Clock
+    from briardeal_core.jobs import WorkerShape
     from briardeal_core.log import Log
+    from briardeal_core.reasons import Refusal
     from briardeal_protocol.connections import Network
+    from briardeal_protocol.peers import PeerNetwork
 
-SHUTDOWN_RETRY_S = 0.5
 DRAIN_POLL_S = 0.1
+BALANCER_NOTICE_S = 2.0
+"""Time in which the balancer notices that the entry is no longer ready."""
+
+FORGET_INTERVAL_S = 10.0
+RELEASE_TIMEOUT_S = 2.0
 
 
 class Entry(Service):
@@ -42,6 +55,17 @@
         Sends requests to endpoints.
     clock
         Wall time.
+    rng
+        Source of identifiers and jitter.
+    peer_network
+        Opens and takes connections of other entries; `None` for an entry that stands alone.
+
+    Attributes
+    ----------
+    ready
+        Whether the balancer may send callers here.
+    gateway
+        Takes requests, also for a while after the balancer was told otherwise.
     """
 
     def __init__(
@@ -51,78 +75,94 @@
         log: Log,
         client: EndpointClient,
         clock: Clock | None = None,
+        rng: random.Random | None = None,
+        peer_network: PeerNetwork | None = None,
     ) -> None:
         super().__init__()
         self.settings = settings
         self.clock = clock or WallClock()
+        self.rng = rng or random.Random()
         self.incarnation = int(self.clock.now_s() * 1000)
         self.metrics = Metrics()
         self.table = AgentTable(settings.agent_lease_s, _loop_time)
         self.keys = Keys(settings.entry_id, self.incarnation, self.clock.now_s)
-        self.router = Router(self.table, client, self.metrics)
+        self.admissions = Admissions(settings.entry_id, self.incarnation, self.table, _loop_time)
+        self.router = Router(
+            self.table, client, self.metrics, self.admissions, settings.region, self.rng
+        )
+        self.budget = AppendBudget()
+        self.configuration = ConfigurationStore(
+            log, settings.entry_id, self.budget, self.rng, self.clock
+        )
+        self.gateway = Gateway(self.keys, self.router, self.metrics)
         self.board = JobBoard()
         self.jobs = JobService(log, self.board, self.table)
         hello = EntryHello(entry_id=settings.entry_id, incarnation=self.incarnation)
         self.agents = AgentListener(network, settings.agent_listen, hello, self.table, self.jobs)
+        self.peers = self._create_peers(peer_network)
+        self.gateway.forwarder = self.peers.forwarder
         self.ready = False
-        self.in_flight = 0
 
     def on_init_dependencies(self) -> list[Service]:
         """Return the services that start and stop with the entry."""
-        return [self.agents, self.jobs]
+        return [self.configuration, self.agents, self.jobs, self.peers]
 
     async def on_started(self) -> None:
         """Tell the balancer that callers may come."""
         self.ready = True
+        self.gateway.accepting = True
         log_event(Event.PROCESS_STARTED, name=self.settings.entry_id)
 
+    @Service.task
+    async def _forget_idle(self) -> None:
+        while not self.should_stop:
+            await self.sleep(FORGET_INTERVAL_S)
+            self.router.forget_idle()
+
     async def drain(self) -> None:
-        """Take no new requests and finish those that are held."""
+        """Tell the balancer, then take no new requests and finish those that are held."""
         self.ready = False
         log_event(Event.PROCESS_STOPPING, name=self.settings.entry_id)
+        await asyncio.sleep(BALANCER_NOTICE_S)
+        self.gateway.accepting = False
         deadline_s = _loop_time() + self.settings.drain_timeout_s
-        while self.in_flight and _loop_time() < deadline_s:
+        while self.gateway.in_flight and _loop_time() < deadline_s:
             await asyncio.sleep(DRAIN_POLL_S)
+        await self.peers.leave(max(0.0, deadline_s - _loop_time()))
+        await self.admissions.flush(RELEASE_TIMEOUT_S)
 
     async def on_shutdown(self) -> None:
         """Log the end of the process."""
         log_event(Event.PROCESS_STOPPED, name=self.settings.entry_id)
 
     async def handle(self, request: Request) -> Answer | Refusal:
-        """Return the whole answer to a request, or why there is none."""
-        if not self.ready:
-            return self._refuse(
-                Refusal(Reason.SHUTTING_DOWN, RunState.NOT_RUN, SHUTDOWN_RETRY_S), request
-            )
-        self.in_flight += 1
-        try:
-            outcome = await self._handle(request)
-        finally:
-            self.in_flight -= 1
-        return self._refuse(outcome, request) if isinstance(outcome, Refusal) else outcome
-
-    async def _handle(self, request: Request) -> Answer | Refusal:
-        if request.idempotent:
-            return await self.router.route(request)
-        if not request.key:
-            return Refusal(Reason.KEY_REQUIRED, RunState.NOT_RUN)
-        key = IssuedKey.parse(request.key)
-        if key is None:
-            return Refusal(Reason.KEY_NOT_ISSUED, RunState.NOT_RUN)
-        if not self.keys.is_home(key):
-            return Refusal(Reason.KEY_HOME_LOST, RunState.UNKNOWN)
-        return await self.keys.run_once(key, lambda: self.router.route(request))
-
-    def _refuse(self, refusal: Refusal, request: Request) -> Refusal:
-        self.metrics.count_refusal(refusal.reason)
-        log_event(
-            Event.REQUEST_REFUSED,
-            reason=refusal.reason.code,
-            service=request.service,
-            customer=request.customer,
-            run_state=refusal.run_state.value,
+        """Return the whole answer to a caller's request, or why there is none."""
+        return await self.gateway.handle(request)
+
+    def _create_peers(self, network: PeerNetwork | None) -> PeerService:
+        settings = self.settings
+        myself = Member(
+            entry_id=settings.entry_id,
+            incarnation=self.incarnation,
+            region=settings.region,
+            failure_domain=settings.failure_domain,
+            peer_address=settings.peer_listen,
+            agent_address=settings.agent_listen,
         )
-        return refusal
+        hooks = PeerHooks(
+            handler=self.gateway,
+            configuration=StoredConfiguration(self.configuration),
+            log_status=ReadLog(self.configuration),
+            loads=AgentLoads(
+                self.table, lambda: len(self.board.waiting()), settings.failure_domain
+            ),
+            entries_changed=self.agents.set_entries,
+        )
+        return PeerService(myself, network, settings.peers, hooks, self.rng, self.metrics)
+
+    def known_workers(self) -> list[WorkerShape]:
+        """Return the workers that configuration is checked against."""
+        return [entry.hello.worker.shape for entry in self.table.workers()]
 
 
 def _loop_time() -> float:
