Follow the protocol in the measured processes

Cause: releases are named by permit, a restarted agent admits nothing at first, and a new agent is asked for its inventory; the bench still spoke the thin version. Change: the measuring entry and agents speak the protocol, bytes are counted on the connection, and jobs are submitted 50 at a time.

--- a/bench/agent_process.py
+++ b/bench/agent_process.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
 
 import attrs
 
 from bench.figures import Bound, Figure
 from bench.processes import MeasuredProcess, free_address
 from briardeal_agent.http import HttpReply, fetch
+from briardeal_agent.permits import QUARANTINE_S
 from briardeal_protocol.connections import Link, TcpNetwork
 from briardeal_protocol.messages import (
     Admit,
@@ -22,6 +24,9 @@
     encode,
 )
 
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
 AGENT_MEMORY_MB = 32
 AGENT_CPU_PERCENT = 1.6
 AGENT_BYTES_PER_S = 3000
@@ -67,6 +72,22 @@
             await asyncio.sleep(FAST_HEARTBEAT_S)
 
 
+@attrs.frozen
+class Cost:
+    """Processor time in seconds and bytes in both directions."""
+
+    cpu_s: float
+    moved_bytes: float
+
+    def divided_by(self, count: int) -> Cost:
+        """Return the cost of one of several."""
+        return Cost(self.cpu_s / count, self.moved_bytes / count)
+
+    def without(self, other: Cost, count: int) -> Cost:
+        """Return the cost less that of something that went on meanwhile."""
+        return Cost(self.cpu_s - count * other.cpu_s, self.moved_bytes - count * other.moved_bytes)
+
+
 @attrs.frozen
 class AgentUse:
     """What one agent process used.
@@ -75,22 +96,25 @@
     ----------
     resident_mb
         Resident memory after all calls, in MB.
-    heartbeat_cpu_s, call_cpu_s
-        Processor time for one heartbeat and for one admitted request, in seconds.
-    bytes_per_s
-        Control bytes a second in both directions at the stated rates.
+    heartbeat, request
+        Cost of one heartbeat and of one admitted request.
     """
 
     resident_mb: float
-    heartbeat_cpu_s: float
-    call_cpu_s: float
-    bytes_per_s: float
+    heartbeat: Cost
+    request: Cost
 
     @property
     def cpu_percent(self) -> float:
         """Share of a core at the stated rates."""
-        heartbeats_s = ENTRIES_PER_REGION * HEARTBEATS_PER_S * self.heartbeat_cpu_s
-        return 100 * (heartbeats_s + REQUESTS_PER_S * self.call_cpu_s)
+        heartbeats_s = ENTRIES_PER_REGION * HEARTBEATS_PER_S * self.heartbeat.cpu_s
+        return 100 * (heartbeats_s + REQUESTS_PER_S * self.request.cpu_s)
+
+    @property
+    def bytes_per_s(self) -> float:
+        """Control bytes a second in both directions at the stated rates."""
+        heartbeats = ENTRIES_PER_REGION * HEARTBEATS_PER_S * self.heartbeat.moved_bytes
+        return heartbeats + REQUESTS_PER_S * self.request.moved_bytes
 
 
 def measure() -> list[Figure]:
@@ -98,8 +122,8 @@
     use = measure_agent()
     return [
         Figure("agent", "resident memory", use.resident_mb, "MB", Bound("<=", AGENT_MEMORY_MB)),
-        Figure("agent", "processor time a heartbeat", use.heartbeat_cpu_s * 1e6, "us"),
-        Figure("agent", "processor time a request", use.call_cpu_s * 1e6, "us"),
+        Figure("agent", "processor time a heartbeat", use.heartbeat.cpu_s * 1e6, "us"),
+        Figure("agent", "processor time a request", use.request.cpu_s * 1e6, "us"),
         Figure(
             "agent",
             "share of a core, 3 entries, 1 request/s",
@@ -138,45 +162,56 @@
     finally:
         await listener.close()
         await entry.link.connection.close()
-        process.stop()
+        process.kill()
 
 
 async def _use(process: MeasuredProcess, entry: MeasuringEntry, http: str) -> AgentUse:
     announced = await fetch("PUT", http, "/v1/endpoint", _announcement(), timeout_s=5)
     assert announced == HttpReply(200, b"{}"), announced
     await entry.wait_heartbeats(HEARTBEATS_MEASURED // 10)
-    before_s = process.cpu_s()
-    await entry.wait_heartbeats(HEARTBEATS_MEASURED)
-    heartbeat_cpu_s = (process.cpu_s() - before_s) / HEARTBEATS_MEASURED
-    before_s, beats = process.cpu_s(), entry.heartbeats
-    for _ in range(CALLS_MEASURED):
-        await _request(entry.link)
-    spent_s = process.cpu_s() - before_s - (entry.heartbeats - beats) * heartbeat_cpu_s
+    await asyncio.sleep(QUARANTINE_S)
+    heartbeat = await _measure(process, entry, lambda: entry.wait_heartbeats(HEARTBEATS_MEASURED))
+    beats = entry.heartbeats
+    calls = await _measure(process, entry, lambda: _send_requests(entry.link))
+    beats = entry.heartbeats - beats
     assert (await fetch("GET", http, "/metrics", timeout_s=5)).status == 200
+    heartbeat = heartbeat.divided_by(HEARTBEATS_MEASURED)
     return AgentUse(
-        process.resident_mb(), heartbeat_cpu_s, spent_s / CALLS_MEASURED, _bytes_per_s()
+        resident_mb=process.resident_mb(),
+        heartbeat=heartbeat,
+        request=calls.without(heartbeat, beats).divided_by(CALLS_MEASURED),
     )
 
 
+async def _measure(
+    process: MeasuredProcess, entry: MeasuringEntry, work: Callable[[], Awaitable[None]]
+) -> Cost:
+    connection = entry.link.connection
+    before_s = process.cpu_s()
+    before_bytes = connection.bytes_sent + connection.bytes_received
+    await work()
+    moved = connection.bytes_sent + connection.bytes_received - before_bytes
+    return Cost(process.cpu_s() - before_s, moved)
+
+
+async def _send_requests(link: Link) -> None:
+    for _ in range(CALLS_MEASURED):
+        await _request(link)
+
+
 async def _request(link: Link) -> None:
-    admit = _admit(link.next_call_id())
-    await link.call(admit, 5)
-    await link.connection.send(Release(call_id=admit.call_id, started=True))
+    call_id = link.next_call_id()
+    admitted = await link.call(_admit(call_id), 5)
+    assert isinstance(admitted, Admitted), admitted
+    await link.connection.send(Release(permit=call_id))
 
 
 def _admit(call_id: int) -> Admit:
     key = f"k1~entry-1~1796331765193~1796331765~{call_id:012d}"
-    return Admit(call_id=call_id, key=key, incarnation=1, deadline_s=30, customer="audit")
+    return Admit(
+        call_id=call_id, permit=call_id, key=key, incarnation=1, deadline_s=30, customer="audit"
+    )
 
 
 def _announcement() -> bytes:
     return encode(ENDPOINT)
-
-
-def _bytes_per_s() -> float:
-    heartbeat = len(encode(Heartbeat(sequence=100_000))) + len(
-        encode(HeartbeatAck(sequence=100_000))
-    )
-    request = len(encode(_admit(100_000))) + len(encode(Release(call_id=100_000, started=True)))
-    admitted = len(encode(Admitted(call_id=100_000, start_within_s=2.0)))
-    return ENTRIES_PER_REGION * HEARTBEATS_PER_S * heartbeat + REQUESTS_PER_S * (request + admitted)
--- a/bench/entry_process.py
+++ b/bench/entry_process.py
@@ -19,6 +19,8 @@
     EntryHello,
     Heartbeat,
     HeartbeatAck,
+    TakeInventory,
+    Tasks,
     WorkerState,
 )
 
@@ -28,6 +30,7 @@
 AGENT_COUNTS = (75, 150, 300)
 HEARTBEATS_EACH = 20
 JOBS_MEASURED = 500
+JOBS_AT_ONCE = 50
 READY_POLL_S = 0.05
 
 
@@ -74,8 +77,13 @@
         """Send heartbeats, each after the answer to the one before."""
         for sequence in range(count):
             await self.connection.send(Heartbeat(sequence=sequence + 1))
-            answer = await self.connection.receive()
-            assert answer == HeartbeatAck(sequence=sequence + 1), answer
+            await self._await_ack(sequence + 1)
+
+    async def _await_ack(self, sequence: int) -> None:
+        while (message := await self.connection.receive()) != HeartbeatAck(sequence=sequence):
+            assert not isinstance(message, Closed), message
+            if isinstance(message, TakeInventory):
+                await self.connection.send(Tasks(tasks=(), fence=0, call_id=message.call_id))
 
 
 def measure() -> list[Figure]:
@@ -109,8 +117,8 @@
         await _wait_ready(http)
         return await _use(entry, http, agents)
     finally:
-        entry.stop()
-        log_process.stop()
+        entry.kill()
+        log_process.kill()
 
 
 async def _use(entry: MeasuredProcess, http: str, agents_address: str) -> EntryUse:
@@ -150,9 +158,14 @@
 
 
 async def _submit(session: aiohttp.ClientSession, http: str, job: object, count: int) -> None:
-    for _ in range(count):
-        async with session.post(f"http://{http}/v1/jobs", json=job) as response:
-            assert response.status in (201, 422), await response.text()
+    for start in range(0, count, JOBS_AT_ONCE):
+        batch = range(start, min(start + JOBS_AT_ONCE, count))
+        await asyncio.gather(*(_submit_one(session, http, job) for _ in batch))
+
+
+async def _submit_one(session: aiohttp.ClientSession, http: str, job: object) -> None:
+    async with session.post(f"http://{http}/v1/jobs", json=job) as response:
+        assert response.status == 201, await response.text()
 
 
 async def _wait_ready(http: str) -> None:
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -10,7 +10,6 @@
 from pathlib import Path
 
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
-STOP_TIMEOUT_S = 10
 
 
 class MeasuredProcess:
@@ -38,10 +37,10 @@
         fields = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
         return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
 
-    def stop(self) -> int:
-        """End the process and return its exit code."""
-        self.process.terminate()
-        return self.process.wait(STOP_TIMEOUT_S)
+    def kill(self) -> None:
+        """Kill the process."""
+        self.process.kill()
+        self.process.wait()
 
 
 def free_address() -> str:
