--- a/packages/core/briardeal_core/log/client/_http.py
+++ b/packages/core/briardeal_core/log/client/_http.py
@@ -95,8 +95,10 @@
 
 
 def _refused_append(status: int) -> LogUnavailable:
+    """Read a refusal; the log promises that with these answers it has not taken the record."""
     rejected = HTTPStatus.BAD_REQUEST <= status < HTTPStatus.INTERNAL_SERVER_ERROR
-    return LogUnavailable(f"status {status}", maybe_written=not rejected)
+    not_taken = rejected or status == HTTPStatus.SERVICE_UNAVAILABLE
+    return LogUnavailable(f"status {status}", maybe_written=not not_taken)
 
 
 def _decode(body: bytes, kind: type[T]) -> T | LogUnavailable:
--- a/tests/standins/log/test_log.py
+++ b/tests/standins/log/test_log.py
@@ -49,7 +49,9 @@
     memory, log = logs
     await log.append("s", b"a", "1")
     memory.faults.outage = True
-    assert isinstance(await log.append("s", b"b", "2"), LogUnavailable)
+    refused = await log.append("s", b"b", "2")
+    assert isinstance(refused, LogUnavailable)
+    assert not refused.maybe_written
     assert isinstance(await log.read("s", 0, 10), LogUnavailable)
     memory.faults.outage = False
     memory.store.drop_before("s", 1)
