--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 	$(VENV)/bin/ruff check packages tests bench
 
 test: setup
-	$(PYTHON) -m pytest
+	$(PYTHON) -m pytest --numprocesses 6
 
 bench: setup
 	$(PYTHON) -m bench
--- a/packages/agent/briardeal_agent/links/_entry.py
+++ b/packages/agent/briardeal_agent/links/_entry.py
@@ -12,12 +12,14 @@
 from briardeal_protocol.messages import (
     Admit,
     EntryHello,
+    GangsWhole,
     Heartbeat,
     HeartbeatAck,
     Release,
     ReserveTask,
     StartTask,
     StopTask,
+    TakeInventory,
 )
 
 if TYPE_CHECKING:
@@ -35,6 +37,7 @@
 HELLO_INTERVAL_S = 1.0
 RECONNECT_MIN_S = 0.2
 RECONNECT_MAX_S = 3.0
+TASK_ORDERS = ReserveTask | StartTask | StopTask | TakeInventory | GangsWhole
 
 
 class Host(Protocol):
@@ -172,7 +175,7 @@
         elif isinstance(message, Admit | Release) and self.entry is not None:
             # Answered at once, so that a release never overtakes its admission.
             await self._answer(connection, message)
-        elif isinstance(message, ReserveTask | StartTask | StopTask):
+        elif isinstance(message, TASK_ORDERS):
             task = asyncio.create_task(self._answer(connection, message))
             self.orders.add(task)
             task.add_done_callback(self.orders.discard)
--- a/packages/core/briardeal_core/reasons/_catalogue.py
+++ b/packages/core/briardeal_core/reasons/_catalogue.py
@@ -42,6 +42,11 @@
     ENTRY_UNREACHABLE = "The entry that has to answer is out of reach at the moment."
     FORWARD_LOST = "The request was passed on to another entry, and no answer came back."
     FORWARD_LIMIT = "The request was passed on between entries too often."
+    JOB_KEY_REUSED = "Another job was submitted with this idempotency key before."
+    JOB_ENDED = "The job has already come to its end."
+    WORKER_LOST = "The VM of a task was lost, so the whole job is started again."
+    TASK_FAILED = "A task of the job failed, so the job is tried again elsewhere."
+    GANG_NOT_WHOLE = "Not every task of the job could start, so none of it ran."
 
     @property
     def code(self) -> str:
--- a/packages/entry/briardeal/commands/serve.py
+++ b/packages/entry/briardeal/commands/serve.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import signal
 import sys
 from typing import TYPE_CHECKING
 
@@ -14,6 +13,7 @@
 from briardeal.structure import Entry
 from briardeal_core.events import log_to_file
 from briardeal_core.log.client import HttpLog
+from briardeal_core.processes import wait_for_end
 from briardeal_protocol.connections import TcpNetwork
 from briardeal_protocol.peers import GrpcPeerNetwork
 
@@ -24,23 +24,22 @@
 def serve(settings: EntrySettings) -> None:
     """Run an entry until SIGTERM or SIGINT."""
     log_to_file(sys.stderr)
-    asyncio.run(_serve(settings))
+    sys.exit(asyncio.run(_serve(settings)))
 
 
-async def _serve(settings: EntrySettings) -> None:
+async def _serve(settings: EntrySettings) -> int:
     client = HttpEndpointClient()
     log = HttpLog(f"http://{settings.log}")
     entry = Entry(settings, TcpNetwork(), log, client, peer_network=GrpcPeerNetwork())
-    stopped = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(number, stopped.set)
     async with entry:
         runner = await _listen(entry, settings.listen)
-        await stopped.wait()
-        await entry.drain()
+        exit_code = await wait_for_end(entry)
+        if exit_code == 0:
+            await entry.drain()
         await runner.cleanup()
     await client.close()
     await log.close()
+    return exit_code
 
 
 async def _listen(entry: Entry, address: str) -> web.AppRunner:
--- a/packages/entry/briardeal/structure/_sources.py
+++ b/packages/entry/briardeal/structure/_sources.py
@@ -10,6 +10,10 @@
 from briardeal_core.configuration.store import VersionedConfiguration
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from briardeal.jobs.ownership import Ownership, PeerLogState
+    from briardeal.structure._entry import Entry
     from briardeal_core.configuration.store import ConfigurationStore
 
 
@@ -48,18 +52,35 @@
 
     Parameters
     ----------
-    store
-        The configuration of this entry, which follows the log.
+    ownership
+        The claim of this entry on its region, which follows the log.
     """
 
-    def __init__(self, store: ConfigurationStore) -> None:
-        self.store = store
+    def __init__(self, ownership: Ownership) -> None:
+        self.ownership = ownership
 
     def last_read_s(self) -> float | None:
         """Return when the log last answered a read, on the loop's clock; `None` for never."""
-        age_s = self.store.follower.age_s()
+        age_s = self.ownership.log_age_s()
         return None if age_s is None else asyncio.get_running_loop().time() - age_s
 
     def highest_token(self) -> int:
         """Return the highest fencing token read."""
-        return 0
+        return self.ownership.highest_token
+
+
+class PeerStates:
+    """What the other entries say of the log.
+
+    Parameters
+    ----------
+    entry
+        This entry.
+    """
+
+    def __init__(self, entry: Entry) -> None:
+        self.entry = entry
+
+    def log_states(self) -> Sequence[PeerLogState]:
+        """Return the state of each entry that is linked."""
+        return self.entry.peers.table.log_states()
--- /dev/null
+++ b/packages/scheduling/briardeal_scheduling/guarantees/_margin.py
@@ -0,0 +1,47 @@
+"""Whether the guarantees survive the failure of some VMs."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from briardeal_core.configuration import Adjacency
+    from briardeal_scheduling.fleet import Group
+
+
+def margin_holds(
+    rooms: Mapping[str, int],
+    members: Mapping[Group, list[str]],
+    groups: Mapping[str, Mapping[Adjacency, Group]],
+    booked: Mapping[str, int],
+    finest: Mapping[str, Adjacency],
+    margin_vms: int,
+) -> bool:
+    """Return whether every booked VM has enough spares in its closest group.
+
+    A spare is a VM without bookings that has room for all that is booked on the one that failed.
+    With as many spares as failures, every failed VM finds one of its own.
+
+    Parameters
+    ----------
+    rooms
+        Accelerators of each VM that are neither booked nor pinned.
+    members, groups
+        VMs of each group, groups of each VM.
+    booked
+        Accelerators set aside on each VM.
+    finest
+        Closest adjacency of the guarantees on each VM.
+    margin_vms
+        VMs that may fail.
+    """
+    spares: dict[Group, list[int]] = {}
+    for worker_id, need in booked.items():
+        group = groups[worker_id][finest[worker_id]]
+        if group not in spares:
+            spares[group] = [rooms[vm] for vm in members[group] if vm not in booked]
+        if sum(room >= need for room in spares[group]) < margin_vms:
+            return False
+    return True
