--- a/packages/entry/briardeal/config/_settings.py
+++ b/packages/entry/briardeal/config/_settings.py
@@ -46,6 +46,14 @@
     log: str = option(address, allowed="IP:PORT", text="Address of the platform's log.")
     """The platform's append-only log."""
 
+    log_retention_s: float = option(
+        positive(float),
+        allowed="seconds above 0",
+        default="86400",
+        text="How long the log keeps records.",
+    )
+    """How long the log keeps records, in seconds; snapshots are written at a quarter of it."""
+
     agent_lease_s: float = option(
         positive(float), allowed="seconds above 0", default="3", text="Lease of an agent."
     )
--- a/packages/entry/briardeal/jobs/_board.py
+++ b/packages/entry/briardeal/jobs/_board.py
@@ -85,7 +85,10 @@
         self.active = {name: view for name, view in self.jobs.items() if not view.ended}
         self.tokens = found.tokens
         ended = (view for view in found.jobs if view.ended_at_s is not None)
-        self._ended = {view.job.job_id: view.ended_at_s for view in ended}
+        by_end = sorted(ended, key=lambda view: view.ended_at_s)
+        self._ended = {view.job.job_id: view.ended_at_s for view in by_end}
+        for listener in self.listeners:
+            listener()
         return True
 
     def of_region(self, region: str) -> list[JobView]:
--- a/packages/entry/briardeal/jobs/_service.py
+++ b/packages/entry/briardeal/jobs/_service.py
@@ -21,6 +21,8 @@
 from briardeal_core.events import Event, log_event
 from briardeal_core.log import (
     AppendBudget,
+    RoleClaim,
+    SnapshotKeeper,
     SnapshotStream,
     StreamFollower,
     StreamReader,
@@ -47,6 +49,8 @@
     from briardeal_protocol.messages import Tasks
 
 SNAPSHOT_STREAM = "jobs-snapshots"
+CLAIM_STREAM = "jobs-claims"
+SNAPSHOT_INTERVAL_S = 6 * 3600.0
 VIEW_FRESH_S = 8.0
 """Oldest view of the log on which an entry confirms gangs."""
 
@@ -76,6 +80,8 @@
         Rate of appends of this process.
     create_maker
         Returns a new decision maker for each time of ownership.
+    snapshot_interval_s
+        Oldest that the newest snapshot may become, in seconds; a quarter of the log's retention.
 
     Attributes
     ----------
@@ -98,6 +104,7 @@
         peers: PeerLogStates | None = None,
         budget: AppendBudget | None = None,
         create_maker: Callable[[], DecisionMaker] = Scheduler,
+        snapshot_interval_s: float = SNAPSHOT_INTERVAL_S,
     ) -> None:
         super().__init__()
         self.region = region
@@ -109,6 +116,10 @@
         snapshots = SnapshotStream(log, SNAPSHOT_STREAM, budget, rng)
         reader = StreamReader(log, JOB_STREAM, JOB_SCHEMA)
         self.follower = StreamFollower(reader, snapshots, self.board, rng)
+        claim = RoleClaim(log, CLAIM_STREAM, "snapshots", entry_id, budget, rng)
+        self.keeper = SnapshotKeeper(
+            self.follower, claim, rng, interval_s=snapshot_interval_s, clock=clock
+        )
         self.writer = StreamWriter(log, JOB_STREAM, JOB_SCHEMA, budget, rng)
         self.decisions = StreamWriter(log, JOB_STREAM, JOB_SCHEMA, budget, rng)
         self.outbox = Outbox(self.decisions)
@@ -123,6 +134,7 @@
         """Return the services that start and stop with this one."""
         return [
             self.follower,
+            self.keeper,
             self.writer,
             self.decisions,
             self.outbox,
--- a/packages/entry/briardeal/structure/_entry.py
+++ b/packages/entry/briardeal/structure/_entry.py
@@ -38,6 +38,8 @@
 
 FORGET_INTERVAL_S = 10.0
 RELEASE_TIMEOUT_S = 2.0
+SNAPSHOTS_PER_RETENTION = 4
+"""Snapshots within the log's retention, so that a torn one leaves others to fall back on."""
 
 
 class Entry(Service):
@@ -91,8 +93,9 @@
             self.table, client, self.metrics, self.admissions, settings.region, self.rng
         )
         self.budget = AppendBudget()
+        snapshot_interval_s = settings.log_retention_s / SNAPSHOTS_PER_RETENTION
         self.configuration = ConfigurationStore(
-            log, settings.entry_id, self.budget, self.rng, self.clock
+            log, settings.entry_id, self.budget, self.rng, self.clock, snapshot_interval_s
         )
         self.gateway = Gateway(self.keys, self.router, self.metrics)
         self.jobs = JobService(
@@ -104,6 +107,7 @@
             self.rng,
             peers=PeerStates(self),
             budget=self.budget,
+            snapshot_interval_s=snapshot_interval_s,
         )
         self.board = self.jobs.board
         self.configuration.subscribe(lambda _, configuration: self.jobs.configure(configuration))
--- a/packages/standins/briardeal_standins/site/_site.py
+++ b/packages/standins/briardeal_standins/site/_site.py
@@ -120,6 +120,7 @@
             peer_listen=f"{name}:2",
             peers=(),
             log="log:1",
+            log_retention_s=86_400.0,
             agent_lease_s=3.0,
             request_timeout_s=30.0,
             drain_timeout_s=60.0,
