Let operators replace a configuration that the log has lost

Cause: the store could start again after a loss, but no command or route led to it, and nothing told an operator of a version that an entry is too old to read.

Change: `briardeal config replace-lost FILE` and `PUT /v1/configuration/lost`, checked like any other change and refused unless records are missing. The body of `GET /v1/configuration` and `config show` tell `unreadable_version`.

--- a/packages/entry/briardeal/__main__.py
+++ b/packages/entry/briardeal/__main__.py
@@ -15,6 +15,7 @@
 CONFIG_HELP = "Show and change classes, targets, customers and guarantees."
 APPLY_HELP = "Publish FILE as the new configuration."
 EXPECTED_VERSION_HELP = "Version that the file was made from; that in force when not given."
+REPLACE_LOST_HELP = "Publish FILE after the log has lost what led to the last version."
 SHOW_HELP = "Print the configuration in force."
 DIFF_HELP = "Print what differs between versions OLD and NEW."
 HISTORY_HELP = "Print the last changes and what became of each."
@@ -59,6 +60,16 @@
     command.apply(load_or_exit(OperatorSettings, flags), file, expected_version)
 
 
+@config.command("replace-lost", help=REPLACE_LOST_HELP)
+@click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+@click_options(OperatorSettings)
+def replace_lost(file: Path, **flags: str | None) -> None:
+    """Publish a configuration in place of a lost one."""
+    from briardeal.commands import config as command
+
+    command.replace_lost(load_or_exit(OperatorSettings, flags), file)
+
+
 @config.command(help=SHOW_HELP)
 @click_options(OperatorSettings)
 def show(**flags: str | None) -> None:
--- a/packages/entry/briardeal/api/_configuration.py
+++ b/packages/entry/briardeal/api/_configuration.py
@@ -32,6 +32,8 @@
         Seconds since it was accepted.
     unconfirmed_s
         Seconds since the log last showed that it is the newest; `None` if it never did.
+    unreadable_version
+        A newer version that this entry is too old for, or `None`.
     configuration
         The configuration itself.
     """
@@ -40,6 +42,7 @@
     author: str
     age_s: float
     unconfirmed_s: float | None
+    unreadable_version: int | None
     configuration: Configuration
 
 
@@ -72,6 +75,7 @@
         return [
             web.get("/v1/configuration", self.show),
             web.put("/v1/configuration", self.apply),
+            web.put("/v1/configuration/lost", self.replace_lost),
             web.get("/v1/configuration/history", self.history),
             web.get("/v1/configuration/diff", self.diff),
         ]
@@ -86,6 +90,7 @@
                 author=status.author,
                 age_s=status.age_s,
                 unconfirmed_s=status.unconfirmed_s,
+                unreadable_version=status.unreadable_version,
                 configuration=store.configuration,
             )
         )
@@ -95,20 +100,19 @@
         expected_version = _parse_version(http, "expected_version")
         if expected_version is None:
             return reply_refusal(_invalid("expected_version must be a whole number, 0 or more."))
-        loaded = load_configuration(await http.text(), self.entry.known_workers())
-        if isinstance(loaded, ConfigurationErrors):
-            return reply_refusal(
-                Refusal(Reason.CONFIGURATION_INVALID, RunState.NOT_RUN, detail=str(loaded))
-            )
-        author = http.headers.get("Briardeal-Author", UNKNOWN_AUTHOR)
-        outcome = await self.entry.configuration.apply(loaded, expected_version, author)
-        if isinstance(outcome, Accepted):
-            return reply_json(AcceptedBody(outcome.version))
-        if isinstance(outcome, Conflict):
-            outcome = Refusal(
-                Reason.CONFIGURATION_CONFLICT, RunState.NOT_RUN, detail=outcome.sentence
-            )
-        return reply_refusal(outcome)
+        loaded = await self._load(http)
+        if isinstance(loaded, Refusal):
+            return reply_refusal(loaded)
+        store = self.entry.configuration
+        return _reply_outcome(await store.apply(loaded, expected_version, _read_author(http)))
+
+    async def replace_lost(self, http: web.Request) -> web.Response:
+        """Start again from a given configuration after the log has lost what led to the last."""
+        loaded = await self._load(http)
+        if isinstance(loaded, Refusal):
+            return reply_refusal(loaded)
+        store = self.entry.configuration
+        return _reply_outcome(await store.replace_lost(loaded, _read_author(http)))
 
     async def history(self, http: web.Request) -> web.Response:
         """Return the last changes, won and lost, oldest first."""
@@ -124,6 +128,24 @@
             return reply_refusal(changes)
         return reply_json(DiffBody(changes))
 
+    async def _load(self, http: web.Request) -> Configuration | Refusal:
+        loaded = load_configuration(await http.text(), self.entry.known_workers())
+        if isinstance(loaded, ConfigurationErrors):
+            return Refusal(Reason.CONFIGURATION_INVALID, RunState.NOT_RUN, detail=str(loaded))
+        return loaded
+
+
+def _reply_outcome(outcome: Accepted | Conflict | Refusal) -> web.Response:
+    if isinstance(outcome, Accepted):
+        return reply_json(AcceptedBody(outcome.version))
+    if isinstance(outcome, Conflict):
+        outcome = Refusal(Reason.CONFIGURATION_CONFLICT, RunState.NOT_RUN, detail=outcome.sentence)
+    return reply_refusal(outcome)
+
+
+def _read_author(http: web.Request) -> str:
+    return http.headers.get("Briardeal-Author", UNKNOWN_AUTHOR)
+
 
 def _parse_version(http: web.Request, name: str) -> int | None:
     text = http.query.get(name, "")
--- a/packages/entry/briardeal/commands/config.py
+++ b/packages/entry/briardeal/commands/config.py
@@ -24,10 +24,17 @@
     asyncio.run(_apply(OperatorClient(settings), file, expected_version))
 
 
+def replace_lost(settings: OperatorSettings, file: Path) -> None:
+    """Publish a file after the log has lost what led to the last version."""
+    asyncio.run(_put(OperatorClient(settings), "/v1/configuration/lost", file))
+
+
 def show(settings: OperatorSettings) -> None:
     """Print what is in force as YAML."""
     shown = _get(settings, "/v1/configuration")
     click.echo(f"# version {shown['version']} by {shown['author'] or 'nobody'}")
+    if shown["unreadable_version"] is not None:
+        click.echo(f"# version {shown['unreadable_version']} is too new for this entry")
     click.echo(msgspec.yaml.encode(shown["configuration"]).decode(), nl=False)
 
 
@@ -48,7 +55,10 @@
     if expected_version is None:
         shown = _or_exit(await client.get("/v1/configuration"))
         expected_version = shown["version"]
-    path = f"/v1/configuration?expected_version={expected_version}"
+    await _put(client, f"/v1/configuration?expected_version={expected_version}", file)
+
+
+async def _put(client: OperatorClient, path: str, file: Path) -> None:
     accepted = _or_exit(await client.put(path, file.read_text()))
     click.echo(f"Accepted as version {accepted['version']}.")
 
--- a/tests/entry/api/test_configuration.py
+++ b/tests/entry/api/test_configuration.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
+from briardeal.commands import config as command
+from briardeal.operators import OperatorClient, OperatorSettings
+
 pytestmark = pytest.mark.looptime
 
 FILE = "classes: [{name: sampling, finish_within_s: 600}]\n"
@@ -48,3 +53,25 @@
     assert "line 1" in refusal["message"]
     assert "line 2" in refusal["message"]
     assert (await (await client.get("/v1/configuration")).json())["version"] == 0
+
+
+async def test_a_lost_configuration_is_replaced_only_where_records_are_missing(
+    entry, client, tmp_path, capsys
+):
+    file = tmp_path / "file.yaml"
+    file.write_text(OTHER)
+    server = f"{client.host}:{client.port}"
+    operator = OperatorClient(OperatorSettings(entry=server, author="boris"))
+    path = "/v1/configuration/lost"
+    _, first = await apply(client, FILE, 0, "ana")
+    assert (await operator.put(path, OTHER)).reason == "configuration_not_lost"
+    store = entry.configuration
+    store.follower.snapshots.log.store.drop_before("configuration", first["version"])
+    store.follower.reader.seek(0)
+    await asyncio.sleep(10)
+    assert (await apply(client, OTHER, first["version"], "ana"))[1]["reason"] == "log_gap"
+    assert (await operator.put(path, WRONG)).reason == "configuration_invalid"
+    await command._put(operator, path, file)
+    assert capsys.readouterr().out == "Accepted as version 2.\n"
+    shown = await operator.get("/v1/configuration")
+    assert (shown["version"], shown["author"], shown["unreadable_version"]) == (2, "boris", None)
