Spread the configuration by the heartbeats between entries alone

Cause: two exchanges did the same work. The core one polled every peer about once a second, and no program ran it; the one on the heartbeats between entries is wired into the entry.

Change: the core exchange, its protocol and `newer_than` are gone. New tests drive real entries: an entry cut from the log, one restarted in an outage, and a stale region.

Conclusion: one exchange, tested on real entries, within the target of 6 s.

--- a/packages/core/briardeal_core/configuration/store/__init__.py
+++ b/packages/core/briardeal_core/configuration/store/__init__.py
@@ -2,11 +2,6 @@
 
 from briardeal_core.configuration.store._archive import ConfigurationArchive
 from briardeal_core.configuration.store._diff import describe_changes
-from briardeal_core.configuration.store._exchange import (
-    ConfigurationExchange,
-    ConfigurationPeer,
-    PeerUnavailable,
-)
 from briardeal_core.configuration.store._outcomes import (
     Accepted,
     ConfigurationStatus,
@@ -25,15 +20,12 @@
     "CONFIGURATION_SCHEMA",
     "Accepted",
     "ConfigurationArchive",
-    "ConfigurationExchange",
-    "ConfigurationPeer",
     "ConfigurationPublished",
     "ConfigurationStatus",
     "ConfigurationStore",
     "ConfigurationView",
     "Conflict",
     "HistoryItem",
-    "PeerUnavailable",
     "VersionedConfiguration",
     "describe_changes",
 ]
--- a/packages/core/briardeal_core/configuration/store/_store.py
+++ b/packages/core/briardeal_core/configuration/store/_store.py
@@ -182,11 +182,6 @@
         knows_log = self.follower.sound and newest.version == self.view.version
         return msgspec.structs.replace(newest, folded_to=self.follower.offset if knows_log else 0)
 
-    async def newer_than(self, version: int) -> VersionedConfiguration | None:
-        """Return what is in force for a peer that has a given version, or `None`."""
-        newest = self.newest()
-        return None if newest is None or newest.version <= version else newest
-
     @property
     def wanted_version(self) -> int:
         """The version that peers should better; one less where their log position helps too."""
--- /dev/null
+++ b/tests/entry/structure/test_configuration.py
@@ -0,0 +1,81 @@
+"""A configuration reaches every entry through its peers, and none goes back."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+import pytest
+
+from briardeal_core.configuration import Configuration, JobClass
+from briardeal_core.configuration.store import Accepted, VersionedConfiguration
+from briardeal_standins.deployment import Deployment
+
+pytestmark = pytest.mark.looptime
+
+ENTRIES = {"a": "koper", "b": "koper", "c": "maribor"}
+IN_FORCE_WITHIN_S = 6.0
+
+
+def create_configuration(number):
+    return Configuration(classes=(JobClass(name="c", finish_within_s=number),))
+
+
+async def change(deployment, name, number):
+    store = deployment.running[name].configuration
+    outcome = await store.apply(create_configuration(number), store.version, "ann")
+    assert isinstance(outcome, Accepted), outcome
+    return outcome.version
+
+
+def versions(deployment):
+    return {name: entry.configuration.version for name, entry in deployment.running.items()}
+
+
+@pytest.mark.parametrize("cut", ["b", "c"])
+async def test_an_entry_cut_from_the_log_has_a_change_in_time(cut):
+    async with Deployment(ENTRIES) as deployment:
+        deployment.cut_log(cut)
+        for number in range(1, 4):
+            version = await change(deployment, "a", number)
+            await asyncio.sleep(IN_FORCE_WITHIN_S)
+            assert versions(deployment) == dict.fromkeys("abc", version)
+            store = deployment.running[cut].configuration
+            assert store.configuration == create_configuration(number)
+        assert store.view.version < version
+
+
+async def test_an_entry_that_restarts_in_an_outage_takes_the_version_from_peers():
+    async with Deployment(ENTRIES) as deployment:
+        await change(deployment, "a", 1)
+        version = await change(deployment, "a", 2)
+        await asyncio.sleep(IN_FORCE_WITHIN_S)
+        deployment.cut_log()
+        await deployment.kill_entry("c")
+        restarted = await deployment.start_entry("c")
+        seen = []
+        restarted.configuration.subscribe(lambda offered, _: seen.append(offered.version))
+        await asyncio.sleep(2 * IN_FORCE_WITHIN_S)
+        assert seen == [version]
+        deployment.cut_log(down=False)
+        await asyncio.sleep(3600)
+        assert seen == [version]
+        assert restarted.configuration.follower.sound
+
+
+async def test_a_stale_peer_never_reverts_the_others():
+    async with Deployment(ENTRIES) as deployment:
+        first = await change(deployment, "a", 1)
+        await asyncio.sleep(IN_FORCE_WITHIN_S)
+        deployment.isolate("maribor")
+        stale = deployment.running["c"].peers.hooks.configuration.value()
+        assert msgspec.msgpack.decode(stale, type=VersionedConfiguration).version == first
+        second = await change(deployment, "b", 2)
+        await asyncio.sleep(60)
+        assert versions(deployment) == {"a": second, "b": second, "c": first}
+        deployment.running["a"].peers.hooks.configuration.offer(second + 1, stale)
+        assert versions(deployment)["a"] == second
+        deployment.heal()
+        deployment.cut_log("c")
+        await asyncio.sleep(2 * IN_FORCE_WITHIN_S)
+        assert versions(deployment) == dict.fromkeys("abc", second)
