Tell the load of real entries, and test requests between them

Cause: the entry asked its job board for `waiting()`, which the board no longer has. The error ended each exchange of state in a task of its own, so that no entry ever learned the members or services of another region: a service of the other region was refused with no_endpoint, and a key issued in the other region was unknown. Tests of the parts did not see it, since they use a fake for the rest of the entry.

Change: the entry counts the waiting jobs of its region from the board. New tests run requests through real entries of two regions with agents and endpoints: a key through other entries, a home that is dead or came back, a service of the other region alone, a region cut off, a shutdown.

Conclusion: routing between regions works in the program, not only in its parts.

--- a/packages/entry/briardeal/structure/_entry.py
+++ b/packages/entry/briardeal/structure/_entry.py
@@ -17,6 +17,7 @@
 from briardeal_core.clock import WallClock
 from briardeal_core.configuration.store import ConfigurationStore
 from briardeal_core.events import Event, log_event
+from briardeal_core.jobs import JobState
 from briardeal_core.log import AppendBudget
 from briardeal_core.metrics import Metrics
 from briardeal_protocol.messages import EntryHello
@@ -167,13 +168,15 @@
             handler=self.gateway,
             configuration=StoredConfiguration(self.configuration),
             log_status=ReadLog(self.jobs.ownership),
-            loads=AgentLoads(
-                self.table, lambda: len(self.board.waiting()), settings.failure_domain
-            ),
+            loads=AgentLoads(self.table, self._count_waiting, settings.failure_domain),
             entries_changed=self.agents.set_entries,
         )
         return PeerService(myself, network, settings.peers, hooks, self.rng, self.metrics)
 
+    def _count_waiting(self) -> int:
+        jobs = self.board.of_region(self.settings.region)
+        return sum(view.state is JobState.WAITING for view in jobs)
+
     def known_workers(self) -> list[WorkerShape]:
         """Return the workers that configuration is checked against."""
         return [entry.hello.worker.shape for entry in self.table.workers()]
--- /dev/null
+++ b/tests/entry/structure/test_gateway.py
@@ -0,0 +1,97 @@
+"""Requests find their way between real entries, and run no more often than told."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from briardeal.requests import Answer, Request
+from briardeal_core.reasons import Reason, RunState
+from briardeal_standins.deployment import Deployment
+
+pytestmark = pytest.mark.looptime
+
+ENTRIES = {"a": "koper", "b": "koper", "c": "maribor"}
+ANNOUNCED_S = 10.0
+DEADLINE_S = 20.0
+
+
+async def send(deployment, name, *, key="", body=b"draw"):
+    deadline_s = asyncio.get_running_loop().time() + DEADLINE_S
+    request = Request("sampling", "audit", body, "text/plain", deadline_s, not key, key)
+    return await deployment.running[name].handle(request)
+
+
+def issue_key(deployment, name):
+    return str(deployment.running[name].keys.issue())
+
+
+async def test_a_key_through_another_entry_gets_the_same_answer():
+    async with Deployment(ENTRIES) as deployment:
+        endpoint = await deployment.add_endpoint("vm", "sampling", "koper")
+        await asyncio.sleep(ANNOUNCED_S)
+        key = issue_key(deployment, "a")
+        first = await send(deployment, "a", key=key)
+        assert first == Answer(200, b"draw", "text/plain")
+        for other in ("b", "c"):
+            assert await send(deployment, other, key=key) == first
+        assert len(endpoint.runs) == 1
+        mixed_up = await send(deployment, "b", key=key, body=b"another")
+        assert mixed_up.reason is Reason.KEY_MISMATCH
+
+
+@pytest.mark.parametrize(
+    ("home_returns", "reason"), [(False, Reason.ENTRY_UNREACHABLE), (True, Reason.KEY_HOME_LOST)]
+)
+async def test_a_dead_home_is_unknown_and_nothing_runs_twice(home_returns, reason):
+    async with Deployment(ENTRIES) as deployment:
+        endpoint = await deployment.add_endpoint("vm", "sampling", "koper")
+        await asyncio.sleep(ANNOUNCED_S)
+        key = issue_key(deployment, "a")
+        assert isinstance(await send(deployment, "b", key=key), Answer)
+        await deployment.kill_entry("a")
+        at_once = await send(deployment, "b", key=key)
+        assert at_once.run_state is RunState.UNKNOWN
+        if home_returns:
+            await deployment.start_entry("a")
+        await asyncio.sleep(ANNOUNCED_S)
+        later = await send(deployment, "b", key=key)
+        assert (later.reason, later.run_state) == (reason, RunState.UNKNOWN)
+        assert len(endpoint.runs) == 1
+
+
+@pytest.mark.parametrize("keyed", [False, True])
+async def test_a_service_of_the_other_region_alone_is_answered_from_there(keyed):
+    async with Deployment(ENTRIES) as deployment:
+        endpoint = await deployment.add_endpoint("vm", "sampling", "maribor")
+        await asyncio.sleep(ANNOUNCED_S)
+        key = issue_key(deployment, "a") if keyed else ""
+        for name in ("a", "b"):
+            assert await send(deployment, name, key=key) == Answer(200, b"draw", "text/plain")
+        assert len(endpoint.runs) == (1 if keyed else 2)
+        deployment.isolate("maribor")
+        await asyncio.sleep(ANNOUNCED_S)
+        refusal = await send(deployment, "a", key=issue_key(deployment, "a") if keyed else "")
+        assert (refusal.reason, refusal.run_state) == (Reason.NO_ENDPOINT, RunState.NOT_RUN)
+
+
+async def test_an_entry_that_shuts_down_finishes_what_it_holds_and_refuses_the_rest():
+    async with Deployment(ENTRIES) as deployment:
+        endpoint = await deployment.add_endpoint("vm", "sampling", "koper")
+        await asyncio.sleep(ANNOUNCED_S)
+        endpoint.work_s = lambda: 10.0
+        key = issue_key(deployment, "a")
+        held = asyncio.create_task(send(deployment, "a"))
+        homed = asyncio.create_task(send(deployment, "b", key=key))
+        await asyncio.sleep(1)
+        leaving = deployment.running["a"]
+        drained = asyncio.create_task(leaving.drain())
+        await asyncio.sleep(3)
+        refusal = await send(deployment, "a")
+        assert (refusal.reason, refusal.run_state) == (Reason.SHUTTING_DOWN, RunState.NOT_RUN)
+        assert (leaving.ready, len(endpoint.runs)) == (False, 2)
+        assert isinstance(await held, Answer)
+        assert isinstance(await homed, Answer)
+        await drained
+        assert isinstance(await send(deployment, "b"), Answer)
