Serve what the parts of an entry count as metrics

Change: the entry samples them when its metrics are asked for.

Conclusion: each is on /metrics of the entry. The agent still has its two counters only.

--- a/packages/core/briardeal_core/metrics/_metrics.py
+++ b/packages/core/briardeal_core/metrics/_metrics.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+import attrs
 from aioprometheus import Counter, Gauge, Registry
 from aioprometheus.formats import text
 
@@ -11,6 +12,23 @@
     from briardeal_core.reasons import Reason
 
 
+@attrs.frozen
+class MetricDescription:
+    """A metric as the documentation lists it.
+
+    Parameters
+    ----------
+    name, kind
+        Its name and whether it is a counter or a gauge.
+    meaning
+        One sentence.
+    """
+
+    name: str
+    kind: str
+    meaning: str
+
+
 class Metrics:
     """Metrics of one process.
 
@@ -43,6 +61,11 @@
         """Count one retry."""
         self.retries.inc({"reason": reason.code})
 
+    def describe(self) -> list[MetricDescription]:
+        """Return what each metric means, by name."""
+        found = sorted(self.registry.get_all(), key=lambda collector: collector.name)
+        return [MetricDescription(each.name, each.kind.name, each.doc) for each in found]
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return text.TextFormatter().marshall(self.registry)
--- a/packages/entry/briardeal/api/_health.py
+++ b/packages/entry/briardeal/api/_health.py
@@ -40,4 +40,4 @@
 
     async def metrics(self, request: web.Request) -> web.Response:
         """Return the metrics in the Prometheus text format."""
-        return web.Response(body=self.entry.metrics.render(), content_type="text/plain")
+        return web.Response(body=self.entry.render_metrics(), content_type="text/plain")
--- a/packages/entry/briardeal/structure/_entry.py
+++ b/packages/entry/briardeal/structure/_entry.py
@@ -13,6 +13,7 @@
 from briardeal.peers import AgentLoads, PeerHooks, PeerService
 from briardeal.requests import Admissions, Keys, Router
 from briardeal.structure._gateway import Gateway
+from briardeal.structure._readings import Readings
 from briardeal.structure._sources import PeerStates, ReadLog, StoredConfiguration
 from briardeal_core.clock import WallClock
 from briardeal_core.configuration.store import ConfigurationStore
@@ -116,6 +117,7 @@
         self.agents = AgentListener(network, settings.agent_listen, hello, self.table, self.jobs)
         self.peers = self._create_peers(peer_network)
         self.gateway.forwarder = self.peers.forwarder
+        self.readings = Readings(self)
         self.ready = False
 
     def on_init_dependencies(self) -> list[Service]:
@@ -154,6 +156,11 @@
         """Return the whole answer to a caller's request, or why there is none."""
         return await self.gateway.handle(request)
 
+    def render_metrics(self) -> bytes:
+        """Return all metrics of this moment in the Prometheus text format."""
+        self.readings.sample()
+        return self.metrics.render()
+
     def _create_peers(self, network: PeerNetwork | None) -> PeerService:
         settings = self.settings
         myself = Member(
--- a/packages/standins/briardeal_standins/pages.py
+++ b/packages/standins/briardeal_standins/pages.py
@@ -2,15 +2,27 @@
 
 from __future__ import annotations
 
+import asyncio
+import random
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import click
 
 from briardeal.config import EntrySettings
 from briardeal.operators import OperatorSettings
+from briardeal.structure import Entry
 from briardeal_agent.config import AgentSettings
+from briardeal_agent.structure import Agent
 from briardeal_core.catalogues import render_events, render_reasons
-from briardeal_core.settings import render_settings
+from briardeal_core.clock import WallClock
+from briardeal_core.settings import load_settings, render_settings
+from briardeal_protocol.connections import MemoryNetwork
+from briardeal_standins.endpoint import MemoryEndpointClient
+from briardeal_standins.log import MemoryLog
+
+if TYPE_CHECKING:
+    from briardeal_core.metrics import Metrics
 
 SETTINGS_HEAD = """# Settings
 
@@ -32,8 +44,43 @@
     return SETTINGS_HEAD + "\n".join(tables)
 
 
+METRICS_HEAD = """# Metrics
+
+Every process serves its metrics at `/metrics` in the Prometheus text format. `reason` is a code of
+the [reasons](reasons.md). Bytes between entries of different regions are those of
+`briardeal_peer_bytes_total` whose `region` is not that of the entry.
+
+"""
+
+
+def render_metrics_page() -> str:
+    """Return the page of metrics."""
+    return asyncio.run(_render_metrics())
+
+
+async def _render_metrics() -> str:
+    flags = {"region": "r", "failure_domain": "d", "log": "127.0.0.1:1", "entries": "127.0.0.1:1"}
+    entry_settings, _ = load_settings(EntrySettings, {**flags, "entry_id": "e"}, {})
+    agent_settings, _ = load_settings(AgentSettings, {**flags, "agent_id": "a"}, {})
+    clock, network = WallClock(0.0), MemoryNetwork()
+    entry = Entry(entry_settings, network, MemoryLog(), MemoryEndpointClient({}), clock)
+    agent = Agent(agent_settings, network, None, clock, random.Random())
+    tables = (
+        _render_metrics_table("The entry", entry.metrics),
+        _render_metrics_table("The agent", agent.metrics),
+    )
+    return METRICS_HEAD + "\n".join(tables)
+
+
+def _render_metrics_table(title: str, metrics: Metrics) -> str:
+    rows = [f"| `{each.name}` | {each.kind} | {each.meaning} |" for each in metrics.describe()]
+    head = [f"## {title}", "", "| Name | Kind | Meaning |", "| --- | --- | --- |"]
+    return "\n".join([*head, *rows]) + "\n"
+
+
 PAGES = {
     "events.md": render_events,
+    "metrics.md": render_metrics_page,
     "reasons.md": render_reasons,
     "settings.md": render_settings_page,
 }
