Let gangs stop work that is due earlier, try ten gangs a round, hurry what leaves

Cause: the rule that only later work makes room left gangs waiting; an urgent job waited behind a checkpoint that a gang had been content with. Change: room is made by smaller work, or by work with three times as long to go, whenever due; ten gangs are tried in a round; jobs are due after eight times their expected run; work that leaves is stopped in time for an urgent job that takes its VMs.

--- a/packages/scheduling/briardeal_scheduling/_round.py
+++ b/packages/scheduling/briardeal_scheduling/_round.py
@@ -14,7 +14,7 @@
     open_room,
     open_room_anywhere,
 )
-from briardeal_scheduling.queue import Hole, JobPhase, due_s, order_key
+from briardeal_scheduling.queue import Hole, JobPhase, order_key
 
 if TYPE_CHECKING:
     from briardeal_scheduling._state import State
@@ -42,7 +42,7 @@
 LONGER_FACTOR = 3.0
 """How much longer work of the same size must have left to make room for a gang."""
 
-GANGS_TRIED_LIMIT = 3
+GANGS_TRIED_LIMIT = 10
 """Gangs for which others may be asked to make room in one round."""
 
 MOST_LOST_SHARE = 0.05
@@ -75,7 +75,6 @@
         self.over_quota: set[str] = set()
         self.replanned = False
         self.preempting: Job | None = None
-        self.preempting_due_s = 0.0
         self.preempting_longest_s = 0.0
         self.gangs_tried = 0
 
@@ -312,7 +311,6 @@
         self.gangs_tried += 1
         prediction = self.state.predict(job, self.now_s)
         self.preempting = job
-        self.preempting_due_s = due_s(job, prediction)
         self.preempting_longest_s = LONGER_FACTOR * prediction.remaining_s(job.kept_s)
         pins = self._pins(job)
         opening = open_room_anywhere(
@@ -347,8 +345,6 @@
         if not lent or victim.leaving or victim.urgent or victim.phase is not JobPhase.RUNNING:
             return None
         prediction = self.state.predict(victim, self.now_s)
-        if due_s(victim, prediction) <= self.preempting_due_s:
-            return None
         smaller = victim.accelerators < self.preempting.accelerators
         longer = prediction.remaining_s(victim.elapsed_s(self.now_s)) > self.preempting_longest_s
         if not smaller and not longer:
@@ -434,12 +430,20 @@
             self._start(job, started)
             return
         limit_s = self._leave_limit_s(job)
+        self._hurry_leaving(workers, limit_s)
         for job_id in sorted(victims):
             self._preempt(self.state.table.jobs[job_id], job, limit_s, preempted)
         self.state.hold(job, placement)
         until_s = self.now_s + limit_s
         job.record.add(self.now_s, Cause.WAITS_FOR_RECLAIM, until_s, victims=len(victims))
 
+    def _hurry_leaving(self, workers: tuple[str, ...], limit_s: float) -> None:
+        """Let work that is leaving already be gone in time for the job that comes."""
+        leave_by_s = self.now_s + limit_s
+        for job in self.state.table.leaving.values():
+            if job.leave_by_s > leave_by_s and set(workers) & set(job.placement.workers):
+                job.leave_by_s = leave_by_s
+
     def _leave_limit_s(self, job: Job) -> float:
         if not job.urgent:
             return RECLAIM_LIMIT_S
--- a/packages/scheduling/briardeal_scheduling/queue/_order.py
+++ b/packages/scheduling/briardeal_scheduling/queue/_order.py
@@ -8,7 +8,7 @@
     from briardeal_scheduling.predictions import Prediction
     from briardeal_scheduling.queue._job import Job
 
-STRETCH = 4.0
+STRETCH = 8.0
 """How many times its run time a job should take in all, within the target of its class."""
 
 LEAST_DUE_S = 600.0
