Start urgent work before others that wait for the same VM; let gangs make room after a minute

Cause: an urgent job waited for the victims of another job on its VM; gangs waited five minutes. Change: an urgent job starts as soon as its own accelerators are free; work makes room after one minute; among equally cheap VMs a free one goes before one that is being cleared.

--- a/packages/scheduling/briardeal_scheduling/_round.py
+++ b/packages/scheduling/briardeal_scheduling/_round.py
@@ -36,7 +36,7 @@
 GANG_ACCELERATORS = 4
 """Accelerators from which a job counts as a gang that others make room for."""
 
-LEAST_RUN_S = 300.0
+LEAST_RUN_S = 60.0
 """Time for which work runs before it has to make room for a gang."""
 
 LONGER_FACTOR = 3.0
@@ -119,12 +119,21 @@
                 self._order_leave(job, PreemptMode.STOP, math.inf, Cause.CHECKPOINT_TOO_SLOW)
 
     def _start_opened(self) -> None:
-        workers = self.state.fleet.workers
-        for job in list(self.state.table.opening.values()):
-            if all(workers[worker_id].balance >= 0 for worker_id in job.placement.workers):
+        opening = sorted(self.state.table.opening.values(), key=lambda job: not job.urgent)
+        for job in opening:
+            if self._room_opened(job):
                 self.state.fill(job)
                 self._start(job, Cause.STARTED_AFTER_RECLAIM)
 
+    def _room_opened(self, job: Job) -> bool:
+        """Return whether a job's VMs are free; only urgent work goes ahead of others there."""
+        for worker_id in job.placement.workers:
+            worker = self.state.fleet.workers[worker_id]
+            free = worker.balance + (worker.held - job.placement.accelerators if job.urgent else 0)
+            if free < 0:
+                return False
+        return True
+
     def _in_order(self) -> list[Job]:
         ready = []
         for job in self.state.table.waiting.values():
--- a/packages/scheduling/briardeal_scheduling/placement/_victims.py
+++ b/packages/scheduling/briardeal_scheduling/placement/_victims.py
@@ -54,14 +54,15 @@
     for worker_id in workers:
         found = _clear(fleet, worker_id, number, cost_of)
         if found is not None:
-            options.append((found[0], worker_id, found[1]))
+            free = fleet.workers[worker_id].balance >= number
+            options.append((found[0], not free, worker_id, found[1]))
     if len(options) < tasks:
         return None
-    options.sort(key=lambda option: (option[0], len(option[2]), option[1]))
+    options.sort()
     chosen = options[:tasks]
-    victims = frozenset(job_id for _, _, leaving in chosen for job_id in leaving)
+    victims = frozenset(job_id for *_, leaving in chosen for job_id in leaving)
     cost = sum(cost_of(job_id) or 0.0 for job_id in victims)
-    return Opening([worker_id for _, worker_id, _ in chosen], victims, cost)
+    return Opening([worker_id for _, _, worker_id, _ in chosen], victims, cost)
 
 
 def open_room_anywhere(
