Split the round into moves, costs, claims and reservations

Cause: one module of five hundred lines; guarantees moved for pinned work in every round; the record of a waiting job was a list of alternating reasons. Change: a package of rounds with a module per concern; guarantees move for pinned work at most every ten seconds; a new reason to wait replaces the last one; waiting jobs are looked at every two minutes when nothing happens.

--- a/packages/scheduling/briardeal_scheduling/_scheduler.py
+++ b/packages/scheduling/briardeal_scheduling/_scheduler.py
@@ -5,12 +5,9 @@
 from typing import TYPE_CHECKING
 
 from briardeal_core.configuration import JobClass
-from briardeal_scheduling._admission import check_request
-from briardeal_scheduling._endings import end_attempt, lose_worker
-from briardeal_scheduling._round import Round
-from briardeal_scheduling._state import State
 from briardeal_scheduling.decisions import Cause, Preempt, PreemptMode, say_duration
 from briardeal_scheduling.queue import Job, JobPhase
+from briardeal_scheduling.rounds import Round, State, check_request, end_attempt, lose_worker
 
 if TYPE_CHECKING:
     from briardeal_core.configuration import Configuration
@@ -21,6 +18,9 @@
 FALLBACK_CLASS = JobClass(name="", finish_within_s=24 * 3600.0)
 """Targets of a running job whose class is no longer configured."""
 
+REVISIT_S = 120.0
+"""Time between rounds while jobs wait and nothing else happens."""
+
 NEVER_S = float("inf")
 
 
@@ -175,6 +175,8 @@
         times = [job.leave_by_s for job in state.table.leaving.values()]
         times += [job.retry_at_s for job in state.table.waiting.values()]
         times.append(state.evidence.next_trial_s())
+        if state.table.waiting:
+            times.append(now_s + REVISIT_S)
         return min((at_s for at_s in times if at_s > now_s), default=NEVER_S)
 
     def explain(self, job_id: str, now_s: float) -> list[str]:
--- a/packages/scheduling/briardeal_scheduling/decisions/_causes.py
+++ b/packages/scheduling/briardeal_scheduling/decisions/_causes.py
@@ -53,6 +53,11 @@
     )
     MARGIN_SHORT = "All guarantees hold, but not if {margin} more VM(s) fail."
 
+    @property
+    def waits(self) -> bool:
+        """Whether this is a reason to wait."""
+        return self.name.startswith("WAITS_")
+
     def say(self, **fields: object) -> str:
         """Return the sentence with its gaps filled."""
         return self.value.format(**fields)
--- a/packages/scheduling/briardeal_scheduling/decisions/_record.py
+++ b/packages/scheduling/briardeal_scheduling/decisions/_record.py
@@ -51,12 +51,13 @@
     def add(
         self, at_s: float, cause: Cause, until_s: float | None = None, **fields: object
     ) -> Entry:
-        """Record a decision; the same again replaces the entry before."""
-        if self.entries and self.entries[-1].cause is cause:
-            last = self.entries[-1]
+        """Record a decision; the same again, or another reason to wait, replaces the last."""
+        last = self.entries[-1] if self.entries else None
+        if last is not None and last.cause is cause:
             if last.until_s == until_s and last.fields == fields:
                 return last
             at_s = last.at_s
+        if last is not None and (last.cause is cause or (last.cause.waits and cause.waits)):
             self.entries.pop()
         entry = Entry(at_s, cause, fields, until_s)
         self.entries.append(entry)
--- a/packages/scheduling/briardeal_scheduling/_admission.py
+++ b/packages/scheduling/briardeal_scheduling/rounds/_admission.py
@@ -13,8 +13,8 @@
 
 if TYPE_CHECKING:
     from briardeal_core.jobs import JobRequest, WorkerShape
-    from briardeal_scheduling._state import State
     from briardeal_scheduling.guarantees import Plan
+    from briardeal_scheduling.rounds._state import State
 
 
 def check_request(state: State, request: JobRequest) -> Refusal | None:
--- /dev/null
+++ b/packages/scheduling/briardeal_scheduling/rounds/_claims.py
@@ -0,0 +1,85 @@
+"""Jobs that are served from the guarantee of their customer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from briardeal_scheduling.decisions import Cause
+from briardeal_scheduling.placement import open_room
+
+if TYPE_CHECKING:
+    from briardeal_scheduling.guarantees import Booking
+    from briardeal_scheduling.placement import Opening
+    from briardeal_scheduling.queue import Job
+    from briardeal_scheduling.rounds._costs import Costs
+    from briardeal_scheduling.rounds._moves import Moves
+    from briardeal_scheduling.rounds._reservations import Reservations
+    from briardeal_scheduling.rounds._state import State
+
+
+class Claims:
+    """Takes lent VMs back for the jobs that they are guaranteed to."""
+
+    def __init__(
+        self, state: State, moves: Moves, costs: Costs, reservations: Reservations
+    ) -> None:
+        self.state = state
+        self.moves = moves
+        self.costs = costs
+        self.reservations = reservations
+
+    def serve(self, job: Job, now_s: float) -> bool:
+        """Give a job VMs of its customer's guarantee, and return whether there were any."""
+        booking = self.state.ledger.booking_for(job.request)
+        if booking is None:
+            return False
+        opening = self._open_booking(job, booking, now_s)
+        if opening is None:
+            return False
+        if opening.victims:
+            opening = self._move_booking(job, booking, opening)
+        self.state.ledger.claim(job.job_id, booking, tuple(opening.workers))
+        cause = Cause.PREEMPTED_FOR_URGENT if job.urgent else Cause.PREEMPTED_FOR_GUARANTEE
+        self.moves.open(job, opening.workers, Cause.STARTED_IN_GUARANTEE, opening.victims, cause)
+        return True
+
+    def _open_booking(self, job: Job, booking: Booking, now_s: float) -> Opening | None:
+        avoided = self.state.avoided(job, now_s)
+        workers = [
+            worker_id
+            for worker_id in booking.unclaimed
+            if worker_id not in avoided and self.state.fleet.workers[worker_id].usable
+        ]
+        if len(workers) < job.request.tasks:
+            return None
+        self._drop_holds(workers)
+        return self._open_room(job, workers)
+
+    def _open_room(self, job: Job, workers: list[str]) -> Opening | None:
+        request = job.request
+        need = request.accelerators_per_task
+        return open_room(self.state.fleet, workers, request.tasks, need, self.costs.reclaim)
+
+    def _drop_holds(self, workers: list[str]) -> None:
+        """Let jobs outside guarantees wait again that wait for room in a guarantee."""
+        wanted = set(workers)
+        for job in list(self.state.table.opening.values()):
+            outside = job.job_id not in self.state.ledger.by_job
+            if outside and not job.pins and wanted & set(job.placement.workers):
+                self.state.requeue(job)
+
+    def _move_booking(self, job: Job, booking: Booking, opening: Opening) -> Opening:
+        """Take free VMs into a guarantee in place of those that others would have to leave."""
+        fleet = self.state.fleet
+        need = booking.guarantee.accelerators_per_vm
+        closed = self.reservations.closed_to(job)
+        workers = list(opening.workers)
+        for position, source in enumerate(workers):
+            if fleet.workers[source].balance >= job.request.accelerators_per_task:
+                continue
+            group = fleet.groups[source][booking.guarantee.adjacency]
+            targets = (vm for _, bucket in fleet.room.ascending(group, need) for vm in bucket)
+            target = next((vm for vm in targets if vm not in closed), None)
+            if target and self.state.ledger.move(fleet, booking, source, target):
+                workers[position] = target
+        return self._open_room(job, workers)
--- /dev/null
+++ b/packages/scheduling/briardeal_scheduling/rounds/_costs.py
@@ -0,0 +1,59 @@
+"""What it costs to take VMs back from running work, and from which work it may be done."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from briardeal_scheduling.queue import JobPhase
+from briardeal_scheduling.rounds._moves import RECLAIM_LIMIT_S
+
+if TYPE_CHECKING:
+    from briardeal_scheduling.queue import Job
+    from briardeal_scheduling.rounds._state import State
+
+LEAST_RUN_S = 60.0
+"""Time for which work runs before it has to make room for a gang."""
+
+LONGER_FACTOR = 3.0
+"""How much longer work of the same size must have left to make room for a gang."""
+
+
+class Costs:
+    """Costs of preemption at one moment, in accelerator seconds; `None` where it is not allowed."""
+
+    def __init__(self, state: State, now_s: float) -> None:
+        self.state = state
+        self.now_s = now_s
+
+    def reclaim(self, job_id: str) -> float | None:
+        """Return the cost of taking back what a guarantee lent to a job."""
+        job = self.state.table.jobs[job_id]
+        if not self._lent(job):
+            return None
+        return job.unsaved_s(self.now_s) * job.accelerators
+
+    def reclaim_for_urgent(self, job_id: str) -> float | None:
+        """Return the cost of stopping a job for an urgent one outside any guarantee."""
+        if self.state.table.jobs[job_id].urgent:
+            return None
+        return self.reclaim(job_id)
+
+    def make_room(self, job_id: str, gang: Job, gang_remaining_s: float) -> float | None:
+        """Return the cost of a checkpoint, for work that is smaller or has much longer to go."""
+        job = self.state.table.jobs[job_id]
+        if not self._lent(job) or job.urgent or job.phase is not JobPhase.RUNNING:
+            return None
+        if self.now_s - job.started_s < LEAST_RUN_S:
+            return None
+        if job.accelerators >= gang.accelerators:
+            prediction = self.state.predict(job, self.now_s)
+            remaining_s = prediction.remaining_s(job.elapsed_s(self.now_s))
+            if remaining_s <= LONGER_FACTOR * gang_remaining_s:
+                return None
+        request = job.request
+        checkpoint_s = self.state.history.checkpoint_s(request.customer, request.job_class)
+        return min(RECLAIM_LIMIT_S, checkpoint_s) * job.accelerators
+
+    def _lent(self, job: Job) -> bool:
+        claimed = job.job_id in self.state.ledger.by_job
+        return job.preemptible and not claimed and not job.leaving
--- a/packages/scheduling/briardeal_scheduling/_endings.py
+++ b/packages/scheduling/briardeal_scheduling/rounds/_endings.py
@@ -15,9 +15,9 @@
 )
 
 if TYPE_CHECKING:
-    from briardeal_scheduling._state import State
     from briardeal_scheduling.decisions import Decision, Outcome
     from briardeal_scheduling.queue import Job
+    from briardeal_scheduling.rounds._state import State
 
 NOT_STARTED_RETRY_S = 1.0
 """Time until a job is placed again after a member could not be reserved."""
--- /dev/null
+++ b/packages/scheduling/briardeal_scheduling/rounds/_moves.py
@@ -0,0 +1,145 @@
+"""Starts and preemptions, noted in the state as they are decided."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from briardeal_core.configuration import Adjacency
+from briardeal_scheduling.decisions import Cause, Placement, Preempt, PreemptMode, Start
+from briardeal_scheduling.queue import JobPhase
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from briardeal_scheduling.decisions import Decision
+    from briardeal_scheduling.queue import Job
+    from briardeal_scheduling.rounds._state import State
+
+RECLAIM_LIMIT_S = 60.0
+"""Time for work to write its checkpoint when its VMs are asked for."""
+
+URGENT_RESERVE_S = 0.4
+"""Part of the target for an urgent start that is left for stopping and starting."""
+
+
+class Moves:
+    """The decisions of a round so far.
+
+    Parameters
+    ----------
+    state
+        Where they are noted.
+    now_s
+        The time now, in seconds.
+    """
+
+    def __init__(self, state: State, now_s: float) -> None:
+        self.state = state
+        self.now_s = now_s
+        self.decisions: list[Decision] = []
+
+    def open(
+        self,
+        job: Job,
+        workers: Collection[str],
+        started: Cause,
+        victims: Collection[str] = (),
+        preempted: Cause = Cause.PREEMPTED_FOR_TARGET,
+    ) -> None:
+        """Start a job on its VMs, or keep them for it until others have left.
+
+        Parameters
+        ----------
+        job, workers
+            The job, and one VM for each of its tasks.
+        started
+            Why it starts there.
+        victims, preempted
+            Jobs that have to leave first, and why.
+        """
+        accelerators = job.request.accelerators_per_task
+        placement = Placement(tuple(workers), accelerators)
+        if all(self.state.fleet.workers[vm].balance >= accelerators for vm in workers):
+            self.state.occupy(job, placement)
+            self._start(job, started)
+            return
+        limit_s = self._leave_limit_s(job)
+        self._hurry_leaving(placement.workers, limit_s)
+        for job_id in sorted(victims):
+            self._preempt(self.state.table.jobs[job_id], job, limit_s, preempted)
+        self.state.hold(job, placement)
+        until_s = self.now_s + limit_s
+        job.record.add(self.now_s, Cause.WAITS_FOR_RECLAIM, until_s, victims=len(victims))
+
+    def start_opened(self) -> None:
+        """Start the jobs whose VMs others have left."""
+        opening = sorted(self.state.table.opening.values(), key=lambda job: not job.urgent)
+        for job in opening:
+            if self._room_opened(job):
+                self.state.fill(job)
+                self._start(job, Cause.STARTED_AFTER_RECLAIM)
+
+    def stop_slow_checkpoints(self) -> None:
+        """Stop work that has not written its checkpoint in time."""
+        for job in list(self.state.table.leaving.values()):
+            if job.leaving is PreemptMode.CHECKPOINT and job.leave_by_s <= self.now_s:
+                self._order_leave(job, PreemptMode.STOP, math.inf, Cause.CHECKPOINT_TOO_SLOW)
+
+    def _room_opened(self, job: Job) -> bool:
+        """Return whether a job's VMs are free; only urgent work goes ahead of others there."""
+        for worker_id in job.placement.workers:
+            worker = self.state.fleet.workers[worker_id]
+            free = worker.balance + (worker.held - job.placement.accelerators if job.urgent else 0)
+            if free < 0:
+                return False
+        return True
+
+    def _start(self, job: Job, cause: Cause) -> None:
+        job.phase = JobPhase.STARTING
+        job.attempt += 1
+        job.hole = None
+        self.state.table.file(job)
+        first = job.placement.workers[0]
+        entry = job.record.add(
+            self.now_s,
+            cause,
+            vms=len(job.placement.workers),
+            place=self.state.fleet.groups[first][Adjacency.RACK].path,
+            customer=job.request.customer,
+        )
+        explanation = entry.say(self.now_s)
+        self.decisions.append(Start(job.job_id, job.attempt, job.placement, explanation))
+
+    def _hurry_leaving(self, workers: Collection[str], limit_s: float) -> None:
+        """Let work that is leaving already be gone in time for the job that comes."""
+        leave_by_s = self.now_s + limit_s
+        for job in self.state.table.leaving.values():
+            if job.leave_by_s > leave_by_s and set(workers) & set(job.placement.workers):
+                job.leave_by_s = leave_by_s
+
+    def _leave_limit_s(self, job: Job) -> float:
+        if not job.urgent:
+            return RECLAIM_LIMIT_S
+        left_s = job.accepted_s + job.job_class.start_within_s - self.now_s
+        return max(0.0, left_s - URGENT_RESERVE_S)
+
+    def _preempt(self, victim: Job, job: Job, limit_s: float, cause: Cause) -> None:
+        request = victim.request
+        checkpoint_s = self.state.history.checkpoint_s(request.customer, request.job_class)
+        in_time = checkpoint_s <= limit_s or not job.urgent
+        mode = PreemptMode.CHECKPOINT if in_time else PreemptMode.STOP
+        leave_by_s = self.now_s + limit_s if in_time else math.inf
+        self._order_leave(victim, mode, leave_by_s, cause, customer=job.request.customer)
+
+    def _order_leave(
+        self, job: Job, mode: PreemptMode, leave_by_s: float, cause: Cause, **fields: object
+    ) -> None:
+        if job.leaving is None:
+            job.left_at_s = self.now_s
+            self.state.fleet.leave(job.placement)
+        job.leaving = mode
+        job.leave_by_s = leave_by_s
+        self.state.table.file(job)
+        entry = job.record.add(self.now_s, cause, **fields)
+        self.decisions.append(Preempt(job.job_id, mode, entry.say(self.now_s)))
--- /dev/null
+++ b/packages/scheduling/briardeal_scheduling/rounds/_reservations.py
@@ -0,0 +1,66 @@
+"""VMs that are kept for large jobs during a round."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from briardeal_scheduling.placement import Need, find_hole
+
+if TYPE_CHECKING:
+    from briardeal_scheduling.queue import Hole, Job
+    from briardeal_scheduling.rounds._state import State
+
+HOLE_LIMIT = 2
+"""Jobs that VMs are kept for at a time."""
+
+HOLE_TTL_S = 600.0
+"""How long kept VMs stay the same while better ones may have come up."""
+
+
+class Reservations:
+    """The kept VMs, filled in the order in which jobs are served."""
+
+    def __init__(self, state: State, now_s: float) -> None:
+        self.state = state
+        self.now_s = now_s
+        self.holes: list[Hole] = []
+
+    @property
+    def workers(self) -> set[str]:
+        """All VMs that are kept."""
+        return {worker_id for hole in self.holes for worker_id in hole.workers}
+
+    def keep(self, job: Job) -> Hole | None:
+        """Keep VMs for a job that can't start, where there are not enough such jobs yet."""
+        if not job.accelerators or len(self.holes) >= HOLE_LIMIT:
+            return None
+        if job.hole is None or self.now_s - job.hole.made_s > HOLE_TTL_S:
+            job.hole = find_hole(
+                self.state.fleet,
+                Need.of(job.request),
+                self._expected_end_s,
+                self.now_s,
+                self.workers | self.state.avoided(job, self.now_s),
+                unbooked=not job.preemptible,
+            )
+        if job.hole is not None:
+            self.holes.append(job.hole)
+        return job.hole
+
+    def closed_to(self, job: Job) -> set[str]:
+        """Return VMs kept for others that a job would not leave in time.
+
+        Work that can be preempted may use them all: it leaves when the larger job is to start.
+        """
+        if not self.holes or job.preemptible:
+            return set()
+        prediction = self.state.predict(job, self.now_s)
+        end_s = self.now_s + prediction.remaining_high_s(job.kept_s)
+        return {vm for hole in self.holes if end_s > hole.at_s for vm in hole.workers}
+
+    def _expected_end_s(self, job_id: str) -> float:
+        job = self.state.table.jobs[job_id]
+        if job.leaving:
+            return self.now_s
+        prediction = self.state.predict(job, self.now_s)
+        return self.now_s + prediction.remaining_s(job.elapsed_s(self.now_s))
--- /dev/null
+++ b/packages/scheduling/briardeal_scheduling/rounds/_round.py
@@ -0,0 +1,240 @@
+"""One decision round."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from briardeal_scheduling.decisions import Cause, Placement
+from briardeal_scheduling.placement import Need, choose_workers, open_room_anywhere
+from briardeal_scheduling.queue import order_key
+from briardeal_scheduling.rounds._claims import Claims
+from briardeal_scheduling.rounds._costs import Costs
+from briardeal_scheduling.rounds._moves import Moves
+from briardeal_scheduling.rounds._reservations import Reservations
+
+if TYPE_CHECKING:
+    from briardeal_scheduling.decisions import Decision
+    from briardeal_scheduling.fleet import CapacityIndex
+    from briardeal_scheduling.placement import Opening
+    from briardeal_scheduling.queue import Job
+    from briardeal_scheduling.rounds._state import State
+
+MARGIN_RETRY_S = 60.0
+"""Time until the guarantees are planned again to bring the failure margin back."""
+
+MOVE_INTERVAL_S = 10.0
+"""Time between plans that move guarantees for the sake of work that can't be preempted."""
+
+GANG_ACCELERATORS = 4
+"""Accelerators from which a job counts as a gang that others make room for."""
+
+GANGS_TRIED_LIMIT = 10
+"""Gangs for which others may be asked to make room in one round."""
+
+MOST_LOST_SHARE = 0.05
+"""Most that may be lost to make room for a gang, as a part of its own work."""
+
+
+class Round:
+    """The decisions of one moment.
+
+    Parameters
+    ----------
+    state
+        What they are taken from, and where they are noted.
+    now_s
+        The time now, in seconds.
+    """
+
+    def __init__(self, state: State, now_s: float) -> None:
+        self.state = state
+        self.now_s = now_s
+        self.moves = Moves(state, now_s)
+        self.costs = Costs(state, now_s)
+        self.reservations = Reservations(state, now_s)
+        self.claims = Claims(state, self.moves, self.costs, self.reservations)
+        self.no_room: set[tuple[object, ...]] = set()
+        self.over_quota: set[str] = set()
+        self.gangs_tried = 0
+
+    def run(self) -> list[Decision]:
+        """Take and return all decisions."""
+        self._try_set_aside_workers()
+        if self._plan_due():
+            self._replan()
+        self.moves.stop_slow_checkpoints()
+        self.moves.start_opened()
+        for job in self._in_order():
+            self._serve(job)
+        return self.moves.decisions
+
+    def _try_set_aside_workers(self) -> None:
+        for worker_id in self.state.evidence.due_for_trial(self.now_s):
+            self.state.fleet.set_usable(worker_id, usable=True)
+            self.state.ledger.stale = True
+
+    def _plan_due(self) -> bool:
+        ledger = self.state.ledger
+        waited = self.now_s - self.state.planned_s >= MARGIN_RETRY_S
+        return ledger.stale or (ledger.margin_stale and waited)
+
+    def _replan(self) -> None:
+        """Plan the guarantees again; no job may wait for VMs that they are short of."""
+        ledger = self.state.ledger
+        self.state.planned_s = self.now_s
+        ledger.replan(self.state.fleet)
+        if ledger.whole:
+            return
+        for job in list(self.state.table.opening.values()):
+            if job.pins:
+                self.state.requeue(job)
+                ledger.stale = True
+        if ledger.stale:
+            ledger.replan(self.state.fleet)
+
+    def _in_order(self) -> list[Job]:
+        ready = []
+        for job in self.state.table.waiting.values():
+            if job.retry_at_s > self.now_s:
+                self._note_retry(job)
+                continue
+            ready.append((order_key(job, self.state.predict(job, self.now_s)), job))
+        ready.sort(key=lambda pair: pair[0])
+        return [job for _, job in ready]
+
+    def _serve(self, job: Job) -> None:
+        """Start a job, make room for it, or note what it waits for."""
+        if not self._within_quota(job):
+            return
+        if self.claims.serve(job, self.now_s) or self._start_on_free(job):
+            return
+        if self._make_room_for_urgent(job) or self._make_room_for_gang(job):
+            return
+        self._keep_waiting(job)
+
+    def _within_quota(self, job: Job) -> bool:
+        if not job.accelerators:
+            return True
+        name = job.request.customer
+        customer = self.state.customers.get(name)
+        quota = customer.quota_accelerators if customer else None
+        held = self.state.table.held[name]
+        if quota is None or (name not in self.over_quota and held + job.accelerators <= quota):
+            return True
+        self.over_quota.add(name)
+        job.record.add(self.now_s, Cause.WAITS_FOR_QUOTA, customer=name, held=held, quota=quota)
+        return False
+
+    def _start_on_free(self, job: Job) -> bool:
+        fleet = self.state.fleet
+        need = Need.of(job.request)
+        index = self._index_for(job)
+        avoided = self.state.avoided(job, self.now_s)
+        closed = self.reservations.closed_to(job)
+        key = (need, id(index), frozenset(closed))
+        if not avoided and key in self.no_room:
+            return False
+        workers = choose_workers(fleet, index, need, avoided | closed)
+        if workers is None:
+            if not avoided:
+                self.no_room.add(key)
+            return self._move_guarantees_for(job, need, avoided | closed)
+        placement = Placement(tuple(workers), job.request.accelerators_per_task)
+        if _pins(job) and not self.state.ledger.allows_pinned(fleet, placement):
+            return self._move_guarantees_for(job, need, avoided | closed)
+        ahead = self.reservations.workers.intersection(workers)
+        cause = Cause.STARTED_AHEAD_OF_HOLE if ahead else Cause.STARTED_ON_FREE
+        self.moves.open(job, workers, cause)
+        return True
+
+    def _move_guarantees_for(self, job: Job, need: Need, avoid: set[str]) -> bool:
+        """Move bookings so that work which can't be preempted may start."""
+        fleet = self.state.fleet
+        if not _pins(job) or self.now_s - self.state.moved_s < MOVE_INTERVAL_S:
+            return False
+        if choose_workers(fleet, fleet.free, need, avoid) is None:
+            return False
+        self.state.moved_s = self.now_s
+        free = fleet.free.numbers.items()
+        allowed = {vm for vm, number in free if number >= need.number} - avoid
+        placement = self.state.ledger.replan_beside(fleet, job.request, frozenset(allowed))
+        if placement is None:
+            return False
+        self.moves.open(job, placement.workers, Cause.STARTED_ON_FREE)
+        return True
+
+    def _make_room_for_urgent(self, job: Job) -> bool:
+        """Stop what loses least, so that urgent work outside a guarantee starts."""
+        if not job.urgent or not job.accelerators:
+            return False
+        opening = open_room_anywhere(
+            self.state.fleet,
+            Need.of(job.request),
+            self.costs.reclaim_for_urgent,
+            self.state.avoided(job, self.now_s),
+            unbooked=_pins(job),
+        )
+        return self._open(job, opening, Cause.PREEMPTED_FOR_URGENT)
+
+    def _make_room_for_gang(self, job: Job) -> bool:
+        """Stop work that finds room elsewhere sooner, or has much longer to go, for a gang."""
+        need = Need.of(job.request)
+        if job.accelerators < GANG_ACCELERATORS or self.gangs_tried >= GANGS_TRIED_LIMIT:
+            return False
+        self.gangs_tried += 1
+        prediction = self.state.predict(job, self.now_s)
+        remaining_s = prediction.remaining_s(job.kept_s)
+        opening = open_room_anywhere(
+            self.state.fleet,
+            need,
+            lambda job_id: self.costs.make_room(job_id, job, remaining_s),
+            self.state.avoided(job, self.now_s) | self.reservations.closed_to(job),
+            unbooked=_pins(job),
+        )
+        if opening is None or opening.cost > MOST_LOST_SHARE * remaining_s * job.accelerators:
+            return False
+        return self._open(job, opening, Cause.PREEMPTED_FOR_TARGET)
+
+    def _open(self, job: Job, opening: Opening | None, preempted: Cause) -> bool:
+        if opening is None:
+            return False
+        placement = Placement(tuple(opening.workers), job.request.accelerators_per_task)
+        if _pins(job) and not self.state.ledger.allows_pinned(self.state.fleet, placement):
+            return False
+        cause = Cause.STARTED_ON_FREE
+        self.moves.open(job, placement.workers, cause, opening.victims, preempted)
+        return True
+
+    def _keep_waiting(self, job: Job) -> None:
+        """Keep VMs for a job, or note what else it waits for."""
+        hole = self.reservations.keep(job)
+        if hole is None:
+            job.record.add(self.now_s, self._cause_of_waiting(job))
+            return
+        vms = job.request.tasks
+        job.record.add(self.now_s, Cause.WAITS_FOR_HOLE, hole.at_s, vms=vms, place=hole.place)
+
+    def _cause_of_waiting(self, job: Job) -> Cause:
+        fleet = self.state.fleet
+        if _pins(job) and choose_workers(fleet, fleet.free, Need.of(job.request)):
+            return Cause.WAITS_FOR_GUARANTEES
+        if self.reservations.closed_to(job):
+            return Cause.WAITS_BEHIND_HOLE
+        return Cause.WAITS_FOR_ROOM
+
+    def _note_retry(self, job: Job) -> None:
+        failed_on = sorted(self.state.evidence.failed_on(job.job_id))
+        if failed_on:
+            cause = Cause.WAITS_AFTER_FAILURE
+            job.record.add(self.now_s, cause, job.retry_at_s, worker=failed_on[-1])
+
+    def _index_for(self, job: Job) -> CapacityIndex:
+        fleet = self.state.fleet
+        if not job.request.accelerators_per_task:
+            return fleet.slots
+        return fleet.room if _pins(job) else fleet.free
+
+
+def _pins(job: Job) -> bool:
+    """Return whether a job would hold accelerators that it can't give back."""
+    return bool(job.accelerators) and not job.preemptible
--- a/packages/scheduling/briardeal_scheduling/_state.py
+++ b/packages/scheduling/briardeal_scheduling/rounds/_state.py
@@ -41,6 +41,8 @@
         Predictions in use, with the time at which each was made.
     planned_s
         When the guarantees were planned last.
+    moved_s
+        When they were planned last for the sake of work that can't be preempted.
     """
 
     configuration: Configuration = attrs.field(factory=Configuration)
@@ -54,6 +56,7 @@
     ended: OrderedDict[str, Record] = attrs.field(factory=OrderedDict)
     predictions: dict[str, tuple[float, Prediction]] = attrs.field(factory=dict)
     planned_s: float = float("-inf")
+    moved_s: float = float("-inf")
 
     def predict(self, job: Job, now_s: float) -> Prediction:
         """Return the expected run time of a job in all."""
