Let work that had to leave run longer before it must leave again

Change: the time that work runs before it makes room doubles with each preemption, up to three times; a shape of gang that found no room is not tried again in the round.

--- a/packages/scheduling/briardeal_scheduling/queue/_job.py
+++ b/packages/scheduling/briardeal_scheduling/queue/_job.py
@@ -73,6 +73,8 @@
         When it may start at the earliest.
     hole
         VMs that are kept for it.
+    preemptions
+        How often it was told to leave.
     cancelled
         Whether its customer wants it no more.
     pins
@@ -93,6 +95,7 @@
     left_at_s: float = 0.0
     retry_at_s: float = 0.0
     hole: Hole | None = None
+    preemptions: int = 0
     cancelled: bool = False
     pins: bool = False
     record: Record = attrs.field(factory=Record)
--- a/packages/scheduling/briardeal_scheduling/rounds/_admission.py
+++ b/packages/scheduling/briardeal_scheduling/rounds/_admission.py
@@ -44,9 +44,13 @@
 
 
 def _check_room(state: State, request: JobRequest) -> Refusal | None:
-    shapes = [worker.shape for worker in state.fleet.workers.values()]
-    shapes.extend(state.fleet.absent.values())
-    if not fits_empty(shapes, request):
+    fleet = state.fleet
+    key = (fleet.known, request.tasks, request.accelerators_per_task, request.adjacency)
+    shapes = [worker.shape for worker in fleet.workers.values()]
+    shapes.extend(fleet.absent.values())
+    if key not in state.fits_empty:
+        state.fits_empty[key] = fits_empty(shapes, request)
+    if not state.fits_empty[key]:
         detail = Cause.REFUSED_NEVER_FITS.say(
             vms=request.tasks, accelerators=request.accelerators_per_task
         )
--- a/packages/scheduling/briardeal_scheduling/rounds/_costs.py
+++ b/packages/scheduling/briardeal_scheduling/rounds/_costs.py
@@ -14,6 +14,9 @@
 LEAST_RUN_S = 60.0
 """Time for which work runs before it has to make room for a gang."""
 
+LEAST_RUN_DOUBLINGS = 3
+"""How often that time doubles, once for each time that the work had to leave."""
+
 LONGER_FACTOR = 3.0
 """How much longer work of the same size must have left to make room for a gang."""
 
@@ -43,7 +46,8 @@
         job = self.state.table.jobs[job_id]
         if not self._lent(job) or job.urgent or job.phase is not JobPhase.RUNNING:
             return None
-        if self.now_s - job.started_s < LEAST_RUN_S:
+        doublings = min(job.preemptions, LEAST_RUN_DOUBLINGS)
+        if self.now_s - job.started_s < LEAST_RUN_S * 2**doublings:
             return None
         if job.accelerators >= gang.accelerators:
             prediction = self.state.predict(job, self.now_s)
--- a/packages/scheduling/briardeal_scheduling/rounds/_moves.py
+++ b/packages/scheduling/briardeal_scheduling/rounds/_moves.py
@@ -137,6 +137,7 @@
     ) -> None:
         if job.leaving is None:
             job.left_at_s = self.now_s
+            job.preemptions += 1
             self.state.fleet.leave(job.placement)
         job.leaving = mode
         job.leave_by_s = leave_by_s
--- a/packages/scheduling/briardeal_scheduling/rounds/_round.py
+++ b/packages/scheduling/briardeal_scheduling/rounds/_round.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from briardeal_scheduling.decisions import Cause, Placement
@@ -54,6 +55,7 @@
         self.reservations = Reservations(state, now_s)
         self.claims = Claims(state, self.moves, self.costs, self.reservations)
         self.no_room: set[tuple[object, ...]] = set()
+        self.no_gang_room: dict[tuple[Need, bool], float] = {}
         self.over_quota: set[str] = set()
         self.gangs_tried = 0
 
@@ -181,9 +183,12 @@
         need = Need.of(job.request)
         if job.accelerators < GANG_ACCELERATORS or self.gangs_tried >= GANGS_TRIED_LIMIT:
             return False
-        self.gangs_tried += 1
         prediction = self.state.predict(job, self.now_s)
         remaining_s = prediction.remaining_s(job.kept_s)
+        key = (need, _pins(job))
+        if remaining_s >= self.no_gang_room.get(key, math.inf):
+            return False
+        self.gangs_tried += 1
         opening = open_room_anywhere(
             self.state.fleet,
             need,
@@ -191,7 +196,10 @@
             self.state.avoided(job, self.now_s) | self.reservations.closed_to(job),
             unbooked=_pins(job),
         )
-        if opening is None or opening.cost > MOST_LOST_SHARE * remaining_s * job.accelerators:
+        if opening is None:
+            self.no_gang_room[key] = remaining_s
+            return False
+        if opening.cost > MOST_LOST_SHARE * remaining_s * job.accelerators:
             return False
         return self._open(job, opening, Cause.PREEMPTED_FOR_TARGET)
 
--- a/packages/scheduling/briardeal_scheduling/rounds/_state.py
+++ b/packages/scheduling/briardeal_scheduling/rounds/_state.py
@@ -39,6 +39,8 @@
         Records of jobs that are over, oldest first.
     predictions
         Predictions in use, with the time at which each was made.
+    fits_empty
+        Whether work of a shape fits on all VMs together, by the shape and the set of VMs.
     planned_s
         When the guarantees were planned last.
     moved_s
@@ -55,6 +57,7 @@
     evidence: Evidence = attrs.field(factory=Evidence)
     ended: OrderedDict[str, Record] = attrs.field(factory=OrderedDict)
     predictions: dict[str, tuple[float, Prediction]] = attrs.field(factory=dict)
+    fits_empty: dict[tuple[object, ...], bool] = attrs.field(factory=dict)
     planned_s: float = float("-inf")
     moved_s: float = float("-inf")
 
