--- a/bench/jobs.py
+++ b/bench/jobs.py
@@ -167,7 +167,9 @@
 def _rounds(name: str, account: Account) -> list[Figure]:
     return [
         Figure(name, "rounds", len(account.round_s), ""),
-        Figure(name, "processor time of a round, mean", 1e3 * statistics.mean(account.round_s), "ms"),
+        Figure(
+            name, "processor time of a round, mean", 1e3 * statistics.mean(account.round_s), "ms"
+        ),
         Figure(name, "processor time of a round, longest", 1e3 * max(account.round_s), "ms"),
     ]
 
--- a/packages/scheduling/briardeal_scheduling/placement/__init__.py
+++ b/packages/scheduling/briardeal_scheduling/placement/__init__.py
@@ -1,6 +1,6 @@
 """The choice of VMs for a job."""
 
-from briardeal_scheduling.placement._fit import Need, choose_workers, fits_empty
+from briardeal_scheduling.placement._fit import Need, choose_workers, fits_empty, has_room
 from briardeal_scheduling.placement._holes import find_hole
 from briardeal_scheduling.placement._victims import Opening, open_room, open_room_anywhere
 
@@ -10,6 +10,7 @@
     "choose_workers",
     "find_hole",
     "fits_empty",
+    "has_room",
     "open_room",
     "open_room_anywhere",
 ]
--- a/packages/scheduling/briardeal_scheduling/predictions/_history.py
+++ b/packages/scheduling/briardeal_scheduling/predictions/_history.py
@@ -18,6 +18,9 @@
 HIGH_QUANTILE = 1.28
 """Standard deviations to the ninetieth percentile."""
 
+LEAST_WEIGHT = 1.9
+"""Observations of checkpoints, by weight, from which on they are relied upon."""
+
 OVERDUE_FACTOR = 1.5
 """How much longer than so far a job is expected to run in all, once it is overdue."""
 
@@ -135,9 +138,9 @@
         self.checkpoints.setdefault(key, _Spread()).add(math.log(max(0.01, seconds)))
 
     def checkpoint_s(self, customer: str, job_class: str) -> float:
-        """Return how long nine in ten checkpoints take, or infinity while none was seen."""
+        """Return how long nine in ten checkpoints take, or infinity while too few were seen."""
         seen = self.checkpoints.get((customer, job_class))
-        if seen is None or seen.weight < 2:
+        if seen is None or seen.weight < LEAST_WEIGHT:
             return math.inf
         return math.exp(seen.mean + HIGH_QUANTILE * math.sqrt(seen.squares / seen.weight))
 
--- a/packages/scheduling/briardeal_scheduling/rounds/_endings.py
+++ b/packages/scheduling/briardeal_scheduling/rounds/_endings.py
@@ -11,6 +11,7 @@
     Finished,
     Lost,
     NotStarted,
+    PreemptMode,
     Stopped,
 )
 
@@ -95,7 +96,9 @@
 def _stop(state: State, job: Job, outcome: Stopped, now_s: float, orders: list[Decision]) -> None:
     request = job.request
     if outcome.checkpointed:
-        state.history.add_checkpoint(request.customer, request.job_class, now_s - job.left_at_s)
+        if job.leaving is PreemptMode.CHECKPOINT:
+            taken_s = now_s - job.left_at_s
+            state.history.add_checkpoint(request.customer, request.job_class, taken_s)
         job.keep(now_s)
         job.record.add(now_s, Cause.RESUMED_FROM_CHECKPOINT)
     else:
--- a/packages/scheduling/briardeal_scheduling/rounds/_round.py
+++ b/packages/scheduling/briardeal_scheduling/rounds/_round.py
@@ -6,7 +6,13 @@
 from typing import TYPE_CHECKING
 
 from briardeal_scheduling.decisions import Cause, Placement
-from briardeal_scheduling.placement import Need, choose_workers, open_room_anywhere
+from briardeal_scheduling.placement import (
+    Need,
+    choose_workers,
+    fits_empty,
+    has_room,
+    open_room_anywhere,
+)
 from briardeal_scheduling.queue import order_key
 from briardeal_scheduling.rounds._claims import Claims
 from briardeal_scheduling.rounds._costs import Costs
@@ -57,6 +63,7 @@
         self.no_room: set[tuple[object, ...]] = set()
         self.no_gang_room: dict[tuple[Need, bool], float] = {}
         self.over_quota: set[str] = set()
+        self.fits_up: dict[Need, bool] = {}
         self.gangs_tried = 0
 
     def run(self) -> list[Decision]:
@@ -154,7 +161,7 @@
         fleet = self.state.fleet
         if not _pins(job) or self.now_s - self.state.moved_s < MOVE_INTERVAL_S:
             return False
-        if choose_workers(fleet, fleet.free, need, avoid) is None:
+        if not has_room(fleet.free, need):
             return False
         self.state.moved_s = self.now_s
         free = fleet.free.numbers.items()
@@ -224,12 +231,22 @@
 
     def _cause_of_waiting(self, job: Job) -> Cause:
         fleet = self.state.fleet
-        if _pins(job) and choose_workers(fleet, fleet.free, Need.of(job.request)):
-            return Cause.WAITS_FOR_GUARANTEES
-        if self.reservations.closed_to(job):
+        need = Need.of(job.request)
+        if has_room(self._index_for(job), need) and self.reservations.closed_to(job):
             return Cause.WAITS_BEHIND_HOLE
+        if _pins(job) and has_room(fleet.free, need):
+            return Cause.WAITS_FOR_GUARANTEES
+        if fleet.absent and not self._fits_what_is_up(job):
+            return Cause.WAITS_FOR_WORKERS
         return Cause.WAITS_FOR_ROOM
 
+    def _fits_what_is_up(self, job: Job) -> bool:
+        key = Need.of(job.request)
+        if key not in self.fits_up:
+            shapes = (worker.shape for worker in self.state.fleet.workers.values())
+            self.fits_up[key] = fits_empty(shapes, job.request)
+        return self.fits_up[key]
+
     def _note_retry(self, job: Job) -> None:
         failed_on = sorted(self.state.evidence.failed_on(job.job_id))
         if failed_on:
--- /dev/null
+++ b/tests/scheduling/health/test_evidence.py
@@ -0,0 +1,43 @@
+"""Telling VMs that fail everything from jobs that fail everywhere."""
+
+from __future__ import annotations
+
+from briardeal_scheduling import Abandon, Failed, Finished
+from tests.scheduling.cluster import cluster, run_all, submit
+
+
+def fail(scheduler, job_id: str, now_s: float) -> float:
+    """Let a job fail where it runs, and return when it may be tried again."""
+    worker_id = scheduler.state.table.jobs[job_id].placement.workers[0]
+    scheduler.report_ended(job_id, Failed(worker_id), now_s)
+    return now_s + 130.0
+
+
+def test_vm_that_fails_different_jobs_is_set_aside_and_tried_again_sparingly() -> None:
+    scheduler = cluster(vms=1)
+    for number in range(3):
+        submit(scheduler, f"job{number}", 10.0 * number)
+        run_all(scheduler, 10.0 * number)
+        fail(scheduler, f"job{number}", 10.0 * number + 1)
+        scheduler.cancel(f"job{number}", 10.0 * number + 2)
+    submit(scheduler, "next", 30.0)
+    assert not run_all(scheduler, 30.0)
+    assert run_all(scheduler, 700.0).keys() == {"next"}
+    fail(scheduler, "next", 701.0)
+    assert not run_all(scheduler, 1400.0)
+    assert run_all(scheduler, 2000.0).keys() == {"next"}
+    scheduler.report_ended("next", Finished(), 2001.0)
+    assert not scheduler.state.evidence.workers
+
+
+def test_job_that_fails_on_three_vms_is_given_up_and_the_vms_are_cleared() -> None:
+    scheduler = cluster(vms=4)
+    submit(scheduler, "bad")
+    now_s = 0.0
+    for _ in range(3):
+        run_all(scheduler, now_s)
+        now_s = fail(scheduler, "bad", now_s + 1)
+    decision = run_all(scheduler, now_s)["bad"]
+    assert isinstance(decision, Abandon)
+    assert "3 different VMs" in decision.explanation
+    assert not any(health.failures for health in scheduler.state.evidence.workers.values())
--- /dev/null
+++ b/tests/scheduling/rounds/test_admission.py
@@ -0,0 +1,45 @@
+"""Jobs that can never run are refused at once; those that can are told what they wait for."""
+
+from __future__ import annotations
+
+import pytest
+
+from briardeal_core.configuration import Adjacency
+from briardeal_core.reasons import Reason, RunState
+from tests.scheduling.cluster import cluster, guarantee, run_all, submit
+
+
+@pytest.mark.parametrize(
+    ("job", "reason", "words"),
+    [
+        ({"tasks": 4, "adjacency": Adjacency.RACK}, Reason.JOB_NEVER_FITS, "close enough"),
+        ({"accelerators": 9}, Reason.JOB_NEVER_FITS, "close enough"),
+        ({"customer": "boris", "tasks": 3}, Reason.JOB_NEVER_FITS, "quota of boris is 16"),
+        ({"tasks": 4, "checkpointable": False}, Reason.JOB_NEVER_FITS, "guarantees leave no room"),
+        ({"customer": "nobody"}, Reason.REQUEST_INVALID, "No customer nobody"),
+        ({"job_class": "yearly"}, Reason.REQUEST_INVALID, "No class yearly"),
+    ],
+)
+def test_job_that_can_never_run_is_refused(job, reason, words) -> None:
+    scheduler = cluster(vms=4, carol=(guarantee("urgent", 1, 8),))
+    refusal = submit(scheduler, "job", **job)
+    assert refusal.reason is reason
+    assert refusal.run_state is RunState.NOT_RUN
+    assert words in refusal.sentence
+
+
+def test_job_waits_for_a_vm_that_is_down_rather_than_being_refused() -> None:
+    scheduler = cluster(vms=2)
+    scheduler.worker_down("vm1", 1.0)
+    assert submit(scheduler, "gang", 2.0, tasks=2) is None
+    assert not run_all(scheduler, 2.0)
+
+
+def test_quota_holds_back_what_exceeds_it_until_something_ends() -> None:
+    scheduler = cluster(vms=3)
+    for number in range(3):
+        submit(scheduler, f"job{number}", customer="boris")
+    assert run_all(scheduler).keys() == {"job0", "job1"}
+    assert "16 of the 16 accelerators" in scheduler.explain("job2", 1.0)[-1]
+    assert scheduler.cancel("job0", 2.0)
+    assert run_all(scheduler, 2.0)["job0"].explanation == "Its customer cancelled it."
--- /dev/null
+++ b/tests/scheduling/rounds/test_reclaim.py
@@ -0,0 +1,77 @@
+"""Taking lent VMs back: urgent work, checkpoints that are slow, VMs that go meanwhile."""
+
+from __future__ import annotations
+
+import pytest
+
+from briardeal_scheduling import Preempt, PreemptMode, Start, Stopped
+from tests.scheduling.cluster import cluster, guarantee, run_all, submit
+
+URGENT = (guarantee("urgent", 1, 8),)
+
+
+def lent_cluster(checkpoint_s: float):
+    """Return a cluster full of lent work whose checkpoints are known to take so long."""
+    scheduler = cluster(vms=1, carol=URGENT)
+    for _ in range(3):
+        scheduler.state.history.add_checkpoint("anna", "nightly", checkpoint_s)
+    submit(scheduler, "lent")
+    run_all(scheduler)
+    return scheduler
+
+
+@pytest.mark.parametrize(
+    ("checkpoint_s", "mode"), [(0.3, PreemptMode.CHECKPOINT), (20.0, PreemptMode.STOP)]
+)
+def test_urgent_work_waits_for_a_checkpoint_only_if_it_fits(checkpoint_s, mode) -> None:
+    scheduler = lent_cluster(checkpoint_s)
+    submit(scheduler, "ask", 250.0, customer="carol", job_class="urgent")
+    decisions = run_all(scheduler, 250.0)
+    assert decisions["lent"] == Preempt("lent", mode, decisions["lent"].explanation)
+
+
+def test_checkpoint_that_is_late_is_stopped_before_the_urgent_target() -> None:
+    scheduler = lent_cluster(0.3)
+    submit(scheduler, "ask", 250.0, customer="carol", job_class="urgent")
+    run_all(scheduler, 250.0)
+    wake_s = scheduler.next_decision_s(250.0)
+    assert 250.0 < wake_s < 251.1
+    assert run_all(scheduler, wake_s)["lent"].mode is PreemptMode.STOP
+    scheduler.report_ended("lent", Stopped(), wake_s + 0.2)
+    assert isinstance(run_all(scheduler, wake_s + 0.2)["ask"], Start)
+    assert "in time" in " ".join(scheduler.explain("lent", 260.0))
+
+
+def test_job_whose_kept_vm_is_lost_waits_again_and_starts_elsewhere() -> None:
+    scheduler = cluster(vms=2, carol=URGENT)
+    submit(scheduler, "lent0")
+    submit(scheduler, "lent1")
+    run_all(scheduler)
+    submit(scheduler, "ask", 10.0, customer="carol", job_class="urgent")
+    (first,) = run_all(scheduler, 10.0)
+    place = scheduler.state.table.jobs["ask"].placement.workers[0]
+    assert scheduler.worker_down(place, 10.1) == [first]
+    (second,) = run_all(scheduler, 10.1)
+    assert {first, second} == {"lent0", "lent1"}
+    scheduler.report_ended(second, Stopped(), 10.3)
+    assert isinstance(run_all(scheduler, 10.3)["ask"], Start)
+
+
+def test_lent_work_does_not_keep_out_of_a_guarantee_but_pinned_work_does() -> None:
+    scheduler = cluster(vms=2, carol=URGENT)
+    submit(scheduler, "pinned0", checkpointable=False)
+    for number in (1, 2, 3):
+        submit(scheduler, f"pinned{number}", checkpointable=False)
+    assert run_all(scheduler).keys() == {"pinned0"}
+    assert "guaranteed" in scheduler.explain("pinned3", 0.0)[-1]
+    submit(scheduler, "lent", 1.0)
+    assert run_all(scheduler, 1.0).keys() == {"lent"}
+
+
+def test_work_that_may_not_run_twice_is_given_up_when_its_vm_is_lost() -> None:
+    scheduler = cluster(vms=2)
+    submit(scheduler, "draw", idempotent=False, checkpointable=False)
+    start = run_all(scheduler)["draw"]
+    scheduler.worker_down(start.placement.workers[0], 5.0)
+    assert "may not run twice" in run_all(scheduler, 5.0)["draw"].explanation
+    assert not scheduler.state.table.jobs
