--- a/packages/scheduling/briardeal_scheduling/_admission.py
+++ b/packages/scheduling/briardeal_scheduling/rounds/_admission.py
@@ -13,8 +13,8 @@
 
 if TYPE_CHECKING:
     from briardeal_core.jobs import JobRequest, WorkerShape
-    from briardeal_scheduling._state import State
     from briardeal_scheduling.guarantees import Plan
+    from briardeal_scheduling.rounds._state import State
 
 
 def check_request(state: State, request: JobRequest) -> Refusal | None:
@@ -44,9 +44,13 @@
 
 
 def _check_room(state: State, request: JobRequest) -> Refusal | None:
-    shapes = [worker.shape for worker in state.fleet.workers.values()]
-    shapes.extend(state.fleet.absent.values())
-    if not fits_empty(shapes, request):
+    fleet = state.fleet
+    key = (fleet.known, request.tasks, request.accelerators_per_task, request.adjacency)
+    shapes = [worker.shape for worker in fleet.workers.values()]
+    shapes.extend(fleet.absent.values())
+    if key not in state.fits_empty:
+        state.fits_empty[key] = fits_empty(shapes, request)
+    if not state.fits_empty[key]:
         detail = Cause.REFUSED_NEVER_FITS.say(
             vms=request.tasks, accelerators=request.accelerators_per_task
         )
