--- a/packages/entry/briardeal/peers/_dialing.py
+++ b/packages/entry/briardeal/peers/_dialing.py
@@ -74,7 +74,7 @@
         own = DomainName.of(myself)
         missing = {member.entry_id: member.peer_address for member in self.table.out_of_reach()}
         streams = self._remote_addresses()
-        streams = {name: them for name, them in streams.items() if not self._has_stream(name)}
+        streams = {name: them for name, them in streams.items() if not self._is_reached(name)}
         self._note_missing({*missing, *streams})
         for name, address in missing.items():
             if myself.entry_id < name or self._waited(name):
@@ -86,6 +86,12 @@
         known = {member.peer_address for member in self.table.book.members()}
         yield from set(self.seeds) - known - {myself.peer_address}
 
+    def _is_reached(self, remote: DomainName) -> bool:
+        """Return whether this side has nothing to do for the stream to a failure domain."""
+        if DomainName.of(self.table.myself) < remote:
+            return self._has_stream(remote)
+        return remote in self.table.domains
+
     def _has_stream(self, remote: DomainName) -> bool:
         streams = self.table.streams()
         return any(link.domain == remote and not link.leaving for link in streams)
--- a/packages/entry/briardeal/peers/_link.py
+++ b/packages/entry/briardeal/peers/_link.py
@@ -69,7 +69,10 @@
     @property
     def lapsed(self) -> bool:
         """Whether the lease has lapsed in either direction."""
-        return min(self.heard_s, self.confirmed_s) + LEASE_S <= _loop_time()
+        now_s = _loop_time()
+        # A confirmation comes with the other end's next heartbeat.
+        unconfirmed_s = now_s - self.confirmed_s - HEARTBEAT_INTERVAL_S
+        return max(now_s - self.heard_s, unconfirmed_s) >= LEASE_S
 
     @property
     def busy(self) -> bool:
--- a/packages/entry/briardeal/peers/_service.py
+++ b/packages/entry/briardeal/peers/_service.py
@@ -107,6 +107,7 @@
         self.exchange = ConfigurationExchange(hooks.configuration, _loop_time)
         self.sessions: dict[PeerLink, PeerSession] = {}
         self.tasks: set[asyncio.Task[None]] = set()
+        self.serving: set[asyncio.Task[None]] = set()
         self.listener: PeerListener | None = None
         self.told_entries: tuple[str, ...] = ()
         self.told_live: frozenset[tuple[str, int]] = frozenset()
@@ -118,12 +119,14 @@
 
     async def on_stop(self) -> None:
         """Close every link."""
-        for task in list(self.tasks):
+        answering = [task for link in self.sessions for task in link.answering]
+        for task in (*self.tasks, *answering):
             task.cancel()
         for link in list(self.sessions):
             await link.close()
         if self.listener is not None:
             await self.listener.close()
+        await asyncio.gather(*self.tasks, *self.serving, *answering, return_exceptions=True)
 
     async def leave(self, timeout_s: float = DRAIN_TIMEOUT_S) -> None:
         """Tell all that this entry leaves, and finish what others have passed on to it."""
@@ -155,6 +158,9 @@
 
     async def serve(self, connection: PeerConnection) -> None:
         """Serve a connection that another entry has opened."""
+        task = asyncio.current_task()
+        self.serving.add(task)
+        task.add_done_callback(self.serving.discard)
         link = None
         try:
             async with asyncio.timeout(LEASE_S):
@@ -289,7 +295,7 @@
             await self.sessions[link].run()
         finally:
             self._drop(link)
-            self._start(link.close())
+            await link.close()
 
     def _retire(self, link: PeerLink) -> None:
         """Give a link no new work and close it when it has finished what it holds."""
--- a/packages/entry/briardeal/peers/_session.py
+++ b/packages/entry/briardeal/peers/_session.py
@@ -66,6 +66,7 @@
             return message
         finally:
             speaking.cancel()
+            await asyncio.wait([speaking])
 
     def ask_resync(self) -> None:
         """Ask for a full update, unless one was asked for just now."""
--- a/tests/entry/peers/cluster.py
+++ b/tests/entry/peers/cluster.py
@@ -130,6 +130,7 @@
         self.fabric.kill(node.member.peer_address)
         self.ended.append(node)
         node.service.network = None
+        node.service.listener = None
         for task in list(node.service.tasks):
             task.cancel()
         return node
--- /dev/null
+++ b/tests/entry/peers/schedule.py
@@ -0,0 +1,109 @@
+"""Schedules of random faults and requests, and a checker that knows what was seen from outside."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import attrs
+
+from briardeal.requests import Answer
+from briardeal_core.reasons import RunState
+from briardeal_protocol.peers import DomainLoad, ServiceLoad
+from tests.entry.peers.cluster import request, until
+
+NOTICE_S = 6.0
+STEPS = 25
+LOAD = DomainLoad((ServiceLoad("draws", 2, 16, 9),))
+
+
+@attrs.define
+class History:
+    """What callers were told and what ran."""
+
+    told: dict = attrs.field(factory=dict)
+
+    def doubled(self, cluster) -> list[str]:
+        nodes = [*cluster.nodes.values(), *cluster.ended]
+        return [key for key in self.told if sum(node.rest.runs[key] for node in nodes) > 1]
+
+    def check(self, cluster):
+        nodes = [*cluster.nodes.values(), *cluster.ended]
+        assert len(self.told) >= STEPS
+        assert self.doubled(cluster) == []
+        for key, outcome in self.told.items():
+            runs = sum(node.rest.runs[key] for node in nodes)
+            if isinstance(outcome, Answer):
+                assert (runs, outcome.body) == (1, key.encode())
+            elif outcome.run_state is RunState.NOT_RUN:
+                assert runs == 0, (key, outcome)
+
+
+class Schedule:
+    """Faults and requests in an order that a seed gives."""
+
+    def __init__(self, cluster, seed):
+        self.cluster = cluster
+        self.rng = random.Random(seed)
+        self.history = History()
+        self.calls = []
+
+    async def run(self):
+        faults = [self.kill, self.restart, self.silence, self.block, self.cut_regions, self.copy]
+        for step in range(STEPS):
+            await self.rng.choice(faults)()
+            for number in range(3):
+                self.calls.append(asyncio.create_task(self.call(f"k{step}-{number}")))
+            await asyncio.sleep(self.rng.uniform(0.1, 3.0))
+            if self.rng.random() < 0.4:
+                self.heal()
+        self.heal()
+        healed_s = await until(self.cluster.converged, 2 * NOTICE_S)
+        await asyncio.gather(*self.calls)
+        return healed_s
+
+    def heal(self):
+        self.cluster.fabric.heal()
+        self.cluster.fabric.duplicated.clear()
+
+    def pick(self):
+        return self.rng.choice(sorted(self.cluster.nodes))
+
+    async def call(self, key):
+        source, home = self.cluster.nodes[self.pick()], self.cluster.nodes[self.pick()]
+        asked = request(key=key, timeout_s=self.rng.uniform(0.5, 8), body=key.encode())
+        forwarder = source.service.forwarder
+        if self.rng.random() < 0.5 and home is not source:
+            told = await forwarder.to_home(asked, home.name, home.member.incarnation)
+        else:
+            told = await forwarder.to_region(asked)
+        if told is not None:
+            self.history.told[key] = told
+
+    async def kill(self):
+        if len(self.cluster.nodes) > 6:
+            self.cluster.kill(self.pick())
+
+    async def restart(self):
+        gone = [place for place in self.cluster.places if place[2] not in self.cluster.nodes]
+        if gone:
+            node = await self.cluster.start(*self.rng.choice(gone))
+            self.arm(node)
+
+    async def silence(self):
+        self.cluster.fabric.silence(self.pick(), self.pick())
+
+    async def block(self):
+        self.cluster.fabric.block([self.pick()], [self.pick()])
+
+    async def cut_regions(self):
+        near = [name for name in self.cluster.nodes if name.startswith("r0")]
+        far = [name for name in self.cluster.nodes if name.startswith("r1")]
+        self.cluster.fabric.cut(near, far)
+
+    async def copy(self):
+        self.cluster.fabric.duplicated.add((self.pick(), self.pick()))
+
+    def arm(self, node):
+        node.rest.load = {node.member.failure_domain: LOAD}
+        node.rest.delay_s = self.rng.uniform(0, 2)
