Count bytes between entries as the socket carries them

Change: bandwidth pings of HTTP/2 are off, window updates are counted, and load is summed and told every 2 s, members at once.

--- a/bench/peers.py
+++ b/bench/peers.py
@@ -84,7 +84,7 @@
         for node in cluster.nodes.values():
             table = tables[node.member.region]
             loads = AgentLoads(table, lambda: 0, node.member.failure_domain)
-            node.service.hooks = attrs.evolve(node.service.hooks, loads=loads)
+            node.service.own_load.source = loads
         await asyncio.sleep(WARM_UP_S)
         before = {name: _carried(node) for name, node in cluster.nodes.items()}
         far_before = sum(_carried(node, near=False) for node in cluster.nodes.values())
--- a/packages/entry/briardeal/peers/_loads.py
+++ b/packages/entry/briardeal/peers/_loads.py
@@ -11,11 +11,14 @@
 from briardeal_protocol.peers import DomainLoad, ServiceLoad
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable
 
     from briardeal.membership import AgentEntry, AgentTable
+    from briardeal.peers._interfaces import LoadSource
+    from briardeal.peers._table import PeerTable
 
-LOADS_TTL_S = 1.0
+LOAD_INTERVAL_S = 2.0
+"""How often load is summed and told; members are told at once."""
 
 
 class AgentLoads:
@@ -75,22 +78,50 @@
             old.free_slots + new.free_slots,
         )
 
+    def add_load(self, load: DomainLoad) -> None:
+        """Add the load of a failure domain."""
+        self.workers += load.workers
+        self.accelerators += load.accelerators
+        self.jobs_waiting += load.jobs_waiting
+        for service in load.services:
+            self.add_service(service)
+
     def total(self) -> DomainLoad:
         """Return the sum."""
         services = tuple(self.services[name] for name in sorted(self.services))
         return DomainLoad(services, self.workers, self.accelerators, self.jobs_waiting)
 
 
-def covered_load(loads: dict[str, DomainLoad], own: str, with_entries: Iterable[str]) -> DomainLoad:
-    """Return the load that the entries of one failure domain tell of."""
-    total = LoadSum()
-    candidates = set(with_entries)
-    for name, load in loads.items():
-        if covering(name, candidates) != own:
-            continue
-        total.workers += load.workers
-        total.accelerators += load.accelerators
-        total.jobs_waiting += load.jobs_waiting
-        for service in load.services:
-            total.add_service(service)
-    return total.total()
+class OwnLoad:
+    """Load that the entries of this failure domain tell other regions of.
+
+    Parameters
+    ----------
+    source
+        Load of the region.
+    table
+        Entries that are alive.
+    """
+
+    def __init__(self, source: LoadSource, table: PeerTable) -> None:
+        self.source = source
+        self.table = table
+        self.summed_s = -LOAD_INTERVAL_S
+        self.load = DomainLoad()
+
+    def current(self) -> DomainLoad:
+        """Return the load, summed anew when it is older than the interval."""
+        now_s = self.table.now_s()
+        if now_s - self.summed_s >= LOAD_INTERVAL_S:
+            self.summed_s = now_s
+            self.load = self._sum()
+        return self.load
+
+    def _sum(self) -> DomainLoad:
+        own = self.table.myself.failure_domain
+        with_entries = {member.failure_domain for member in self.table.region_members()} | {own}
+        total = LoadSum()
+        for name, load in self.source.loads().items():
+            if covering(name, with_entries) == own:
+                total.add_load(load)
+        return total.total()
--- a/packages/entry/briardeal/peers/_session.py
+++ b/packages/entry/briardeal/peers/_session.py
@@ -8,7 +8,6 @@
 import msgspec
 
 from briardeal.peers._carriers import DomainName
-from briardeal.peers._loads import covered_load
 from briardeal.peers._updates import DomainView, StateReader, StateTeller
 from briardeal_core.events import Event, log_event
 from briardeal_protocol.connections import Closed
@@ -106,7 +105,7 @@
         """Return the failure domains that the other end is told of."""
         own = DomainName.of(self.table.myself)
         if self.link.member.region != own.region:
-            return {own: self._own_view(own)}
+            return {own: self._own_view()}
         if self.link.domain != own:
             return {}
         return {
@@ -124,10 +123,8 @@
             return False
         return not domain.relayed
 
-    def _own_view(self, own: DomainName) -> DomainView:
-        with_entries = {member.failure_domain for member in self.table.region_members()}
-        with_entries.add(own.failure_domain)
-        load = covered_load(self.service.hooks.loads.loads(), own.failure_domain, with_entries)
+    def _own_view(self) -> DomainView:
+        load = self.service.own_load.current()
         services = {service.service: service for service in load.services}
         members = {member.entry_id: member for member in self.table.domain_members()}
         return DomainView(members, msgspec.structs.replace(load, services=()), services)
--- a/packages/protocol/briardeal_protocol/peers/_framing.py
+++ b/packages/protocol/briardeal_protocol/peers/_framing.py
@@ -16,8 +16,8 @@
 
 FRAGMENT_BYTES = 32 * 1024
 MESSAGE_LIMIT_BYTES = 17 * 1024 * 1024
-FRAME_OVERHEAD_BYTES = 14
-"""An HTTP/2 frame header and a gRPC message prefix."""
+FRAME_OVERHEAD_BYTES = 40
+"""An HTTP/2 frame header, a gRPC message prefix and the two window updates that follow."""
 
 
 class Pipe(Protocol):
--- a/packages/protocol/briardeal_protocol/peers/_grpc.py
+++ b/packages/protocol/briardeal_protocol/peers/_grpc.py
@@ -20,12 +20,15 @@
 CONNECT_TIMEOUT_S = 2.0
 QUEUE_FRAMES = 16
 CLOSE_GRACE_S = 0.0
+# Pings that measure the bandwidth would cost more than the heartbeats do.
+COMMON_OPTIONS = (("grpc.http2.bdp_probe", 0),)
 CHANNEL_OPTIONS = (
+    *COMMON_OPTIONS,
     # Each channel needs a connection of its own: a shared one may be the one that went silent.
     ("grpc.use_local_subchannel_pool", 1),
     ("grpc.enable_retries", 0),
 )
-SERVER_OPTIONS = (("grpc.so_reuseport", 0),)
+SERVER_OPTIONS = (*COMMON_OPTIONS, ("grpc.so_reuseport", 0))
 
 
 class ClientPipe:
--- a/tests/entry/peers/test_membership.py
+++ b/tests/entry/peers/test_membership.py
@@ -38,6 +38,16 @@
             assert node.rest.entries == tuple(sorted(near))
 
 
+async def test_each_of_three_regions_has_one_stream_to_each_other():
+    async with Cluster(regions=3, domains=1, entries=2) as cluster:
+        assert cluster.converged()
+        assert sorted(cluster.streams().items()) == [
+            (("r0-d0", "r1-d0"), 1),
+            (("r0-d0", "r2-d0"), 1),
+            (("r1-d0", "r2-d0"), 1),
+        ]
+
+
 async def test_killed_entries_are_noticed_and_their_streams_taken_over():
     async with Cluster() as cluster:
         carriers = [n.name for n in cluster.nodes.values() if n.table.streams()]
