--- a/bench/peers.py
+++ b/bench/peers.py
@@ -12,7 +12,7 @@
 
 from bench.figures import Bound, Figure
 from briardeal.membership import AgentEntry, AgentTable
-from briardeal.peers import AgentLoads
+from briardeal.peers import LEASE_S, AgentLoads
 from briardeal_core.jobs import WorkerShape
 from briardeal_protocol.messages import AgentHello, EndpointState, WorkerState
 from tests.entry.peers.cluster import Cluster, Node, until
@@ -29,9 +29,11 @@
 MEASURED_S = 60
 WARM_UP_S = 5
 SCHEDULES = 12
+CUTS = 5
 LIMIT_S = 60.0
 NODE_BYTES_S = Bound("<=", 3000)
 NOTICE_S = Bound("<=", 6)
+FOUND_S = Bound("<=", LEASE_S)
 SPREAD_S = Bound("<=", 6)
 NONE = Bound("==", 0)
 
@@ -42,6 +44,7 @@
         *_measure_bytes(),
         _figure("notice a dead entry, slowest", _run(_notice_dead), "s", NOTICE_S),
         _figure("replace a silent link, slowest", _run(_replace_silent), "s", NOTICE_S),
+        *_measure_cut(),
         _figure("configuration spread, log down for half, slowest", _run(_spread), "s", SPREAD_S),
         _figure("doubled executions through forwards", _run(_doubled), "requests", NONE),
     ]
@@ -180,6 +183,32 @@
     return lambda: node.table.links.get(link.member.entry_id, link) is not link
 
 
+def _measure_cut() -> list[Figure]:
+    noticed_s, found_s = _run(_cut_regions)
+    return [
+        _figure("notice a cut between regions, slowest", noticed_s, "s", NOTICE_S),
+        _figure("find each other after a cut, slowest", found_s, "s", FOUND_S),
+    ]
+
+
+async def _cut_regions() -> tuple[float, float]:
+    noticed_s, found_s = 0.0, 0.0
+    async with Cluster() as cluster:
+        names = sorted(cluster.nodes)
+        for cut in range(CUTS):
+            cluster.fabric.cut(names[:12], names[12:])
+            noticed_s = max(noticed_s, await until(_is_alone(cluster), LIMIT_S))
+            await asyncio.sleep(LIMIT_S + cut / CUTS)
+            cluster.fabric.heal()
+            found_s = max(found_s, await until(cluster.converged, LIMIT_S))
+            await asyncio.sleep(LIMIT_S)
+    return noticed_s, found_s
+
+
+def _is_alone(cluster: Cluster) -> Callable[[], bool]:
+    return lambda: not any(node.table.remote_members() for node in cluster.nodes.values())
+
+
 async def _spread() -> float:
     rng = random.Random(1)
     slowest_s = 0.0
--- a/tests/entry/peers/test_membership.py
+++ b/tests/entry/peers/test_membership.py
@@ -38,6 +38,19 @@
             assert node.rest.entries == tuple(sorted(near))
 
 
+async def test_bytes_across_regions_are_counted_at_both_ends():
+    async with Cluster(domains=1, entries=2) as cluster:
+        ends = {"r0": [0, 0], "r1": [0, 0]}
+        for node in cluster.nodes.values():
+            far = "r1" if node.member.region == "r0" else "r0"
+            for link in node.service.sessions:
+                node.service.traffic.sample(link)
+            ends[node.member.region][0] += node.service.traffic.sent[far]
+            ends[node.member.region][1] += node.service.traffic.received[far]
+        assert 0 < ends["r1"][1] <= ends["r0"][0]
+        assert 0 < ends["r0"][1] <= ends["r1"][0]
+
+
 async def test_each_of_three_regions_has_one_stream_to_each_other():
     async with Cluster(regions=3, domains=1, entries=2) as cluster:
         assert cluster.converged()
