--- a/packages/agent/briardeal_agent/commands/run.py
+++ b/packages/agent/briardeal_agent/commands/run.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import signal
 import sys
 from typing import TYPE_CHECKING
 
@@ -12,6 +11,7 @@
 from briardeal_agent.structure import Agent
 from briardeal_agent.workers import HttpWorker
 from briardeal_core.events import log_to_file
+from briardeal_core.processes import wait_for_end
 from briardeal_protocol.connections import TcpNetwork
 
 if TYPE_CHECKING:
@@ -21,17 +21,15 @@
 def run(settings: AgentSettings) -> None:
     """Run an agent until SIGTERM or SIGINT."""
     log_to_file(sys.stderr)
-    asyncio.run(_run(settings))
+    sys.exit(asyncio.run(_run(settings)))
 
 
-async def _run(settings: AgentSettings) -> None:
+async def _run(settings: AgentSettings) -> int:
     worker = HttpWorker(settings.worker) if settings.worker else None
     agent = Agent(settings, TcpNetwork(), worker)
     server = HttpServer(Routes(agent).handle)
     await server.start(settings.listen)
-    stopped = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(number, stopped.set)
     async with agent:
-        await stopped.wait()
+        exit_code = await wait_for_end(agent)
     await server.stop()
+    return exit_code
