--- /dev/null
+++ b/bench/request_path.py
@@ -0,0 +1,145 @@
+"""The cost of the way through one entry process, against calling the endpoint directly."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import aiohttp
+from hdrh.histogram import HdrHistogram
+
+from bench.figures import Figure
+from briardeal_standins.demo._processes import Processes, free_address
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+GROUP = "requests"
+ENDPOINTS = 4
+READY_S = 20.0
+WARM_UP = 100
+PROBES = 600
+LOAD_REQUESTS = 3000
+LOAD_CALLERS = 20
+BODY = b"x" * 1000
+HISTOGRAM_MAX_US = 10_000_000
+
+
+def measure() -> list[Figure]:
+    """Start an entry, agents and endpoints as processes and send requests through them."""
+    processes = Processes()
+    try:
+        return asyncio.run(_measure(processes))
+    finally:
+        processes.kill_all()
+
+
+async def _measure(processes: Processes) -> list[Figure]:
+    entry, endpoint = _start(processes)
+    through = f"http://{entry}/v1/services/sampling/requests"
+    direct = f"http://{endpoint}/v1/requests"
+    async with aiohttp.ClientSession() as session:
+
+        async def send(url: str) -> bool:
+            async with session.post(url, data=BODY) as response:
+                await response.read()
+                return response.status == 200
+
+        await _wait_ready(send, through)
+        for _ in range(WARM_UP):
+            await send(through)
+        return [
+            *await _measure_latency(send, through, direct),
+            *await _measure_rate(send, through, processes.running["entry"].pid),
+        ]
+
+
+def _start(processes: Processes) -> tuple[str, str]:
+    log, entry, agents, peers = (free_address() for _ in range(4))
+    processes.start("log", "briardeal_standins.log", "--listen", log)
+    processes.start(
+        "entry",
+        "briardeal",
+        "serve",
+        *("--entry-id", "entry", "--region", "ljubljana", "--failure-domain", "lj-1"),
+        *("--listen", entry, "--agent-listen", agents, "--peer-listen", peers, "--log", log),
+    )
+    endpoint = ""
+    for number in range(ENDPOINTS):
+        endpoint = _start_endpoint(processes, f"vm-{number}", agents)
+    return entry, endpoint
+
+
+def _start_endpoint(processes: Processes, name: str, agents: str) -> str:
+    agent, endpoint = free_address(), free_address()
+    processes.start(
+        f"agent-{name}",
+        "briardeal_agent",
+        "run",
+        *("--agent-id", name, "--region", "ljubljana", "--failure-domain", "lj-1"),
+        *("--listen", agent, "--entries", agents),
+    )
+    processes.start(
+        name,
+        "briardeal_standins.endpoint",
+        *("--name", name, "--service", "sampling", "--listen", endpoint, "--agent", agent),
+        *("--work-s", "0"),
+    )
+    return endpoint
+
+
+async def _wait_ready(send: Callable[[str], Awaitable[bool]], url: str) -> None:
+    async with asyncio.timeout(READY_S):
+        while True:
+            try:
+                if await send(url):
+                    break
+            except aiohttp.ClientError:
+                pass
+            await asyncio.sleep(0.1)
+    await asyncio.sleep(2)
+
+
+async def _measure_latency(
+    send: Callable[[str], Awaitable[bool]], through: str, direct: str
+) -> list[Figure]:
+    histograms = {url: HdrHistogram(1, HISTOGRAM_MAX_US, 3) for url in (through, direct)}
+    for _ in range(PROBES):
+        for url, histogram in histograms.items():
+            began_s = time.perf_counter()
+            await send(url)
+            histogram.record_value(max(1, round((time.perf_counter() - began_s) * 1e6)))
+    figures = []
+    for percent in (50, 99):
+        through_us, direct_us = (h.get_value_at_percentile(percent) for h in histograms.values())
+        added_ms = (through_us - direct_us) / 1000
+        figures.append(Figure(GROUP, f"directly, p{percent}", direct_us / 1000, "ms"))
+        figures.append(Figure(GROUP, f"added by the entry, p{percent}", added_ms, "ms"))
+    return figures
+
+
+async def _measure_rate(send: Callable[[str], Awaitable[bool]], url: str, pid: int) -> list[Figure]:
+    done = 0
+
+    async def call() -> None:
+        nonlocal done
+        for _ in range(LOAD_REQUESTS // LOAD_CALLERS):
+            answered = await send(url)
+            done += answered
+
+    began_s, began_cpu_s = time.perf_counter(), _cpu_s(pid)
+    await asyncio.gather(*(call() for _ in range(LOAD_CALLERS)))
+    took_s, cpu_s = time.perf_counter() - began_s, _cpu_s(pid) - began_cpu_s
+    return [
+        Figure(GROUP, "requests/s through one entry", done / took_s, "req/s"),
+        Figure(GROUP, "requests per second of the entry's core", done / cpu_s, "req/s"),
+        Figure(GROUP, "share of the load answered", 100 * done / LOAD_REQUESTS, "%"),
+    ]
+
+
+def _cpu_s(pid: int) -> float:
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
