Choose the least loaded endpoint and close what a shutdown leaves open

A real entry that got SIGTERM under load closed 10 connections on callers whose request was on its way, and a connection that came too late to be used stayed open.

Change: the least loaded of up to 16 endpoints is chosen, equals by chance. A draining entry ends each connection with its answer and stops listening before it closes; late connections are closed.

Conclusion: fresh loads come with every admission, so that herding does not pay for chance here.

--- a/bench/request_path.py
+++ b/bench/request_path.py
@@ -11,7 +11,7 @@
 import aiohttp
 from hdrh.histogram import HdrHistogram
 
-from bench.figures import Figure
+from bench.figures import Bound, Figure
 from briardeal_standins.demo._processes import Processes, free_address
 
 if TYPE_CHECKING:
@@ -24,6 +24,7 @@
 PROBES = 600
 LOAD_REQUESTS = 3000
 LOAD_CALLERS = 20
+SHUTDOWN_CALLERS = 10
 BODY = b"x" * 1000
 HISTOGRAM_MAX_US = 10_000_000
 
@@ -54,6 +55,7 @@
         return [
             *await _measure_latency(send, through, direct),
             *await _measure_rate(send, through, processes.running["entry"].pid),
+            await _measure_shutdown(session, through, processes),
         ]
 
 
@@ -140,6 +142,32 @@
     ]
 
 
+async def _measure_shutdown(
+    session: aiohttp.ClientSession, url: str, processes: Processes
+) -> Figure:
+    cut = 0
+    entry = processes.running["entry"]
+
+    async def call() -> None:
+        nonlocal cut
+        while entry.poll() is None:
+            try:
+                async with session.post(url, data=BODY) as response:
+                    body = await response.read()
+                    cut += response.status != 200 and b"shutting_down" not in body
+            except aiohttp.ClientConnectorError:
+                await asyncio.sleep(0.05)
+            except aiohttp.ClientError:
+                cut += 1
+
+    calling = [asyncio.create_task(call()) for _ in range(SHUTDOWN_CALLERS)]
+    await asyncio.sleep(0.5)
+    entry.terminate()
+    await asyncio.gather(*calling)
+    text = "connections cut as a real entry shuts down under load"
+    return Figure(GROUP, text, cut, "", Bound("==", 0))
+
+
 def _cpu_s(pid: int) -> float:
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
--- a/packages/entry/briardeal/api/_requests.py
+++ b/packages/entry/briardeal/api/_requests.py
@@ -52,9 +52,12 @@
         """Carry a request to an endpoint and return its whole answer."""
         request = await self._read(http)
         outcome = request if isinstance(request, Refusal) else await self.entry.handle(request)
-        if isinstance(outcome, Answer):
-            return _reply_answer(outcome)
-        return reply_refusal(outcome)
+        answered = isinstance(outcome, Answer)
+        response = _reply_answer(outcome) if answered else reply_refusal(outcome)
+        if not self.entry.ready:
+            # The caller's next request must not meet the end of a connection that was kept.
+            response.force_close()
+        return response
 
     async def _read(self, http: web.Request) -> Request | Refusal:
         body = await http.read()
--- a/packages/entry/briardeal/commands/serve.py
+++ b/packages/entry/briardeal/commands/serve.py
@@ -19,6 +19,8 @@
 if TYPE_CHECKING:
     from briardeal.config import EntrySettings
 
+LATE_CALLERS_S = 0.5
+
 
 def serve(settings: EntrySettings) -> None:
     """Run an entry until SIGTERM or SIGINT."""
@@ -37,6 +39,7 @@
         runner = await _listen(entry, settings.listen)
         await stopped.wait()
         await entry.drain()
+        await _stop_listening(runner)
         await runner.cleanup()
     await client.close()
     await log.close()
@@ -48,3 +51,10 @@
     host, _, port = address.rpartition(":")
     await web.TCPSite(runner, host, int(port)).start()
     return runner
+
+
+async def _stop_listening(runner: web.AppRunner) -> None:
+    for site in list(runner.sites):
+        await site.stop()
+    # What came in before is still answered.
+    await asyncio.sleep(LATE_CALLERS_S)
--- a/packages/entry/briardeal/requests/_choice.py
+++ b/packages/entry/briardeal/requests/_choice.py
@@ -11,7 +11,8 @@
 
     from briardeal.membership import AgentEntry
 
-SAMPLE_SIZE = 2
+SAMPLE_SIZE = 16
+"""Most endpoints that are compared for one request."""
 
 
 class Chooser(Protocol):
@@ -22,10 +23,7 @@
 
 
 class RegionalChooser:
-    """Prefers the region of the caller, then the less loaded of two taken at random.
-
-    Two at random rather than the least loaded of all, because several entries that act on the
-    same report would all pick the same one.
+    """Prefers the region of the caller, then the least loaded endpoint; equals by chance.
 
     Parameters
     ----------
--- a/packages/entry/briardeal/requests/_http.py
+++ b/packages/entry/briardeal/requests/_http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextvars import ContextVar
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -13,7 +14,8 @@
 from briardeal.requests._request import Answer
 
 if TYPE_CHECKING:
-    from types import SimpleNamespace
+    from aiohttp.connector import Connection
+    from aiohttp.tracing import Trace
 
     from briardeal.requests._endpoint import Dispatch
 
@@ -36,6 +38,26 @@
     answered: bool = False
 
 
+_current: ContextVar[_Progress] = ContextVar("progress")
+"""Progress of the dispatch of the running task."""
+
+
+class _Connector(aiohttp.TCPConnector):
+    """Gives out no connection after the time for sending has passed."""
+
+    async def connect(
+        self, req: aiohttp.ClientRequest, traces: list[Trace], timeout: aiohttp.ClientTimeout
+    ) -> Connection:
+        """Open a connection."""
+        connection = await super().connect(req, traces, timeout)
+        progress = _current.get()
+        if asyncio.get_running_loop().time() >= progress.start_by_s:
+            connection.close()
+            raise _TooLateError
+        progress.connected = True
+        return connection
+
+
 class HttpEndpointClient:
     """Sends requests over HTTP, each on a new connection.
 
@@ -44,14 +66,10 @@
     """
 
     def __init__(self) -> None:
-        connector = aiohttp.TCPConnector(force_close=True, limit=0)
-        tracing = aiohttp.TraceConfig()
-        tracing.on_connection_create_end.append(_check_start)
         self.session = aiohttp.ClientSession(
-            connector=connector,
+            connector=_Connector(force_close=True, limit=0),
             auto_decompress=False,
             timeout=aiohttp.ClientTimeout(),
-            trace_configs=[tracing],
         )
 
     async def close(self) -> None:
@@ -61,6 +79,7 @@
     async def send(self, dispatch: Dispatch) -> Answer | NotSent | SentInVain:
         """Send a request and wait for the whole answer, until the deadline of the request."""
         progress = _Progress(dispatch.start_by_s)
+        _current.set(progress)
         try:
             async with asyncio.timeout_at(dispatch.request.deadline_s):
                 return await self._send(dispatch, progress)
@@ -77,7 +96,7 @@
             return SentInVain(detail, cut=progress.answered)
 
     async def _send(self, dispatch: Dispatch, progress: _Progress) -> Answer | NotSent | SentInVain:
-        async with self._post(dispatch, progress) as response:
+        async with self._post(dispatch) as response:
             progress.answered = True
             if not _shows_its_end(response):
                 return SentInVain("the answer does not show where it ends", cut=True)
@@ -86,16 +105,13 @@
             return NotSent(f"the endpoint answered {response.status}, not run", refused=True)
         return Answer(response.status, body, response.headers.get(hdrs.CONTENT_TYPE, ""))
 
-    def _post(
-        self, dispatch: Dispatch, progress: _Progress
-    ) -> aiohttp.client._RequestContextManager:
+    def _post(self, dispatch: Dispatch) -> aiohttp.client._RequestContextManager:
         request = dispatch.request
         left_s = request.deadline_s - asyncio.get_running_loop().time()
         return self.session.post(
             f"http://{dispatch.address}{REQUEST_PATH}",
             data=request.body,
             allow_redirects=False,
-            trace_request_ctx=progress,
             headers={
                 hdrs.CONTENT_TYPE: request.content_type,
                 hdrs.ACCEPT_ENCODING: "identity",
@@ -108,17 +124,6 @@
         )
 
 
-async def _check_start(
-    session: aiohttp.ClientSession,
-    context: SimpleNamespace,
-    params: aiohttp.TraceConnectionCreateEndParams,
-) -> None:
-    progress: _Progress = context.trace_request_ctx
-    if asyncio.get_running_loop().time() >= progress.start_by_s:
-        raise _TooLateError
-    progress.connected = True
-
-
 def _shows_its_end(response: aiohttp.ClientResponse) -> bool:
     if response.status in BODILESS_STATUSES:
         return True
