--- a/tests/entry/requests/test_load.py
+++ b/tests/entry/requests/test_load.py
@@ -7,8 +7,10 @@
 
 import pytest
 
-from briardeal.requests._health import Health, Standing
+from briardeal.membership import AgentEntry
+from briardeal.requests import Health, RegionalChooser, Standing
 from briardeal_core.configuration import Configuration, Customer
+from briardeal_protocol.messages import AgentHello, EndpointState
 from briardeal_standins.endpoint import Fault
 from briardeal_standins.site import Site
 from tests.checkers.requests import find_violations
@@ -75,6 +77,24 @@
         assert runs <= len(calls) * 1.1 + 10
 
 
+def agent_in(region, slots_in_use):
+    endpoint = EndpointState(
+        service="sampling", address="10.0.0.1:80", incarnation=1, slots=8, connections=64
+    )
+    name = f"{region}-{slots_in_use}"
+    hello = AgentHello(agent_id=name, incarnation=1, region=region, failure_domain="f")
+    return AgentEntry(hello, None, endpoint, 0.0, others_in_use=slots_in_use)
+
+
+def test_the_own_region_comes_first_then_the_least_load():
+    rng = random.Random(1)
+    chooser = RegionalChooser("maribor", Health(lambda: 0.0, rng), rng)
+    far, busy, idle = agent_in("koper", 0), agent_in("maribor", 6), agent_in("maribor", 2)
+    assert chooser.choose([far, busy, idle], True) is idle
+    assert chooser.choose([far], True) is far
+    assert chooser.choose([], True) is None
+
+
 def test_requests_that_fail_everywhere_take_no_endpoint_out():
     health = Health(lambda: 0.0, random.Random(1))
     names = [f"vm-{number}" for number in range(5)]
