Give the search for a slot a module of its own

Change: Slots asks agents and waits in line; the router sends, retries and explains.

Conclusion: no change of behaviour.

--- a/packages/entry/briardeal/requests/_router.py
+++ b/packages/entry/briardeal/requests/_router.py
@@ -4,47 +4,30 @@
 
 import asyncio
 import random
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from briardeal.requests._admission import Admissions, Permit
 from briardeal.requests._attempts import Attempts
 from briardeal.requests._budget import RetryBudget
 from briardeal.requests._choice import RegionalChooser, endpoint_name
 from briardeal.requests._endpoint import Dispatch, NotSent, SentInVain
 from briardeal.requests._health import Health
-from briardeal.requests._lines import WAIT_MAX_S, Lines, TooLong
+from briardeal.requests._lines import Lines
 from briardeal.requests._request import Answer
+from briardeal.requests._slots import Slots
 from briardeal_core.events import Event, log_event
 from briardeal_core.reasons import Reason, Refusal, RunState
 
 if TYPE_CHECKING:
     from briardeal.membership import AgentEntry, AgentTable
-    from briardeal.requests._choice import Chooser
+    from briardeal.requests._admission import Admissions, Permit
     from briardeal.requests._endpoint import EndpointClient
-    from briardeal.requests._lines import Line, Waiter
     from briardeal.requests._request import Request
     from briardeal_core.configuration import Configuration
     from briardeal_core.metrics import Metrics
 
-ADMISSIONS_MAX = 4
-"""Most agents that are asked in a row before the request waits."""
-
 BACKOFF_MIN_S = 0.025
 BACKOFF_MAX_S = 1.0
-WAIT_MIN_S = 0.001
-POLL_MIN_S = 0.05
-POLL_MAX_S = 0.4
-NO_ENDPOINT_RETRY_S = 1.0
 BUDGET_RETRY_S = 1.0
-ASK_ANOTHER = {
-    Reason.AGENT_SILENT,
-    Reason.NO_ENDPOINT,
-    Reason.ENDPOINT_LEAVING,
-    Reason.ENDPOINT_REPLACED,
-    Reason.ENDPOINTS_BUSY,
-}
-"""Reasons of an agent after which another agent is asked."""
 
 
 class Router:
@@ -69,8 +52,8 @@
     ----------
     health
         Evidence on failures of endpoints.
-    chooser
-        Chooses an endpoint.
+    slots
+        Finds slots for requests.
     """
 
     def __init__(
@@ -89,8 +72,9 @@
         self.region = region
         self.rng = rng or random.Random()
         self.health = Health(table.now_s, self.rng)
-        self.chooser: Chooser = RegionalChooser(region, self.health, self.rng)
         self.lines = Lines(table.now_s)
+        chooser = RegionalChooser(region, self.health, self.rng)
+        self.slots = Slots(table, admissions, self.lines, self.health, chooser, metrics, self.rng)
         self.budget = RetryBudget()
         self.shares: dict[str, float] = {}
         self.cross_region_bytes = metrics.counter(
@@ -129,7 +113,7 @@
         line = self.lines.line(
             request.service, request.customer, self.shares.get(request.customer, 0.0)
         )
-        admitted = await self._admit(attempts, line)
+        admitted = await self.slots.find(attempts, line)
         if isinstance(admitted, Refusal):
             return admitted
         self.lines.take_slot(line)
@@ -141,70 +125,6 @@
             attempts.failed.add(admitted.agent.agent_id)
         return _explain(outcome, request, self.table.now_s())
 
-    async def _admit(self, attempts: Attempts, line: Line) -> Permit | Refusal:
-        """Ask for a slot, and wait in line for one where all are held."""
-        if not line.waiters:
-            outcome = await self._ask_agents(attempts, line)
-            if isinstance(outcome, Permit) or outcome.reason is not Reason.ENDPOINTS_BUSY:
-                return outcome
-        left_s = attempts.request.deadline_s - self.table.now_s()
-        waiter = self.lines.enter(line, left_s)
-        if isinstance(waiter, TooLong):
-            return Refusal(Reason.ENDPOINTS_BUSY, RunState.NOT_RUN, waiter.retry_after_s)
-        try:
-            return await self._wait_for_slot(attempts, waiter)
-        finally:
-            self.lines.leave(waiter)
-
-    async def _wait_for_slot(self, attempts: Attempts, waiter: Waiter) -> Permit | Refusal:
-        until_s = min(attempts.request.deadline_s, self.table.now_s() + WAIT_MAX_S)
-        poll_s = POLL_MIN_S
-        while (left_s := until_s - self.table.now_s()) > WAIT_MIN_S:
-            await waiter.wait(min(left_s, poll_s * self.rng.uniform(0.75, 1.25)))
-            poll_s = min(2 * poll_s, POLL_MAX_S)
-            if not waiter.is_first:
-                continue
-            outcome = await self._ask_agents(attempts, waiter.line)
-            if isinstance(outcome, Permit) or outcome.reason is not Reason.ENDPOINTS_BUSY:
-                return outcome
-        if attempts.request.deadline_s - self.table.now_s() <= WAIT_MIN_S:
-            return Refusal(Reason.DEADLINE_PASSED, RunState.NOT_RUN)
-        retry_after_s = self.lines.retry_after_s(waiter.line)
-        return Refusal(Reason.ENDPOINTS_BUSY, RunState.NOT_RUN, retry_after_s)
-
-    async def _ask_agents(self, attempts: Attempts, line: Line) -> Permit | Refusal:
-        asked: set[str] = set()
-        refusal = Refusal(Reason.NO_ENDPOINT, RunState.NOT_RUN, NO_ENDPOINT_RETRY_S)
-        for _ in range(ADMISSIONS_MAX):
-            if self.table.now_s() >= attempts.request.deadline_s:
-                return Refusal(Reason.DEADLINE_PASSED, RunState.NOT_RUN)
-            agent = self._choose(attempts, asked)
-            if agent is None:
-                break
-            asked.add(agent.agent_id)
-            outcome = await self._ask(agent, attempts.request, line)
-            if isinstance(outcome, Permit) or outcome.reason not in ASK_ANOTHER:
-                return outcome
-            self.metrics.count_retry(outcome.reason)
-            if refusal.reason is not Reason.ENDPOINTS_BUSY:
-                refusal = outcome
-        return replace(refusal, retry_after_s=NO_ENDPOINT_RETRY_S)
-
-    async def _ask(self, agent: AgentEntry, request: Request, line: Line) -> Permit | Refusal:
-        name = endpoint_name(agent)
-        self.health.begin(name)
-        outcome = await self.admissions.admit(agent, request, line.share)
-        if isinstance(outcome, Refusal):
-            self.health.cancel(name)
-        return outcome
-
-    def _choose(self, attempts: Attempts, asked: set[str]) -> AgentEntry | None:
-        request = attempts.request
-        agents = [a for a in self.table.endpoints(request.service) if a.agent_id not in asked]
-        responsive = [agent for agent in agents if agent.is_responsive]
-        fresh = [agent for agent in responsive if agent.agent_id not in attempts.failed]
-        return self.chooser.choose(fresh or responsive or agents, request.idempotent)
-
     async def _send(self, permit: Permit, request: Request) -> Answer | NotSent | SentInVain:
         name = f"{permit.agent.agent_id}/{permit.incarnation}"
         outcome: Answer | NotSent | SentInVain = SentInVain("given up")
--- /dev/null
+++ b/packages/entry/briardeal/requests/_slots.py
@@ -0,0 +1,136 @@
+"""The way of a request to a slot of an endpoint."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+import attrs
+
+from briardeal.requests._admission import Permit
+from briardeal.requests._choice import endpoint_name
+from briardeal.requests._lines import WAIT_MAX_S, TooLong
+from briardeal_core.reasons import Reason, Refusal, RunState
+
+if TYPE_CHECKING:
+    import random
+
+    from briardeal.membership import AgentEntry, AgentTable
+    from briardeal.requests._admission import Admissions
+    from briardeal.requests._attempts import Attempts
+    from briardeal.requests._choice import Chooser
+    from briardeal.requests._health import Health
+    from briardeal.requests._lines import Line, Lines, Waiter
+    from briardeal.requests._request import Request
+    from briardeal_core.metrics import Metrics
+
+ADMISSIONS_MAX = 4
+"""Most agents that are asked in a row before the request waits."""
+
+WAIT_MIN_S = 0.001
+POLL_MIN_S = 0.05
+POLL_MAX_S = 0.4
+NO_ENDPOINT_RETRY_S = 1.0
+ASK_ANOTHER = {
+    Reason.AGENT_SILENT,
+    Reason.NO_ENDPOINT,
+    Reason.ENDPOINT_LEAVING,
+    Reason.ENDPOINT_REPLACED,
+    Reason.ENDPOINTS_BUSY,
+}
+"""Reasons of an agent after which another agent is asked."""
+
+
+@attrs.define
+class Slots:
+    """Finds slots for requests.
+
+    Parameters
+    ----------
+    table
+        Agents that are alive.
+    admissions
+        Asks agents for slots.
+    lines
+        Requests that wait for a slot.
+    health
+        Evidence on failures of endpoints.
+    chooser
+        Chooses an endpoint.
+    metrics
+        Counts the agents that were asked in vain, by reason.
+    rng
+        Source of jitter.
+    """
+
+    table: AgentTable
+    admissions: Admissions
+    lines: Lines
+    health: Health
+    chooser: Chooser
+    metrics: Metrics
+    rng: random.Random
+
+    async def find(self, attempts: Attempts, line: Line) -> Permit | Refusal:
+        """Ask for a slot, and wait in line for one where all are held."""
+        if not line.waiters:
+            outcome = await self._ask_agents(attempts, line)
+            if isinstance(outcome, Permit) or outcome.reason is not Reason.ENDPOINTS_BUSY:
+                return outcome
+        left_s = attempts.request.deadline_s - self.table.now_s()
+        waiter = self.lines.enter(line, left_s)
+        if isinstance(waiter, TooLong):
+            return Refusal(Reason.ENDPOINTS_BUSY, RunState.NOT_RUN, waiter.retry_after_s)
+        try:
+            return await self._wait_for_slot(attempts, waiter)
+        finally:
+            self.lines.leave(waiter)
+
+    async def _wait_for_slot(self, attempts: Attempts, waiter: Waiter) -> Permit | Refusal:
+        until_s = min(attempts.request.deadline_s, self.table.now_s() + WAIT_MAX_S)
+        poll_s = POLL_MIN_S
+        while (left_s := until_s - self.table.now_s()) > WAIT_MIN_S:
+            await waiter.wait(min(left_s, poll_s * self.rng.uniform(0.75, 1.25)))
+            poll_s = min(2 * poll_s, POLL_MAX_S)
+            if not waiter.is_first:
+                continue
+            outcome = await self._ask_agents(attempts, waiter.line)
+            if isinstance(outcome, Permit) or outcome.reason is not Reason.ENDPOINTS_BUSY:
+                return outcome
+        if attempts.request.deadline_s - self.table.now_s() <= WAIT_MIN_S:
+            return Refusal(Reason.DEADLINE_PASSED, RunState.NOT_RUN)
+        retry_after_s = self.lines.retry_after_s(waiter.line)
+        return Refusal(Reason.ENDPOINTS_BUSY, RunState.NOT_RUN, retry_after_s)
+
+    async def _ask_agents(self, attempts: Attempts, line: Line) -> Permit | Refusal:
+        asked: set[str] = set()
+        refusal = Refusal(Reason.NO_ENDPOINT, RunState.NOT_RUN, NO_ENDPOINT_RETRY_S)
+        for _ in range(ADMISSIONS_MAX):
+            if self.table.now_s() >= attempts.request.deadline_s:
+                return Refusal(Reason.DEADLINE_PASSED, RunState.NOT_RUN)
+            agent = self._choose(attempts, asked)
+            if agent is None:
+                break
+            asked.add(agent.agent_id)
+            outcome = await self._ask(agent, attempts.request, line)
+            if isinstance(outcome, Permit) or outcome.reason not in ASK_ANOTHER:
+                return outcome
+            self.metrics.count_retry(outcome.reason)
+            if refusal.reason is not Reason.ENDPOINTS_BUSY:
+                refusal = outcome
+        return replace(refusal, retry_after_s=NO_ENDPOINT_RETRY_S)
+
+    async def _ask(self, agent: AgentEntry, request: Request, line: Line) -> Permit | Refusal:
+        name = endpoint_name(agent)
+        self.health.begin(name)
+        outcome = await self.admissions.admit(agent, request, line.share)
+        if isinstance(outcome, Refusal):
+            self.health.cancel(name)
+        return outcome
+
+    def _choose(self, attempts: Attempts, asked: set[str]) -> AgentEntry | None:
+        request = attempts.request
+        agents = [a for a in self.table.endpoints(request.service) if a.agent_id not in asked]
+        responsive = [agent for agent in agents if agent.is_responsive]
+        fresh = [agent for agent in responsive if agent.agent_id not in attempts.failed]
+        return self.chooser.choose(fresh or responsive or agents, request.idempotent)
