--- a/packages/entry/briardeal/jobs/_attempt.py
+++ b/packages/entry/briardeal/jobs/_attempt.py
@@ -37,6 +37,9 @@
 """
 
 STOP_INTERVAL_S = 2.0
+WAIT_MIN_S = 0.01
+"""Shortest wait, so that none rounds to nothing."""
+
 BACKOFF_BASE_S = 0.1
 BACKOFF_CAP_S = 5.0
 CLOSING_WHY = "The start is given up: {cause}"
@@ -187,13 +190,16 @@
         """Wait until nothing of the attempt runs, and record that it is over."""
         closing: asyncio.Future[None] | None = None
         lapses_s = float("inf")
+        next_stop_s = 0.0
         while self.ordered and not self.state.is_settled(_loop_time() >= lapses_s):
             closing = closing or self.desk.outbox.add(self._closing(outcome))
             if closing.done():
                 lapses_s = min(lapses_s, _loop_time() + RESTART_WAIT_S)
-            await self.desk.gangs.stop(self.gang)
-            if not self.state.is_settled(_loop_time() >= lapses_s):
-                await self._wait(STOP_INTERVAL_S)
+            if _loop_time() >= next_stop_s:
+                next_stop_s = _loop_time() + STOP_INTERVAL_S
+                await self.desk.gangs.stop(self.gang)
+            else:
+                await self._wait(max(WAIT_MIN_S, next_stop_s - _loop_time()))
         self.checkpoints = self.state.checkpoints()
         self.desk.outbox.add(
             AttemptEnded(
--- a/packages/entry/briardeal/jobs/_members.py
+++ b/packages/entry/briardeal/jobs/_members.py
@@ -45,12 +45,19 @@
         """What the worker has and where it stands."""
         return self.entry.hello.worker.shape
 
-    def take(self, statuses: Iterable[TaskStatus]) -> None:
-        """Take states of tasks; an answer that is handled late takes no task back."""
+    def take(self, statuses: Iterable[TaskStatus]) -> set[str]:
+        """Take states of tasks and return the jobs that changed.
+
+        An answer that is handled late takes no task back.
+        """
+        changed = set()
         for status in statuses:
             known = self.tasks.get(status.job_id)
             if known is None or _progress(known) <= _progress(status):
                 self.tasks[status.job_id] = status
+                if known != status:
+                    changed.add(status.job_id)
+        return changed
 
 
 class Members:
@@ -93,9 +100,11 @@
         agent = self.agents.get(entry.agent_id)
         if agent is None or agent.entry is not entry:
             return
+        newly_listed = whole and not agent.listed
         agent.listed = agent.listed or whole
-        agent.take(statuses)
-        self._tell(None if whole else {status.job_id for status in statuses})
+        changed = agent.take(statuses)
+        if newly_listed or changed:
+            self._tell(None if newly_listed else changed)
 
     def count_listed(self) -> int:
         """Return the number of workers whose tasks are all known."""
--- a/packages/entry/briardeal/jobs/_service.py
+++ b/packages/entry/briardeal/jobs/_service.py
@@ -36,6 +36,7 @@
     from collections.abc import Callable
 
     from briardeal.jobs._decisions import DecisionMaker
+    from briardeal.jobs._members import WorkerAgent
     from briardeal.jobs._view import JobView
     from briardeal.jobs.ownership import PeerLogStates
     from briardeal.membership import AgentEntry
@@ -183,8 +184,7 @@
         """Take in an agent that connected, with the tasks that it holds."""
         if entry.hello.worker is not None:
             self.ownership.notice_fence(entry.hello.worker.fence)
-            self.members.join(entry)
-            self.add_future(self._list_tasks(entry))
+            self.add_future(self._list_tasks(self.members.join(entry)))
 
     def agent_lost(self, entry: AgentEntry) -> None:
         """Take note that an agent is out of reach."""
@@ -199,10 +199,10 @@
             reply = GangsWhole(sequence=tasks.sequence, tasks=whole)
             self.add_future(entry.link.connection.send(reply))
 
-    async def _list_tasks(self, entry: AgentEntry) -> None:
+    async def _list_tasks(self, agent: WorkerAgent) -> None:
         """Learn all tasks of an agent, for what it told before may have been lost."""
-        agent = self.members.agents[entry.agent_id]
-        while self.members.agents.get(entry.agent_id) is agent and not self.should_stop:
+        name = agent.entry.agent_id
+        while self.members.agents.get(name) is agent and not self.should_stop:
             if await self.gangs.take_inventory(agent, self.ownership.token):
                 return
             await asyncio.sleep(INVENTORY_RETRY_S)
--- a/tests/entry/jobs/cluster.py
+++ b/tests/entry/jobs/cluster.py
@@ -130,6 +130,10 @@
             if connection.address == address:
                 connection.silent = connection.other.silent = True
 
+    def heal(self, address: str) -> None:
+        """Let new connections to an address work again."""
+        self.blocked.discard(address)
+
     def kill(self) -> None:
         """End all connections of a dead process."""
         for connection in self.opened:
@@ -207,6 +211,7 @@
     def kill(self) -> None:
         self.gate.dead = True
         self.gate.open.set()
+        self.cluster.network.listeners.pop(self.listener.address, None)
         self.network.kill()
 
     def log_states(self):
--- a/tests/entry/jobs/test_owner.py
+++ b/tests/entry/jobs/test_owner.py
@@ -13,7 +13,7 @@
 from tests.entry.jobs.checker import check
 from tests.entry.jobs.cluster import Cluster, create_job, loop_time
 
-pytestmark = pytest.mark.looptime
+pytestmark = pytest.mark.looptime(noop_cycles=2)
 
 QUIET_S = 2 * RESTART_WAIT_S
 
