--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES = core protocol scheduling entry agent standins
 export PYTHONPATH = $(CURDIR):$(subst $() ,:,$(addprefix $(CURDIR)/packages/,$(PACKAGES)))
 
-.PHONY: setup format lint test bench capacity demo
+.PHONY: setup format lint test bench capacity pages demo
 
 setup: $(VENV)/.installed
 
@@ -23,7 +23,7 @@
 	$(VENV)/bin/ruff check packages tests bench
 
 test: setup
-	$(PYTHON) -m pytest
+	$(PYTHON) -m pytest --numprocesses 6
 
 bench: setup
 	$(PYTHON) -m bench
@@ -31,5 +31,8 @@
 capacity: setup
 	$(PYTHON) -m bench capacity
 
+pages: setup
+	$(PYTHON) -m briardeal_standins.pages docs/user-guide
+
 demo: setup
 	$(PYTHON) -m briardeal_standins.demo
--- /dev/null
+++ b/packages/scheduling/briardeal_scheduling/guarantees/_ledger.py
@@ -0,0 +1,364 @@
+"""What is set aside for each guarantee, and which jobs use it."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+import attrs
+
+from briardeal_core.configuration import Guarantee
+from briardeal_scheduling.decisions import Placement
+from briardeal_scheduling.guarantees._plan import FINENESS, GuaranteeKey, Want, make_plan
+
+if TYPE_CHECKING:
+    from briardeal_core.configuration import Configuration
+    from briardeal_core.jobs import JobRequest
+    from briardeal_scheduling.fleet import Fleet, Group
+    from briardeal_scheduling.guarantees._plan import Plan
+
+
+@attrs.define(eq=False)
+class Booking:
+    """The VMs of one guarantee.
+
+    Attributes
+    ----------
+    slots
+        Its VMs, each with the job of its customer that uses it, or `None`.
+    """
+
+    key: GuaranteeKey
+    guarantee: Guarantee
+    slots: dict[str, str | None] = attrs.field(factory=dict)
+
+    @property
+    def unclaimed(self) -> list[str]:
+        """VMs that its customer does not use."""
+        return [worker_id for worker_id, job_id in self.slots.items() if job_id is None]
+
+    @property
+    def claims(self) -> dict[str, str]:
+        """VMs that its customer uses, with the job."""
+        return {worker_id: job_id for worker_id, job_id in self.slots.items() if job_id}
+
+
+@attrs.frozen
+class Shortfall:
+    """A guarantee that does not hold at the moment.
+
+    Parameters
+    ----------
+    customer, job_class
+        Whose guarantee, and for which class.
+    wanted_vms, held_vms
+        VMs of the guarantee, and those that it can have.
+    """
+
+    customer: str
+    job_class: str
+    wanted_vms: int
+    held_vms: int
+
+
+@attrs.define(eq=False)
+class Ledger:
+    """All bookings.
+
+    Attributes
+    ----------
+    by_job
+        The guarantee that each job uses.
+    whole
+        Whether every guarantee holds.
+    margin_held
+        Whether the guarantees also hold after failures within the margin.
+    stale
+        Whether the bookings must be planned again before the next decision.
+    margin_stale
+        Whether another plan might bring the margin back.
+    admitted
+        Whether work of a shape fits beside all guarantees, by the shape and the set of VMs.
+    """
+
+    bookings: dict[GuaranteeKey, Booking] = attrs.field(factory=dict)
+    by_customer: dict[str, list[Booking]] = attrs.field(factory=dict)
+    by_job: dict[str, GuaranteeKey] = attrs.field(factory=dict)
+    margin_vms: int = 0
+    whole: bool = True
+    margin_held: bool = True
+    stale: bool = False
+    margin_stale: bool = False
+    admitted: dict[tuple[object, ...], bool] = attrs.field(factory=dict)
+    needs: dict[Group, int] = attrs.field(factory=dict)
+
+    def configure(self, configuration: Configuration) -> list[str]:
+        """Take over new guarantees and return the jobs that no longer run under one."""
+        old = list(self.bookings.values())
+        self.bookings = {}
+        self.by_customer = defaultdict(list)
+        self.margin_vms = configuration.failure_margin_vms
+        for customer in configuration.customers:
+            for position, guarantee in enumerate(customer.guarantees):
+                key = GuaranteeKey(customer.name, position)
+                self.bookings[key] = Booking(key, guarantee)
+                self.by_customer[customer.name].append(self.bookings[key])
+                _carry_claims(old, self.bookings[key])
+        before = set(self.by_job)
+        self.by_job = {
+            job_id: booking.key
+            for booking in self.bookings.values()
+            for job_id in booking.claims.values()
+        }
+        self.admitted.clear()
+        self.stale = True
+        return sorted(before - set(self.by_job))
+
+    def replan(self, fleet: Fleet) -> None:
+        """Plan all bookings again."""
+        plan = make_plan(self._rooms(fleet), fleet.groups, self._wants(), self.margin_vms)
+        self._adopt_plan(plan, fleet)
+
+    def replan_beside(
+        self, fleet: Fleet, request: JobRequest, allowed: frozenset[str]
+    ) -> Placement | None:
+        """Move bookings so that work which can't be preempted may start now.
+
+        Parameters
+        ----------
+        fleet
+            The VMs.
+        request
+            The work.
+        allowed
+            VMs that are free enough for it.
+
+        Returns
+        -------
+        Placement or None
+            Where it may start; `None`, with nothing moved, where that takes from a guarantee.
+        """
+        shape = Guarantee(
+            job_class=request.job_class,
+            vms=request.tasks,
+            accelerators_per_vm=request.accelerators_per_task,
+            adjacency=request.adjacency,
+        )
+        own = Want(GuaranteeKey("", 0), shape, allowed=allowed)
+        wants = [*self._wants(), own]
+        plan = make_plan(self._rooms(fleet), fleet.groups, wants, self.margin_vms)
+        workers = plan.slots.pop(own.key)
+        if len(workers) < request.tasks or not self._no_worse(plan):
+            return None
+        self._adopt_plan(plan, fleet)
+        return Placement(tuple(workers), request.accelerators_per_task)
+
+    def booking_for(self, request: JobRequest) -> Booking | None:
+        """Return a guarantee of the job's customer with room for the whole job."""
+        if not request.accelerators_per_task:
+            return None
+        for booking in self.by_customer.get(request.customer, ()):
+            fits = len(booking.unclaimed) >= request.tasks
+            if fits and covers(booking.guarantee, request):
+                return booking
+        return None
+
+    def claim(self, job_id: str, booking: Booking, workers: tuple[str, ...]) -> None:
+        """Let a job use VMs of a guarantee."""
+        for worker_id in workers:
+            booking.slots[worker_id] = job_id
+        self.by_job[job_id] = booking.key
+
+    def release(self, job_id: str) -> None:
+        """Give back the VMs of a guarantee that a job used."""
+        key = self.by_job.pop(job_id, None)
+        if key is None or key not in self.bookings:
+            return
+        slots = self.bookings[key].slots
+        for worker_id, user in slots.items():
+            if user == job_id:
+                slots[worker_id] = None
+
+    def note_freed(self) -> None:
+        """Note that work left, or a VM came, so that more of the guarantees may hold."""
+        if not self.whole:
+            self.stale = True
+        elif not self.margin_held:
+            self.margin_stale = True
+
+    def lose_worker(self, fleet: Fleet, worker_id: str) -> None:
+        """Set other VMs aside in place of one that is about to go."""
+        for booking in self.bookings.values():
+            if worker_id not in booking.slots:
+                continue
+            target = self._replacement(fleet, booking, worker_id)
+            if target is None or not self.move(fleet, booking, worker_id, target):
+                del booking.slots[worker_id]
+                self.stale = True
+        if not self.stale and self.margin_vms:
+            self.margin_held &= self._margin_left(fleet, worker_id)
+            self.margin_stale |= not self.margin_held
+
+    def move(self, fleet: Fleet, booking: Booking, source: str, target: str) -> bool:
+        """Set another VM aside in place of one that is lent, where nothing else changes."""
+        need = booking.guarantee.accelerators_per_vm
+        adjacency = booking.guarantee.adjacency
+        if fleet.groups[source][adjacency] != fleet.groups[target][adjacency]:
+            return False
+        if target in booking.slots or fleet.workers[target].unbooked < need:
+            return False
+        adjacencies = (fleet.groups[source], fleet.groups[target])
+        touched = {group for groups in adjacencies for group in groups.values()}
+        before = self._spares_in(fleet, touched)
+        self._shift(fleet, booking, source, target)
+        if self._margin_kept(fleet, touched, before):
+            return True
+        self._shift(fleet, booking, target, source)
+        return False
+
+    def allows_pinned(self, fleet: Fleet, placement: Placement) -> bool:
+        """Return whether pinned work may go there without using up the failure margin."""
+        if not self.margin_vms:
+            return True
+        touched = {
+            group for worker_id in placement.workers for group in fleet.groups[worker_id].values()
+        }
+        before = self._spares_in(fleet, touched)
+        fleet.pin(placement)
+        kept = self._margin_kept(fleet, touched, before)
+        fleet.pin(placement, -1)
+        return kept
+
+    def shortfalls(self) -> list[Shortfall]:
+        """Return the guarantees that do not hold."""
+        return [
+            Shortfall(
+                booking.key.customer,
+                booking.guarantee.job_class,
+                booking.guarantee.vms,
+                len(booking.slots),
+            )
+            for booking in self.bookings.values()
+            if len(booking.slots) < booking.guarantee.vms
+        ]
+
+    def _wants(self) -> list[Want]:
+        return [
+            Want(booking.key, booking.guarantee, booking.claims)
+            for booking in self.bookings.values()
+        ]
+
+    def _rooms(self, fleet: Fleet) -> dict[str, int]:
+        """Return what guarantees may take of each VM; of one set aside, only what they use."""
+        rooms = {
+            worker.worker_id: worker.accelerators - worker.pinned if worker.usable else 0
+            for worker in fleet.workers.values()
+        }
+        for booking in self.bookings.values():
+            for worker_id in booking.claims:
+                if not fleet.workers[worker_id].usable:
+                    rooms[worker_id] += booking.guarantee.accelerators_per_vm
+        return rooms
+
+    def _no_worse(self, plan: Plan) -> bool:
+        kept = all(
+            len(plan.slots[key]) >= len(booking.slots) for key, booking in self.bookings.items()
+        )
+        return kept and (plan.margin_held or not self.margin_held)
+
+    def _adopt_plan(self, plan: Plan, fleet: Fleet) -> None:
+        booked: dict[str, int] = defaultdict(int)
+        for key, workers in plan.slots.items():
+            booking = self.bookings[key]
+            booking.slots = {worker_id: booking.slots.get(worker_id) for worker_id in workers}
+            for worker_id in workers:
+                booked[worker_id] += booking.guarantee.accelerators_per_vm
+        for worker_id, worker in fleet.workers.items():
+            if worker.booked != booked[worker_id]:
+                worker.booked = booked[worker_id]
+                fleet.refresh(worker_id)
+        self.whole = plan.whole
+        self.margin_held = plan.margin_held
+        self.stale = False
+        self.margin_stale = False
+        self._index_bookings(fleet)
+
+    def _index_bookings(self, fleet: Fleet) -> None:
+        self.needs = defaultdict(int)
+        for booking in self.bookings.values():
+            for worker_id in booking.slots:
+                group = fleet.groups[worker_id][booking.guarantee.adjacency]
+                self.needs[group] = max(self.needs[group], fleet.workers[worker_id].booked)
+
+    def _replacement(self, fleet: Fleet, booking: Booking, worker_id: str) -> str | None:
+        need = booking.guarantee.accelerators_per_vm
+        group = fleet.groups[worker_id][booking.guarantee.adjacency]
+        for index in (fleet.room, fleet.spare):
+            for _, bucket in index.ascending(group, need):
+                for target in bucket:
+                    if target != worker_id and target not in booking.slots:
+                        return target
+        return None
+
+    def _margin_left(self, fleet: Fleet, worker_id: str) -> bool:
+        """Return whether enough spare VMs are left in each group once a VM is gone."""
+        gone = fleet.workers[worker_id]
+        for group, need in self.needs.items():
+            counted = not gone.booked and gone.unbooked >= need
+            own = counted and fleet.groups[worker_id][group.adjacency] == group
+            if fleet.spare.count(group, need) - own < self.margin_vms:
+                return False
+        return True
+
+    def _shift(self, fleet: Fleet, booking: Booking, source: str, target: str) -> None:
+        need = booking.guarantee.accelerators_per_vm
+        del booking.slots[source]
+        booking.slots[target] = None
+        for worker_id, change in ((source, -need), (target, need)):
+            fleet.workers[worker_id].booked += change
+            fleet.refresh(worker_id)
+        self._index_bookings(fleet)
+
+    def _margin_kept(self, fleet: Fleet, touched: set[Group], before: dict[Group, int]) -> bool:
+        """Return whether no touched group has lost a spare VM that it needs."""
+        if not self.margin_vms:
+            return True
+        after = self._spares_in(fleet, touched)
+        return all(
+            spares >= min(self.margin_vms, before.get(group, self.margin_vms))
+            for group, spares in after.items()
+        )
+
+    def _spares_in(self, fleet: Fleet, touched: set[Group]) -> dict[Group, int]:
+        if not self.margin_vms:
+            return {}
+        return {
+            group: fleet.spare.count(group, self.needs[group])
+            for group in touched & self.needs.keys()
+        }
+
+
+def covers(guarantee: Guarantee, request: JobRequest) -> bool:
+    """Return whether a guarantee is for work of such a shape."""
+    close = FINENESS.index(guarantee.adjacency) <= FINENESS.index(request.adjacency)
+    return (
+        guarantee.job_class == request.job_class
+        and guarantee.accelerators_per_vm >= request.accelerators_per_task
+        and guarantee.vms >= request.tasks
+        and (close or request.tasks == 1)
+    )
+
+
+def _carry_claims(old: list[Booking], booking: Booking) -> None:
+    guarantee = booking.guarantee
+    for before in old:
+        same = (
+            before.key.customer == booking.key.customer
+            and before.guarantee.job_class == guarantee.job_class
+            and before.guarantee.accelerators_per_vm == guarantee.accelerators_per_vm
+            and before.guarantee.adjacency == guarantee.adjacency
+        )
+        if same and len(before.claims) <= guarantee.vms:
+            booking.slots.update(before.claims)
+            old.remove(before)
+            return
--- /dev/null
+++ b/tests/core/log/test_claims.py
@@ -0,0 +1,143 @@
+"""One process holds a role, by the order of the log."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from briardeal_core.log import AppendBudget, Held, HeldByOther, LogUnavailable, RoleClaim
+from briardeal_standins.log import Faults, MemoryLog
+from tests.core.log.samples import settle
+
+pytestmark = pytest.mark.looptime
+
+
+def claim(log, name):
+    return RoleClaim(log, "c", "role", name, AppendBudget(), random.Random(name))
+
+
+async def test_one_of_two_wins_and_the_token_rises():
+    log = MemoryLog()
+    first, second = claim(log, "a"), claim(log, "b")
+    outcomes = await asyncio.gather(first.acquire(), second.acquire())
+    assert [type(outcome) for outcome in outcomes] == [Held, HeldByOther]
+    renewed = await first.acquire()
+    assert renewed.token == outcomes[0].token
+    await settle(31)
+    taken = await second.acquire()
+    assert taken.token > renewed.token
+    assert isinstance(await first.acquire(), HeldByOther)
+
+
+async def test_release_hands_over_at_once():
+    log = MemoryLog()
+    first, second = claim(log, "a"), claim(log, "b")
+    await first.acquire()
+    await first.release()
+    assert isinstance(await second.acquire(), Held)
+
+
+async def test_lease_counts_from_before_the_claim_was_sent():
+    store = MemoryLog().store
+    slow = claim(MemoryLog(store, Faults(delay_s=31)), "a")
+    other = claim(MemoryLog(store), "b")
+    late = await slow.acquire()
+    assert late.until_s < asyncio.get_running_loop().time()
+    taken = await other.acquire()
+    assert isinstance(taken, Held)
+    assert taken.token > late.token
+
+
+async def test_renewal_after_the_lease_ended_has_no_effect():
+    store = MemoryLog().store
+    slow = claim(MemoryLog(store), "a")
+    await slow.acquire()
+    await settle(20)
+    slow.log.faults.late_writes = 1
+    slow.log.faults.late_write_s = 60
+    assert isinstance(await slow.acquire(), LogUnavailable)
+    await settle(61)
+    assert isinstance(await claim(MemoryLog(store), "b").acquire(), Held)
+
+
+async def test_renewal_that_takes_too_long_is_not_told_as_held():
+    class SlowToAppend(MemoryLog):
+        append_delay_s = 0.0
+
+        async def append(self, stream, record, append_id):
+            await asyncio.sleep(self.append_delay_s)
+            return await super().append(stream, record, append_id)
+
+    log = SlowToAppend()
+    slow = claim(log, "a")
+    await slow.acquire()
+    await settle(20)
+    log.append_delay_s = 15
+    assert isinstance(await slow.acquire(), LogUnavailable)
+    log.append_delay_s = 0
+    assert isinstance(await claim(log, "b").acquire(), Held)
+
+
+async def test_reader_that_starts_past_retention_agrees_on_the_holder():
+    log = MemoryLog()
+    first = claim(log, "a")
+    held = await first.acquire()
+    await first.acquire()
+    log.store.drop_before("c", 1)
+    outcome = await claim(log, "b").acquire()
+    assert isinstance(outcome, HeldByOther)
+    assert outcome.holder.token == held.token
+
+
+@pytest.mark.parametrize("seed", range(10))
+async def test_two_never_hold_at_once_and_late_readers_agree(seed):
+    rng = random.Random(seed)
+    store = MemoryLog().store
+    tokens, overlaps, until_s = [], [], {}
+
+    def note(name, held):
+        now_s = asyncio.get_running_loop().time()
+        overlaps.extend(
+            other for other, end_s in until_s.items() if other != name and end_s > now_s
+        )
+        if held.until_s > now_s:
+            tokens.append((held.token, name))
+            until_s[name] = held.until_s
+
+    async def compete(name):
+        mine = claim(MemoryLog(store), name)
+        while True:
+            outcome = await mine.acquire()
+            if isinstance(outcome, Held):
+                note(name, outcome)
+                if rng.random() < 0.2:
+                    until_s[name] = 0
+                    await mine.release()
+            mine.log.faults = make_faults(rng)
+            await asyncio.sleep(rng.uniform(0, 20))
+
+    tasks = [asyncio.create_task(compete(name)) for name in "abc"]
+    await settle(3000)
+    for task in tasks:
+        task.cancel()
+    assert {name for _, name in tokens} == set("abc")
+    assert overlaps == []
+    assert tokens == sorted(tokens)
+    late, full = claim(MemoryLog(store), "late"), claim(MemoryLog(store), "full")
+    await full.acquire()
+    store.drop_before("c", store.streams["c"].end // 2)
+    await late.acquire()
+    assert late.table.holders == full.table.holders
+
+
+def make_faults(rng):
+    return Faults(
+        outage=rng.random() < 0.1,
+        delay_s=rng.choice([0, 0.1, 5]),
+        lost_acknowledgements=rng.choice([0, 0, 1]),
+        late_writes=rng.choice([0, 0, 1]),
+        late_write_s=rng.choice([1, 40]),
+        double_writes=rng.choice([0, 1]),
+    )
