--- a/packages/entry/briardeal/structure/_entry.py
+++ b/packages/entry/briardeal/structure/_entry.py
@@ -26,6 +26,7 @@
     from briardeal.config import EntrySettings
     from briardeal.requests import Answer, EndpointClient, Request
     from briardeal_core.clock import Clock
+    from briardeal_core.configuration import Configuration
     from briardeal_core.jobs import WorkerShape
     from briardeal_core.log import Log
     from briardeal_core.reasons import Refusal
@@ -106,7 +107,7 @@
             budget=self.budget,
         )
         self.board = self.jobs.board
-        self.configuration.subscribe(lambda _, configuration: self.jobs.configure(configuration))
+        self.configuration.subscribe(lambda _, configuration: self._configure(configuration))
         hello = EntryHello(entry_id=settings.entry_id, incarnation=self.incarnation)
         self.agents = AgentListener(network, settings.agent_listen, hello, self.table, self.jobs)
         self.peers = self._create_peers(peer_network)
@@ -149,6 +150,10 @@
         """Return the whole answer to a caller's request, or why there is none."""
         return await self.gateway.handle(request)
 
+    def _configure(self, configuration: Configuration) -> None:
+        self.router.set_configuration(configuration)
+        self.jobs.configure(configuration)
+
     def _create_peers(self, network: PeerNetwork | None) -> PeerService:
         settings = self.settings
         myself = Member(
