Read processes in one place, and refuse keys honestly at shutdown

Cause: three modules started processes and read their use, each in its own way. An entry that shut down told a repeated key not_run, though the key may have run before; it told other entries of its leaving only after its last caller was served. Change: one package of the stand-ins starts and reads processes; a key is refused as unknown; other entries are told at once; a silent agent also sends a request to another region.

--- a/bench/agent_process.py
+++ b/bench/agent_process.py
@@ -8,7 +8,6 @@
 import attrs
 
 from bench.figures import Bound, Figure
-from bench.processes import MeasuredProcess, free_address
 from briardeal_agent.http import HttpReply, fetch
 from briardeal_agent.permits import QUARANTINE_S
 from briardeal_protocol.connections import Link, TcpNetwork
@@ -23,6 +22,7 @@
     Release,
     encode,
 )
+from briardeal_standins.processes import Processes, cpu_s, free_address, resident_mb
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -150,7 +150,9 @@
     entry = MeasuringEntry()
     listener = await TcpNetwork().listen("127.0.0.1:0", entry.serve)
     http = free_address()
-    process = MeasuredProcess(
+    processes = Processes()
+    pid = processes.start(
+        "agent",
         "briardeal_agent",
         "run",
         *("--agent-id", "a", "--region", "r", "--failure-domain", "d"),
@@ -158,40 +160,38 @@
     )
     try:
         await entry.joined.wait()
-        return await _use(process, entry, http)
+        return await _use(pid, entry, http)
     finally:
         await listener.close()
         await entry.link.connection.close()
-        process.kill()
+        processes.kill_all()
 
 
-async def _use(process: MeasuredProcess, entry: MeasuringEntry, http: str) -> AgentUse:
+async def _use(pid: int, entry: MeasuringEntry, http: str) -> AgentUse:
     announced = await fetch("PUT", http, "/v1/endpoint", _announcement(), timeout_s=5)
     assert announced == HttpReply(200, b"{}"), announced
     await entry.wait_heartbeats(HEARTBEATS_MEASURED // 10)
     await asyncio.sleep(QUARANTINE_S)
-    heartbeat = await _measure(process, entry, lambda: entry.wait_heartbeats(HEARTBEATS_MEASURED))
+    heartbeat = await _measure(pid, entry, lambda: entry.wait_heartbeats(HEARTBEATS_MEASURED))
     beats = entry.heartbeats
-    calls = await _measure(process, entry, lambda: _send_requests(entry.link))
+    calls = await _measure(pid, entry, lambda: _send_requests(entry.link))
     beats = entry.heartbeats - beats
     assert (await fetch("GET", http, "/metrics", timeout_s=5)).status == 200
     heartbeat = heartbeat.divided_by(HEARTBEATS_MEASURED)
     return AgentUse(
-        resident_mb=process.resident_mb(),
+        resident_mb=resident_mb(pid),
         heartbeat=heartbeat,
         request=calls.without(heartbeat, beats).divided_by(CALLS_MEASURED),
     )
 
 
-async def _measure(
-    process: MeasuredProcess, entry: MeasuringEntry, work: Callable[[], Awaitable[None]]
-) -> Cost:
+async def _measure(pid: int, entry: MeasuringEntry, work: Callable[[], Awaitable[None]]) -> Cost:
     connection = entry.link.connection
-    before_s = process.cpu_s()
+    before_s = cpu_s(pid)
     before_bytes = connection.bytes_sent + connection.bytes_received
     await work()
     moved = connection.bytes_sent + connection.bytes_received - before_bytes
-    return Cost(process.cpu_s() - before_s, moved)
+    return Cost(cpu_s(pid) - before_s, moved)
 
 
 async def _send_requests(link: Link) -> None:
--- a/bench/entry_process.py
+++ b/bench/entry_process.py
@@ -10,7 +10,6 @@
 import attrs
 
 from bench.figures import Figure
-from bench.processes import MeasuredProcess, free_address
 from briardeal_core.jobs import WorkerShape
 from briardeal_protocol.connections import Closed, TcpNetwork
 from briardeal_protocol.messages import (
@@ -23,6 +22,7 @@
     Tasks,
     WorkerState,
 )
+from briardeal_standins.processes import Processes, cpu_s, free_address, resident_mb
 
 if TYPE_CHECKING:
     from briardeal_protocol.connections import Connection
@@ -105,8 +105,10 @@
 
 async def _measure_entry() -> EntryUse:
     log, http, agents = free_address(), free_address(), free_address()
-    log_process = MeasuredProcess("briardeal_standins.log", "--listen", log)
-    entry = MeasuredProcess(
+    processes = Processes()
+    processes.start("log", "briardeal_standins.log", "--listen", log)
+    pid = processes.start(
+        "entry",
         "briardeal",
         "serve",
         *("--entry-id", "e", "--region", "r", "--failure-domain", "d", "--log", log),
@@ -115,14 +117,13 @@
     )
     try:
         await _wait_ready(http)
-        return await _use(entry, http, agents)
+        return await _use(pid, http, agents)
     finally:
-        entry.kill()
-        log_process.kill()
+        processes.kill_all()
 
 
-async def _use(entry: MeasuredProcess, http: str, agents_address: str) -> EntryUse:
-    base_mb = entry.resident_mb()
+async def _use(pid: int, http: str, agents_address: str) -> EntryUse:
+    base_mb = resident_mb(pid)
     agents: list[FakeAgent] = []
     memory_mb = {}
     for count in AGENT_COUNTS:
@@ -130,11 +131,11 @@
         await asyncio.gather(*(agent.join(agents_address) for agent in joining))
         agents += joining
         await asyncio.gather(*(agent.send_heartbeats(1) for agent in agents))
-        memory_mb[count] = entry.resident_mb()
-    before_s = entry.cpu_s()
+        memory_mb[count] = resident_mb(pid)
+    before_s = cpu_s(pid)
     await asyncio.gather(*(agent.send_heartbeats(HEARTBEATS_EACH) for agent in agents))
-    heartbeat_cpu_s = (entry.cpu_s() - before_s) / (len(agents) * HEARTBEATS_EACH)
-    job_cpu_s, job_kb = await _submit_jobs(entry, http)
+    heartbeat_cpu_s = (cpu_s(pid) - before_s) / (len(agents) * HEARTBEATS_EACH)
+    job_cpu_s, job_kb = await _submit_jobs(pid, http)
     for agent in agents:
         await agent.connection.close()
     return EntryUse(
@@ -146,14 +147,14 @@
     )
 
 
-async def _submit_jobs(entry: MeasuredProcess, http: str) -> tuple[float, float]:
+async def _submit_jobs(pid: int, http: str) -> tuple[float, float]:
     job = {"customer": "c", "job_class": "b", "tasks": 64, "accelerators_per_task": 9}
     async with aiohttp.ClientSession() as session:
         await _submit(session, http, job, JOBS_MEASURED // 5)
-        before_s, before_mb = entry.cpu_s(), entry.resident_mb()
+        before_s, before_mb = cpu_s(pid), resident_mb(pid)
         await _submit(session, http, job, JOBS_MEASURED)
-    spent_s = entry.cpu_s() - before_s
-    grown_kb = (entry.resident_mb() - before_mb) * 1024
+    spent_s = cpu_s(pid) - before_s
+    grown_kb = (resident_mb(pid) - before_mb) * 1024
     return spent_s / JOBS_MEASURED, grown_kb / JOBS_MEASURED
 
 
--- a/bench/request_path.py
+++ b/bench/request_path.py
@@ -3,17 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import time
 from http import HTTPStatus
-from pathlib import Path
 from typing import TYPE_CHECKING
 
 import aiohttp
 from hdrh.histogram import HdrHistogram
 
 from bench.figures import Bound, Figure
-from briardeal_standins.demo._processes import Processes, free_address
+from briardeal_standins.processes import Processes, cpu_s, free_address
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -135,12 +133,12 @@
             answered = await send(url)
             done += answered
 
-    began_s, began_cpu_s = time.perf_counter(), _cpu_s(pid)
+    began_s, began_cpu_s = time.perf_counter(), cpu_s(pid)
     await asyncio.gather(*(call() for _ in range(LOAD_CALLERS)))
-    took_s, cpu_s = time.perf_counter() - began_s, _cpu_s(pid) - began_cpu_s
+    took_s, spent_s = time.perf_counter() - began_s, cpu_s(pid) - began_cpu_s
     return [
         Figure(GROUP, "requests/s through one entry", done / took_s, "req/s"),
-        Figure(GROUP, "requests per second of the entry's core", done / cpu_s, "req/s"),
+        Figure(GROUP, "requests per second of the entry's core", done / spent_s, "req/s"),
         Figure(GROUP, "share of the load answered", 100 * done / LOAD_REQUESTS, "%"),
     ]
 
@@ -181,8 +179,3 @@
         async with session.get(health) as response:
             if response.status != HTTPStatus.OK:
                 ready.clear()
-
-
-def _cpu_s(pid: int) -> float:
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
--- a/packages/entry/briardeal/structure/_entry.py
+++ b/packages/entry/briardeal/structure/_entry.py
@@ -136,11 +136,14 @@
         log_event(Event.PROCESS_STOPPING, name=self.settings.entry_id)
         await asyncio.sleep(BALANCER_NOTICE_S)
         self.gateway.accepting = False
-        deadline_s = _loop_time() + self.settings.drain_timeout_s
+        timeout_s = self.settings.drain_timeout_s
+        await asyncio.gather(self.peers.leave(timeout_s), self._finish_requests(timeout_s))
+        await self.admissions.flush(RELEASE_TIMEOUT_S)
+
+    async def _finish_requests(self, timeout_s: float) -> None:
+        deadline_s = _loop_time() + timeout_s
         while self.gateway.in_flight and _loop_time() < deadline_s:
             await asyncio.sleep(DRAIN_POLL_S)
-        await self.peers.leave(max(0.0, deadline_s - _loop_time()))
-        await self.admissions.flush(RELEASE_TIMEOUT_S)
 
     async def on_shutdown(self) -> None:
         """Log the end of the process."""
--- a/packages/entry/briardeal/structure/_gateway.py
+++ b/packages/entry/briardeal/structure/_gateway.py
@@ -14,6 +14,8 @@
     from briardeal_core.metrics import Metrics
 
 SHUTDOWN_RETRY_S = 0.5
+ELSEWHERE = {Reason.NO_ENDPOINT, Reason.AGENT_SILENT}
+"""Reasons for which another region is asked."""
 
 
 class Gateway:
@@ -49,9 +51,10 @@
     async def handle(self, request: Request) -> Answer | Refusal:
         """Return the whole answer to a caller's request, or why there is none."""
         if not self.accepting:
-            return self._refuse(
-                Refusal(Reason.SHUTTING_DOWN, RunState.NOT_RUN, SHUTDOWN_RETRY_S), request
-            )
+            # A key may have been used before, which only its home can tell.
+            run_state = RunState.UNKNOWN if request.key else RunState.NOT_RUN
+            refusal = Refusal(Reason.SHUTTING_DOWN, run_state, SHUTDOWN_RETRY_S)
+            return self._refuse(refusal, request)
         self.in_flight += 1
         try:
             outcome = await self._handle(request)
@@ -84,7 +87,7 @@
 
     async def _route(self, request: Request) -> Answer | Refusal:
         outcome = await self.router.route(request)
-        if isinstance(outcome, Answer) or outcome.reason is not Reason.NO_ENDPOINT:
+        if isinstance(outcome, Answer) or outcome.reason not in ELSEWHERE:
             return outcome
         if outcome.run_state is not RunState.NOT_RUN:
             return outcome
--- a/packages/standins/briardeal_standins/demo/_site.py
+++ b/packages/standins/briardeal_standins/demo/_site.py
@@ -8,7 +8,7 @@
 import aiohttp
 import attrs
 
-from briardeal_standins.demo._processes import Processes, free_address
+from briardeal_standins.processes import Processes, free_address
 
 READY_TIMEOUT_S = 20.0
 POLL_S = 0.1
--- a/packages/standins/briardeal_standins/demo/_processes.py
+++ b/packages/standins/briardeal_standins/processes/_processes.py
@@ -1,4 +1,4 @@
-"""The processes of the demo."""
+"""A set of processes that are started and ended together."""
 
 from __future__ import annotations
 
@@ -15,16 +15,17 @@
 
 @attrs.define
 class Processes:
-    """Processes started by the demo, each with a file for what it prints."""
+    """Processes by name, each with a file for what it prints."""
 
     folder: Path = attrs.field(factory=lambda: Path(tempfile.mkdtemp(prefix="briardeal-")))
     running: dict[str, subprocess.Popen[bytes]] = attrs.field(factory=dict)
 
-    def start(self, name: str, module: str, *arguments: str) -> None:
-        """Start a module as a process."""
+    def start(self, name: str, module: str, *arguments: str) -> int:
+        """Start a module as a process and return its number."""
         output = (self.folder / f"{name}.log").open("ab")
         command = [sys.executable, "-m", module, *arguments]
         self.running[name] = subprocess.Popen(command, stdout=output, stderr=output)
+        return self.running[name].pid
 
     def kill(self, name: str) -> None:
         """Kill a process without warning."""
