Work out the capacity page from measured slopes

Change: make capacity measures a real agent, a real entry and the decision code, and rewrites the table between two marks; bytes of heartbeats are counted on the connection.

--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 	$(PYTHON) -m bench
 
 capacity: setup
-	$(PYTHON) -m bench capacity
+	$(PYTHON) -m bench.capacity
 
 pages: setup
 	$(PYTHON) -m briardeal_standins.pages docs/user-guide
--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,149 @@
+"""The table of `docs/CAPACITY.md`, worked out from what this package measures."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import attrs
+import msgspec
+
+from bench import target
+from bench.agent_process import AgentUse, measure_agent
+from bench.entry_process import EntryUse, measure_entry
+from bench.owner_state import OwnerUse, measure_owner
+from briardeal.jobs import JobAccepted, JobPlaced
+from briardeal.jobs.ownership import RENEW_INTERVAL_S as OWNER_RENEWAL_S
+from briardeal.jobs.ownership import OwnerRenewed
+from briardeal_core.jobs import JobRequest
+
+PAGE = Path(__file__).parent.parent / "docs" / "CAPACITY.md"
+BEGIN = "<!-- begin measured -->\n"
+END = "<!-- end measured -->\n"
+RECORDS_PER_JOB = 4
+"""Accepted, placed, started and ended."""
+
+JOBS_KEPT_DAYS = 2
+LARGEST_GANG = 64
+AGENTS_PER_REGION = target.WORKERS // target.REGIONS
+TASK_STATUS_BYTES = 200
+
+
+@attrs.frozen
+class Row:
+    """One role at the target size."""
+
+    role: str
+    state: str
+    messages: str
+    processor: str
+    memory: str
+    sent: str
+
+
+def main() -> None:
+    """Measure and rewrite the table of the page."""
+    rows = [
+        _agent_row(measure_agent()),
+        _entry_row(measure_entry()),
+        _owner_row(measure_owner(AGENTS_PER_REGION), measure_owner(target.WORKERS)),
+        _log_row(),
+    ]
+    page = PAGE.read_text()
+    head, _, rest = page.partition(BEGIN)
+    _, _, tail = rest.partition(END)
+    PAGE.write_text(head + BEGIN + render(rows) + END + tail)
+
+
+def render(rows: list[Row]) -> str:
+    """Return the rows as a table."""
+    lines = [
+        "| Role | State | Messages | Processor | Memory | Bytes |",
+        "| --- | --- | --- | --- | --- | --- |",
+    ]
+    lines += ["| " + " | ".join(attrs.astuple(row)) + " |" for row in rows]
+    return "\n".join(lines) + "\n"
+
+
+def _agent_row(use: AgentUse) -> Row:
+    beats = target.ENTRIES_PER_REGION
+    tasks = target.TASKS // target.WORKERS
+    return Row(
+        "Agent, one for each endpoint or worker VM",
+        f"8 slots, {tasks} tasks, keys of its endpoint",
+        f"{beats} heartbeats/s and their answers; 1 request/s",
+        f"{use.cpu_percent:.2f} % of a core (bound {target.NODE_CPU_PERCENT} %)",
+        f"{use.resident_mb:.1f} MB (bound {target.NODE_MEMORY_MB} MB)",
+        f"{use.bytes_per_s:.0f} B/s (bound {target.NODE_BYTES_PER_S} B/s)",
+    )
+
+
+def _entry_row(use: EntryUse) -> Row:
+    agents = AGENTS_PER_REGION
+    jobs = JOBS_KEPT_DAYS * target.JOBS_PER_DAY
+    memory_mb = use.base_mb + (agents * use.agent_kb + jobs * use.job_kb) / 1024
+    processor = 100 * agents * use.heartbeat_cpu_s
+    accepting = 100 * use.job_cpu_s * target.JOBS_PER_DAY / target.DAY_S
+    return Row(
+        f"Entry, {target.ENTRIES_PER_REGION} in each region",
+        f"{agents} agents, {jobs} jobs of {JOBS_KEPT_DAYS} days, configuration",
+        f"{agents} heartbeats/s and their answers",
+        f"{processor:.2f} % of a core for heartbeats, {accepting:.4f} % for accepting jobs",
+        f"{memory_mb:.0f} MB",
+        f"{agents * use.heartbeat_bytes:.0f} B/s with its agents",
+    )
+
+
+def _owner_row(region: OwnerUse, whole: OwnerUse) -> Row:
+    starts_s = target.JOBS_PER_DAY / target.REGIONS / target.DAY_S
+    processor = 100 * (region.quiet_round_s + starts_s * region.start_cpu_s)
+    tasks = target.TASKS // target.REGIONS
+    return Row(
+        "Owner, one entry of each region",
+        f"{region.workers} workers, {tasks} tasks and the jobs that run",
+        f"{starts_s * 60:.2f} starts a minute, 2 calls for each member of a gang",
+        f"{processor:.3f} % of a core at one round a second; "
+        f"{region.start_cpu_s * 1e3:.2f} ms for a start",
+        f"{region.memory_kb / 1024:.1f} MB; {whole.memory_kb / 1024:.1f} MB were it one region",
+        f"{LARGEST_GANG * TASK_STATUS_BYTES * 2 / 1024:.0f} KB at the start of a gang of "
+        f"{LARGEST_GANG}",
+    )
+
+
+def _log_row() -> Row:
+    renewals = target.REGIONS * target.DAY_S / OWNER_RENEWAL_S
+    jobs = RECORDS_PER_JOB * target.JOBS_PER_DAY
+    appends = renewals + jobs + target.CHANGES_PER_DAY
+    size_mb = (renewals * _renewal_bytes() + target.JOBS_PER_DAY * _job_bytes()) / 1e6
+    share = 100 * renewals / appends
+    return Row(
+        "Log, the platform's",
+        f"{jobs} records of jobs, {target.CHANGES_PER_DAY} changes and snapshots a day",
+        f"{appends:.0f} appends a day, {appends / target.DAY_S:.2f}/s; {share:.0f} % are renewals",
+        "the platform's",
+        f"{size_mb:.1f} MB a day without configuration",
+        f"{1e6 * size_mb / target.DAY_S:.0f} B/s",
+    )
+
+
+def _renewal_bytes() -> int:
+    peers = tuple(f"entry-{number}" for number in range(target.ENTRIES_PER_REGION - 1))
+    return len(msgspec.msgpack.encode(OwnerRenewed(token=1, peers=peers, workers=1)))
+
+
+def _job_bytes() -> int:
+    job = JobRequest(
+        job_id="job-0123456789abcdef",
+        customer="team-1",
+        job_class="nightly tally",
+        tasks=8,
+        accelerators_per_task=1,
+        command="python -m tally --night",
+    )
+    workers = tuple(f"worker-{number}" for number in range(job.tasks))
+    placed = JobPlaced(job_id=job.job_id, attempt=1, workers=workers, token=1, why="x" * 120)
+    accepted = JobAccepted(job=job, region="ljubljana")
+    return len(msgspec.msgpack.encode(accepted)) + 3 * len(msgspec.msgpack.encode(placed))
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/entry_process.py
+++ b/bench/entry_process.py
@@ -46,8 +46,8 @@
         Further memory for each agent, in KB.
     job_kb
         Further memory for each accepted job, in KB.
-    heartbeat_cpu_s
-        Processor time for one heartbeat, in seconds.
+    heartbeat_cpu_s, heartbeat_bytes
+        Processor time in seconds and bytes in both directions for one heartbeat.
     job_cpu_s
         Processor time for accepting one job, in seconds.
     """
@@ -56,6 +56,7 @@
     agent_kb: float
     job_kb: float
     heartbeat_cpu_s: float
+    heartbeat_bytes: float
     job_cpu_s: float
 
 
@@ -94,6 +95,7 @@
         Figure("entry", "memory for each agent", use.agent_kb, "KB"),
         Figure("entry", "memory for each accepted job", use.job_kb, "KB"),
         Figure("entry", "processor time a heartbeat", use.heartbeat_cpu_s * 1e6, "us"),
+        Figure("entry", "bytes a heartbeat and its answer", use.heartbeat_bytes, "B"),
         Figure("entry", "processor time an accepted job", use.job_cpu_s * 1e6, "us"),
     ]
 
@@ -132,9 +134,11 @@
         agents += joining
         await asyncio.gather(*(agent.send_heartbeats(1) for agent in agents))
         memory_mb[count] = resident_mb(pid)
-    before_s = cpu_s(pid)
+    beats = len(agents) * HEARTBEATS_EACH
+    before_s, before_bytes = cpu_s(pid), _moved_bytes(agents)
     await asyncio.gather(*(agent.send_heartbeats(HEARTBEATS_EACH) for agent in agents))
-    heartbeat_cpu_s = (cpu_s(pid) - before_s) / (len(agents) * HEARTBEATS_EACH)
+    heartbeat_cpu_s = (cpu_s(pid) - before_s) / beats
+    heartbeat_bytes = (_moved_bytes(agents) - before_bytes) / beats
     job_cpu_s, job_kb = await _submit_jobs(pid, http)
     for agent in agents:
         await agent.connection.close()
@@ -143,10 +147,16 @@
         agent_kb=_slope(memory_mb) * 1024,
         job_kb=job_kb,
         heartbeat_cpu_s=heartbeat_cpu_s,
+        heartbeat_bytes=heartbeat_bytes,
         job_cpu_s=job_cpu_s,
     )
 
 
+def _moved_bytes(agents: list[FakeAgent]) -> int:
+    connections = [agent.connection for agent in agents]
+    return sum(one.bytes_sent + one.bytes_received for one in connections)
+
+
 async def _submit_jobs(pid: int, http: str) -> tuple[float, float]:
     job = {"customer": "c", "job_class": "b", "tasks": 64, "accelerators_per_task": 9}
     async with aiohttp.ClientSession() as session:
--- a/packages/entry/briardeal/jobs/__init__.py
+++ b/packages/entry/briardeal/jobs/__init__.py
@@ -5,7 +5,7 @@
 from briardeal.jobs._decisions import DecisionMaker
 from briardeal.jobs._first_fit import FirstFit
 from briardeal.jobs._gang_state import LOST_GRACE_S
-from briardeal.jobs._records import JOB_SCHEMA, JOB_STREAM
+from briardeal.jobs._records import JOB_SCHEMA, JOB_STREAM, JobAccepted, JobPlaced
 from briardeal.jobs._service import JobService
 from briardeal.jobs._view import JobView
 
@@ -16,7 +16,9 @@
     "RESTART_WAIT_S",
     "DecisionMaker",
     "FirstFit",
+    "JobAccepted",
     "JobBoard",
+    "JobPlaced",
     "JobService",
     "JobView",
 ]
--- a/packages/entry/briardeal/jobs/ownership/__init__.py
+++ b/packages/entry/briardeal/jobs/ownership/__init__.py
@@ -7,6 +7,7 @@
     MARGIN_S,
     OUTAGE_LIMIT_S,
     READ_LOST_S,
+    RENEW_INTERVAL_S,
     Ownership,
     Right,
 )
@@ -26,6 +27,7 @@
     "OUTAGE_LIMIT_S",
     "OWNER_SCHEMA",
     "READ_LOST_S",
+    "RENEW_INTERVAL_S",
     "NoPeers",
     "OwnerClaimed",
     "OwnerReleased",
