--- a/packages/entry/briardeal/structure/_entry.py
+++ b/packages/entry/briardeal/structure/_entry.py
@@ -17,6 +17,7 @@
 from briardeal_core.clock import WallClock
 from briardeal_core.configuration.store import ConfigurationStore
 from briardeal_core.events import Event, log_event
+from briardeal_core.jobs import JobState
 from briardeal_core.log import AppendBudget
 from briardeal_core.metrics import Metrics
 from briardeal_protocol.messages import EntryHello
@@ -39,6 +40,8 @@
 
 FORGET_INTERVAL_S = 10.0
 RELEASE_TIMEOUT_S = 2.0
+SNAPSHOTS_PER_RETENTION = 4
+"""Snapshots within the log's retention, so that a torn one leaves others to fall back on."""
 
 
 class Entry(Service):
@@ -92,8 +95,9 @@
             self.table, client, self.metrics, self.admissions, settings.region, self.rng
         )
         self.budget = AppendBudget()
+        snapshot_interval_s = settings.log_retention_s / SNAPSHOTS_PER_RETENTION
         self.configuration = ConfigurationStore(
-            log, settings.entry_id, self.budget, self.rng, self.clock
+            log, settings.entry_id, self.budget, self.rng, self.clock, snapshot_interval_s
         )
         self.gateway = Gateway(self.keys, self.router, self.metrics)
         self.jobs = JobService(
@@ -105,6 +109,7 @@
             self.rng,
             peers=PeerStates(self),
             budget=self.budget,
+            snapshot_interval_s=snapshot_interval_s,
         )
         self.board = self.jobs.board
         self.configuration.subscribe(lambda _, configuration: self._configure(configuration))
@@ -171,13 +176,15 @@
             handler=self.gateway,
             configuration=StoredConfiguration(self.configuration),
             log_status=ReadLog(self.jobs.ownership),
-            loads=AgentLoads(
-                self.table, lambda: len(self.board.waiting()), settings.failure_domain
-            ),
+            loads=AgentLoads(self.table, self._count_waiting, settings.failure_domain),
             entries_changed=self.agents.set_entries,
         )
         return PeerService(myself, network, settings.peers, hooks, self.rng, self.metrics)
 
+    def _count_waiting(self) -> int:
+        jobs = self.board.of_region(self.settings.region)
+        return sum(view.state is JobState.WAITING for view in jobs)
+
     def known_workers(self) -> list[WorkerShape]:
         """Return the workers that configuration is checked against."""
         return [entry.hello.worker.shape for entry in self.table.workers()]
