Search all schedules of a small region and mend what they showed

Cause: the exhaustive search found two entries with the right to start at once: a new owner asked only the peers it had heard itself, and a region in two halves let each half count as most of it. A job that may not run twice is recorded as waiting only if it surely did not run.

--- a/packages/entry/briardeal/jobs/_attempt.py
+++ b/packages/entry/briardeal/jobs/_attempt.py
@@ -113,9 +113,11 @@
         if outcome is None:
             self.state.settle_until_s = _loop_time() + START_SETTLE_S
             outcome = await self._watch(on_started)
-        if not isinstance(outcome, Finished):
-            await self._close(outcome)
-        return outcome
+        return outcome if isinstance(outcome, Finished) else await self._close(outcome)
+
+    def may_run_again(self, outcome: Outcome) -> bool:
+        """Return whether the job may be started again after it ended like this."""
+        return self.gang.job.idempotent or isinstance(outcome, NotStarted)
 
     def leave(self, mode: StopMode) -> None:
         """Have the gang stopped or throttled."""
@@ -186,8 +188,12 @@
         outcome = self.state.judge(self.leaving)
         return Stopped() if outcome is None and self.cancelled else outcome
 
-    async def _close(self, outcome: Outcome) -> None:
-        """Wait until nothing of the attempt runs, and record that it is over."""
+    async def _close(self, outcome: Outcome) -> Outcome:
+        """Wait until nothing of the attempt runs and return how it ended after all.
+
+        Only a job that may run again is recorded as waiting; any other stays in the hands of the
+        owner until its end is recorded.
+        """
         closing: asyncio.Future[None] | None = None
         lapses_s = float("inf")
         next_stop_s = 0.0
@@ -200,15 +206,20 @@
                 await self.desk.gangs.stop(self.gang)
             else:
                 await self._wait(max(WAIT_MIN_S, next_stop_s - _loop_time()))
+        if isinstance(self.state.judge(None), Finished):
+            return Finished()
         self.checkpoints = self.state.checkpoints()
-        self.desk.outbox.add(
-            AttemptEnded(
-                job_id=self.gang.job.job_id,
-                attempt=self.gang.attempt,
-                token=self.gang.token,
-                why=ENDED_WHY.format(cause=_say(outcome)),
-                checkpoints=self.checkpoints,
-            )
+        if self.may_run_again(outcome):
+            self.desk.outbox.add(self._ended(outcome))
+        return outcome
+
+    def _ended(self, outcome: Outcome) -> AttemptEnded:
+        return AttemptEnded(
+            job_id=self.gang.job.job_id,
+            attempt=self.gang.attempt,
+            token=self.gang.token,
+            why=ENDED_WHY.format(cause=_say(outcome)),
+            checkpoints=self.checkpoints,
         )
 
     def _closing(self, outcome: Outcome) -> AttemptClosing:
--- a/packages/entry/briardeal/jobs/_term.py
+++ b/packages/entry/briardeal/jobs/_term.py
@@ -29,6 +29,7 @@
 
 FINISHED_WHY = "Every task of the job has finished."
 CANCELLED_WHY = "The job was cancelled by its customer, and nothing of it runs."
+MAY_HAVE_RUN_WHY = "The job may not run twice, and its only run broke off."
 FOUND_WHY = "The job was found running and goes on where it runs."
 RETRY_REASONS = {
     Failed: Reason.TASK_FAILED,
@@ -186,6 +187,9 @@
         elif view.cancelled or attempt.cancelled:
             outcome = Stopped()
             self.end_job(job_id, JobState.CANCELLED, CANCELLED_WHY)
+        elif not attempt.may_run_again(outcome):
+            self.maker.report_started(job_id, _loop_time())
+            self.end_job(job_id, JobState.FAILED, MAY_HAVE_RUN_WHY)
         self.maker.report_ended(job_id, outcome, _loop_time())
 
 
--- a/packages/entry/briardeal/jobs/ownership/_ownership.py
+++ b/packages/entry/briardeal/jobs/ownership/_ownership.py
@@ -129,6 +129,9 @@
         self._claimed_s = 0.0
         self._claim_not_before_s = 0.0
         self._known_peers: dict[str, float] = {}
+        self._inherited_token = 0
+        self._most_workers = 0
+        self._most_s = 0.0
 
     @property
     def token(self) -> int:
@@ -244,10 +247,11 @@
             del self._sent_s[earlier]
 
     async def _renew(self) -> None:
+        self._inherit()
         record = OwnerRenewed(
             token=self.token,
             peers=tuple(sorted(self._live_peers())),
-            workers=self.count_workers(),
+            workers=self._count_most(),
         )
         await self._append(record)
 
@@ -327,14 +331,40 @@
         return frozenset().union(*self._sent_peers.values())
 
     def _live_peers(self) -> set[str]:
+        """Return the entries of the region heard lately, those that an earlier owner knew too."""
         now_s = _loop_time()
         for state in self.peers.log_states():
-            if state.region == self.region and state.heard_age_s <= CONFIRM_TTL_S:
-                self._known_peers[state.entry_id] = now_s
+            if state.region == self.region:
+                known_s = self._known_peers.get(state.entry_id, 0.0)
+                self._known_peers[state.entry_id] = max(known_s, now_s - state.heard_age_s)
         recent_s = now_s - PEER_FORGET_S
         self._known_peers = {n: s for n, s in self._known_peers.items() if s >= recent_s}
         return set(self._known_peers)
 
+    def _inherit(self) -> None:
+        """Take over what the last owner knew, so that nobody it knew is left out."""
+        predecessor = self.owners.predecessor
+        if predecessor is None or self._inherited_token == self.token:
+            return
+        self._inherited_token = self.token
+        now_s = _loop_time()
+        for name in predecessor.peers | {predecessor.entry_id}:
+            if name != self.entry_id:
+                self._known_peers[name] = now_s
+        self._most_workers = max(self._most_workers, predecessor.workers)
+
+    def _count_most(self) -> int:
+        """Return the most workers known at once, until there have been fewer for long.
+
+        A region that falls apart must not count as two whole ones.
+        """
+        count = self.count_workers()
+        now_s = _loop_time()
+        if count >= self._most_workers or now_s >= self._most_s + OUTAGE_LIMIT_S:
+            self._most_workers = count
+            self._most_s = now_s
+        return self._most_workers
+
 
 def _loop_time() -> float:
     return asyncio.get_running_loop().time()
