Fence the ends that an owner decides

Cause: a paused owner that came back ended a job as failed that its successor was running; every end counted from anyone. Change: only the end of a job whose every task has finished counts from anyone; the ends that an owner decides carry its token and are fenced in the fold. Conclusion: a late owner changes nothing but what is a fact.

--- a/packages/entry/briardeal/jobs/_board.py
+++ b/packages/entry/briardeal/jobs/_board.py
@@ -42,8 +42,8 @@
     """All jobs, folded from the records of the job stream in order.
 
     A decision has an effect only if its owner had not been replaced before the record, so that
-    records written late by an earlier owner change nothing. An end is a fact and counts from
-    anyone.
+    records written late by an earlier owner change nothing. That every task has finished is a fact
+    and counts from anyone.
 
     Attributes
     ----------
@@ -114,7 +114,10 @@
             self.jobs[job_id] = self.active[job_id] = view
 
     def _change(self, view: JobView, record: JobRecord, at_s: float) -> None:
+        fenced = not isinstance(record, JobCancelled) and record.token < self._token_of(view)
         if isinstance(record, JobEnded):
+            if fenced and record.state is not JobState.FINISHED:
+                return
             view.state = record.state
             view.tell(record.why)
             view.ended_at_s = at_s
@@ -122,9 +125,12 @@
             del self.active[record.job_id]
         elif isinstance(record, JobCancelled):
             view.cancelled = True
-        elif record.token >= self.tokens.get(view.region, 0):
+        elif not fenced:
             self._decide(view, record, at_s)
 
+    def _token_of(self, view: JobView) -> int:
+        return self.tokens.get(view.region, 0)
+
     def _decide(self, view: JobView, record: JobRecord, at_s: float) -> None:
         if isinstance(record, JobPlaced):
             if (record.token, record.attempt) > (view.token, view.attempt):
--- a/packages/entry/briardeal/jobs/_records.py
+++ b/packages/entry/briardeal/jobs/_records.py
@@ -100,11 +100,14 @@
         Its final state.
     why
         The reason in a sentence.
+    token
+        Fencing token of the owner that says so.
     """
 
     job_id: str
     state: JobState
     why: str
+    token: int = 0
 
 
 class JobCancelled(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/entry/briardeal/jobs/_term.py
+++ b/packages/entry/briardeal/jobs/_term.py
@@ -135,7 +135,7 @@
     def end_job(self, job_id: str, state: JobState, why: str) -> None:
         """Record that a job has come to its end."""
         self.memories.pop(job_id, None)
-        self.desk.outbox.add(JobEnded(job_id=job_id, state=state, why=why))
+        self.desk.outbox.add(JobEnded(job_id=job_id, state=state, why=why, token=self.token))
         log_event(Event.JOB_ENDED, job=job_id, state=state.value)
 
     def _gang(self, view: JobView, memory: JobMemory, workers: tuple[str, ...]) -> Gang:
