--- a/packages/entry/briardeal/jobs/_service.py
+++ b/packages/entry/briardeal/jobs/_service.py
@@ -21,6 +21,8 @@
 from briardeal_core.events import Event, log_event
 from briardeal_core.log import (
     AppendBudget,
+    RoleClaim,
+    SnapshotKeeper,
     SnapshotStream,
     StreamFollower,
     StreamReader,
@@ -47,7 +49,8 @@
     from briardeal_core.metrics import Metrics
     from briardeal_protocol.messages import Tasks
 
-SNAPSHOT_STREAM = "jobs-snapshots"
+SNAPSHOT_STREAM = "jobs.snapshots"
+CLAIM_STREAM = "jobs.claims"
 VIEW_FRESH_S = 8.0
 """Oldest view of the log on which an entry confirms gangs."""
 
@@ -110,6 +113,8 @@
         snapshots = SnapshotStream(log, SNAPSHOT_STREAM, budget, rng)
         reader = StreamReader(log, JOB_STREAM, JOB_SCHEMA)
         self.follower = StreamFollower(reader, snapshots, self.board, rng)
+        claim = RoleClaim(log, CLAIM_STREAM, "snapshots", entry_id, budget, rng)
+        self.keeper = SnapshotKeeper(self.follower, claim, rng, clock=clock)
         self.writer = StreamWriter(log, JOB_STREAM, JOB_SCHEMA, budget, rng)
         self.decisions = StreamWriter(log, JOB_STREAM, JOB_SCHEMA, budget, rng)
         self.outbox = Outbox(self.decisions)
@@ -124,6 +129,7 @@
         """Return the services that start and stop with this one."""
         return [
             self.follower,
+            self.keeper,
             self.writer,
             self.decisions,
             self.outbox,
--- a/tests/entry/jobs/test_owner.py
+++ b/tests/entry/jobs/test_owner.py
@@ -7,9 +7,10 @@
 import pytest
 
 from briardeal.jobs import RESTART_WAIT_S
+from briardeal_core.configuration import Configuration, Customer, JobClass
 from briardeal_core.reasons import Reason, Refusal, RunState
 from briardeal_protocol.messages import ReserveTask, StartTask
-from briardeal_scheduling import Preempt, PreemptMode
+from briardeal_scheduling import Preempt, PreemptMode, Scheduler
 from tests.entry.jobs.checker import check
 from tests.entry.jobs.cluster import Cluster, create_job, loop_time
 
@@ -234,3 +235,25 @@
         again = await owner.jobs.cancel("job-unknown")
         assert again.reason is Reason.JOB_UNKNOWN
         assert "cancelled" in owner.jobs.explain(job_id)[-1]
+
+
+async def test_the_scheduler_decides_and_its_jobs_outlive_the_owner():
+    configuration = Configuration(
+        classes=(JobClass(name="sampling", finish_within_s=600, start_within_s=1.1),),
+        customers=(Customer(name="audit"),),
+    )
+    async with Cluster(create_maker=Scheduler) as cluster:
+        for entry in cluster.entries:
+            entry.jobs.configure(configuration)
+        owner = await cluster.wait_owner()
+        await asyncio.sleep(2)
+        running = await cluster.submit(owner, tasks=4, command="60", idempotent=False)
+        waiting = await cluster.submit(owner, tasks=4, accelerators_per_task=8, command="20")
+        never = await cluster.submit(owner, tasks=9, command="20")
+        await cluster.wait_state(never, "refused")
+        del cluster.accepted[never]
+        await cluster.wait_running(running, within_s=2)
+        assert "ago" in owner.jobs.explain(waiting)[-1]
+        owner.kill()
+        await cluster.wait_state(waiting, "finished")
+        await settle(cluster)
