--- a/packages/entry/briardeal/jobs/_service.py
+++ b/packages/entry/briardeal/jobs/_service.py
@@ -49,8 +49,8 @@
     from briardeal_core.metrics import Metrics
     from briardeal_protocol.messages import Tasks
 
-SNAPSHOT_STREAM = "jobs-snapshots"
-CLAIM_STREAM = "jobs-claims"
+SNAPSHOT_STREAM = "jobs.snapshots"
+CLAIM_STREAM = "jobs.claims"
 SNAPSHOT_INTERVAL_S = 6 * 3600.0
 VIEW_FRESH_S = 8.0
 """Oldest view of the log on which an entry confirms gangs."""
