Measure the decisions: three loads, cost of a round, a burst

Change: bench/jobs.py runs the scheduler and both baselines on each load, checks the guarantees every fifty rounds, and counts the VMs that a full round looks at; victims are worked out once a round.

--- a/bench/job_loads/__init__.py
+++ b/bench/job_loads/__init__.py
@@ -4,7 +4,15 @@
 from bench.job_loads._baselines import Backfill, FirstInFirstOut
 from bench.job_loads._fake import run_load
 from bench.job_loads._load import Load, LoadJob, Outage
-from bench.job_loads._sizes import burst, cooperative, fleet_of, target, vzorec
+from bench.job_loads._sizes import (
+    burst,
+    cooperative,
+    fleet_of,
+    gangs,
+    target,
+    target_configuration,
+    vzorec,
+)
 
 __all__ = [
     "Account",
@@ -16,7 +24,9 @@
     "burst",
     "cooperative",
     "fleet_of",
+    "gangs",
     "run_load",
     "target",
+    "target_configuration",
     "vzorec",
 ]
--- a/bench/job_loads/_account.py
+++ b/bench/job_loads/_account.py
@@ -18,6 +18,26 @@
     from briardeal_scheduling import Placement
 
 
+@attrs.frozen
+class Level:
+    """What holds between two changes.
+
+    Parameters
+    ----------
+    busy, tasks
+        Accelerators in use, and tasks that run.
+    whole_free
+        Most accelerators of one region that stand on wholly free VMs.
+    unusable
+        Share of the free accelerators that the largest waiting gang can't use, if one waits.
+    """
+
+    busy: int
+    tasks: int
+    whole_free: int
+    unusable: float | None
+
+
 @attrs.define
 class Account:
     """Times, free accelerators and losses of one run of a load.
@@ -55,12 +75,14 @@
     violations: int = 0
     checks: int = 0
     round_s: list[float] = attrs.field(factory=list)
+    level: Level | None = None
 
     def __attrs_post_init__(self) -> None:
         self.open_jobs = len(self.load.jobs)
 
     def submitted(self, job: LoadJob, refused: bool, covered: bool) -> None:
         """Note a job that was submitted."""
+        self.level = None
         job_id = job.request.job_id
         if refused:
             self.refused.add(job_id)
@@ -83,6 +105,7 @@
 
     def closed(self, job_id: str) -> None:
         """Note a job that is over."""
+        self.level = None
         if self.open.pop(job_id, None):
             self.open_jobs -= 1
         self.waiting.pop(job_id, None)
@@ -94,6 +117,7 @@
 
     def started(self, job_id: str, placement: Placement, now_s: float) -> None:
         """Note a start."""
+        self.level = None
         self.first_starts.setdefault(job_id, now_s)
         self.waiting.pop(job_id, None)
         self.running[job_id] = placement
@@ -105,6 +129,7 @@
 
     def stopped(self, job_id: str, placement: Placement, now_s: float) -> None:
         """Note the end of an attempt."""
+        self.level = None
         del self.running[job_id]
         if job_id in self.open:
             self.waiting[job_id] = self.open[job_id]
@@ -121,11 +146,13 @@
 
     def worker_up(self, shape: WorkerShape) -> None:
         """Note a VM."""
+        self.level = None
         self.shapes[shape.worker_id] = shape
         self._refresh(shape.worker_id)
 
     def worker_down(self, worker_id: str) -> None:
         """Note the loss of a VM."""
+        self.level = None
         shape = self.shapes.pop(worker_id)
         self.free.remove(worker_id, list(groups_of(shape).values()))
 
@@ -135,14 +162,14 @@
         self.now_s = now_s
         if step_s <= 0:
             return
-        free = sum(self.free.numbers.values())
-        self.busy_s += step_s * sum(self.used.values())
-        self.task_s += step_s * sum(len(held.workers) for held in self.running.values())
-        self.whole_free_s += step_s * self._whole_free()
-        gang = self._largest_gang()
-        if gang is not None and free:
+        if self.level is None:
+            self.level = self._measure_level()
+        self.busy_s += step_s * self.level.busy
+        self.task_s += step_s * self.level.tasks
+        self.whole_free_s += step_s * self.level.whole_free
+        if self.level.unusable is not None:
             self.gang_waits_s += step_s
-            self.fragmented_s += step_s * (1 - self._usable(gang) / free)
+            self.fragmented_s += step_s * self.level.unusable
 
     def timed(self, decide, now_s: float):
         """Return the decisions, and note the processor time that they took."""
@@ -173,6 +200,16 @@
                 self.violations += 1
         self.violations += sum(left < 0 for left in room.values())
 
+    def _measure_level(self) -> Level:
+        free = sum(self.free.numbers.values())
+        gang = self._largest_gang()
+        return Level(
+            busy=sum(self.used.values()),
+            tasks=sum(len(held.workers) for held in self.running.values()),
+            whole_free=self._whole_free(),
+            unusable=1 - self._usable(gang) / free if gang is not None and free else None,
+        )
+
     def _refresh(self, worker_id: str) -> None:
         shape = self.shapes[worker_id]
         free = shape.accelerators - self.used[worker_id]
--- a/bench/job_loads/_sizes.py
+++ b/bench/job_loads/_sizes.py
@@ -89,20 +89,28 @@
     ]
     span_s = 3 * DAY_S
     shapes = fleet_of(630)
-    names = {f"team{number}": 1 / (1 + number) ** 0.7 for number in range(130)}
+    configuration = target_configuration()
+    names = {
+        customer.name: 1 / (1 + number) ** 0.7
+        for number, customer in enumerate(configuration.customers)
+    }
+    jobs = draw_jobs(rng, kinds, names, 890, span_s)
+    load = Load("target", shapes, configuration, jobs, span_s)
+    _finish(load, rng, utilisation=0.85, waves=6)
+    return load
+
+
+def target_configuration(count: int = 130) -> Configuration:
+    """Return customers with guarantees and quotas."""
     customers = [
         Customer(
-            name=name,
+            name=f"team{number}",
             guarantees=_target_guarantees(number),
             quota_accelerators=700 if number < 10 else 300,
         )
-        for number, name in enumerate(names)
+        for number in range(count)
     ]
-    configuration = Configuration(classes=CLASSES, customers=tuple(customers), failure_margin_vms=2)
-    jobs = draw_jobs(rng, kinds, names, 890, span_s)
-    load = Load("target", shapes, configuration, jobs, span_s)
-    _finish(load, rng, utilisation=0.85, waves=6)
-    return load
+    return Configuration(classes=CLASSES, customers=tuple(customers), failure_margin_vms=2)
 
 
 def fleet_of(workers: int) -> list[WorkerShape]:
@@ -132,7 +140,7 @@
         LoadJob(
             JobRequest(
                 job_id=f"small{number}",
-                customer="team0",
+                customer=f"team{number % 10}",
                 job_class="draw",
                 tasks=1,
                 accelerators_per_task=1,
@@ -145,6 +153,25 @@
     ]
 
 
+def gangs(count: int) -> list[LoadJob]:
+    """Return large gangs of different sizes."""
+    return [
+        LoadJob(
+            JobRequest(
+                job_id=f"gang{number}",
+                customer=f"team{number}",
+                job_class="nightly",
+                tasks=8 + 4 * number,
+                accelerators_per_task=2,
+                checkpointable=True,
+            ),
+            0.0,
+            3600.0,
+        )
+        for number in range(count)
+    ]
+
+
 def _small(
     name: str,
     rng: random.Random,
--- a/bench/jobs.py
+++ b/bench/jobs.py
@@ -16,11 +16,12 @@
     burst,
     cooperative,
     fleet_of,
+    gangs,
     run_load,
     target,
+    target_configuration,
     vzorec,
 )
-from briardeal_core.configuration import Configuration, Customer, JobClass
 from briardeal_scheduling import Finished, Scheduler
 
 if TYPE_CHECKING:
@@ -34,6 +35,9 @@
 CHECK_EVERY_ROUNDS = 50
 SIZES = (315, 630, 1260)
 BURST_JOBS = 1000
+CUSTOMERS = 20
+GANGS = 10
+LATER_S = 600.0
 LONGEST_S = 100 * 24 * HOUR_S
 SEED = 1
 
@@ -175,25 +179,34 @@
 
 
 def _measure_cost() -> list[Figure]:
-    """Count the VMs looked at in the same rounds as the number of VMs doubles."""
+    """Count the VMs looked at in one full round as the number of VMs doubles."""
     counts = [_examined(workers) for workers in SIZES]
-    slope = math.log(counts[-1] / counts[0]) / math.log(SIZES[-1] / SIZES[0])
-    allowed = math.log(SIZES[-1] * math.log(SIZES[-1]) / (SIZES[0] * math.log(SIZES[0])))
-    allowed /= math.log(SIZES[-1] / SIZES[0])
-    figures = [
-        Figure("cost", f"VMs examined for {workers} jobs on {workers} VMs", count, "")
+    doublings = list(zip(SIZES, counts, strict=True))
+    figures = []
+    for (few, before), (many, after) in zip(doublings, doublings[1:], strict=False):
+        allowed = many * math.log(many) / (few * math.log(few))
+        title = f"growth of the VMs examined, {few} to {many} VMs"
+        figures.append(Figure("cost", title, after / before, "", Bound("<=", allowed)))
+    examined = [
+        Figure("cost", f"VMs examined in a full round, {workers} VMs", count, "")
         for workers, count in zip(SIZES, counts, strict=True)
     ]
-    return [*figures, Figure("cost", "slope in VMs", slope, "", Bound("<=", allowed))]
+    return examined + figures
 
 
 def _examined(workers: int) -> int:
+    """Count the VMs looked at to plan all guarantees and to serve gangs on a full cluster."""
     scheduler = _scheduler(workers)
-    for job in burst(workers):
+    for job in burst(3 * workers):
         scheduler.submit(job.request, 0.0)
-    scheduler.decide(0.0)
-    fleet = scheduler.state.fleet
-    return fleet.free.examined + fleet.room.examined + fleet.slots.examined
+    for decision in scheduler.decide(0.0):
+        scheduler.report_started(decision.job_id, 0.0)
+    before = scheduler.state.examined
+    scheduler.state.ledger.stale = True
+    for job in gangs(GANGS):
+        scheduler.submit(job.request, LATER_S)
+    scheduler.decide(LATER_S)
+    return scheduler.state.examined - before
 
 
 def _measure_burst() -> list[Figure]:
@@ -215,16 +228,12 @@
     for decision in started[: count // 10]:
         scheduler.report_ended(decision.job_id, Finished(), 1.0)
     scheduler.decide(1.0)
-    return scheduler.state.fleet.free.examined
+    return scheduler.state.examined
 
 
 def _scheduler(workers: int) -> Scheduler:
     scheduler = Scheduler()
-    configuration = Configuration(
-        classes=(JobClass(name="draw", finish_within_s=2 * HOUR_S),),
-        customers=(Customer(name="team0"),),
-    )
-    scheduler.configure(configuration, 0.0)
+    scheduler.configure(target_configuration(CUSTOMERS), 0.0)
     for shape in fleet_of(workers):
         scheduler.worker_up(shape, 0.0)
     return scheduler
--- a/packages/scheduling/briardeal_scheduling/guarantees/_ledger.py
+++ b/packages/scheduling/briardeal_scheduling/guarantees/_ledger.py
@@ -77,6 +77,8 @@
         Whether the bookings must be planned again before the next decision.
     margin_stale
         Whether another plan might bring the margin back.
+    examined
+        VMs looked at in all plans, for measuring their cost.
     admitted
         Whether work of a shape fits beside all guarantees, by the shape and the set of VMs.
     """
@@ -89,6 +91,7 @@
     margin_held: bool = True
     stale: bool = False
     margin_stale: bool = False
+    examined: int = 0
     admitted: dict[tuple[object, ...], bool] = attrs.field(factory=dict)
     needs: dict[Group, int] = attrs.field(factory=dict)
 
@@ -117,6 +120,7 @@
     def replan(self, fleet: Fleet) -> None:
         """Plan all bookings again."""
         plan = make_plan(self._rooms(fleet), fleet.groups, self._wants(), self.margin_vms)
+        self.examined += plan.examined
         self._adopt_plan(plan, fleet)
 
     def replan_beside(
@@ -147,6 +151,7 @@
         own = Want(GuaranteeKey("", 0), shape, allowed=allowed)
         wants = [*self._wants(), own]
         plan = make_plan(self._rooms(fleet), fleet.groups, wants, self.margin_vms)
+        self.examined += plan.examined
         workers = plan.slots.pop(own.key)
         if len(workers) < request.tasks or not self._no_worse(plan):
             return None
--- a/packages/scheduling/briardeal_scheduling/guarantees/_plan.py
+++ b/packages/scheduling/briardeal_scheduling/guarantees/_plan.py
@@ -65,11 +65,14 @@
         Whether every guarantee has all its VMs.
     margin_held
         Whether that stays so when as many VMs fail as the margin says.
+    examined
+        VMs looked at in the search, for measuring its cost.
     """
 
     slots: dict[GuaranteeKey, list[str]]
     whole: bool
     margin_held: bool
+    examined: int = 0
 
 
 def make_plan(
@@ -96,14 +99,14 @@
     Plan
         With the margin where possible, else without, else shared by the smallest part met.
     """
-    if margin_vms:
-        slots = _Search(rooms, groups, wants, margin_vms).run()
+    examined = 0
+    for margin in dict.fromkeys((margin_vms, 0)):
+        search = _Search(rooms, groups, wants, margin)
+        slots = search.run()
+        examined += search.examined
         if slots is not None:
-            return Plan(slots, whole=True, margin_held=True)
-    slots = _Search(rooms, groups, wants, 0).run()
-    if slots is not None:
-        return Plan(slots, whole=True, margin_held=not margin_vms)
-    return Plan(_share(rooms, groups, wants), whole=False, margin_held=False)
+            return Plan(slots, True, margin == margin_vms, examined)
+    return Plan(_share(rooms, groups, wants), False, False, examined)
 
 
 class _Search:
--- a/packages/scheduling/briardeal_scheduling/placement/_victims.py
+++ b/packages/scheduling/briardeal_scheduling/placement/_victims.py
@@ -106,6 +106,8 @@
 ) -> tuple[float, list[str]] | None:
     """Return the cost and the jobs to preempt so that a VM has the needed accelerators."""
     worker = fleet.workers[worker_id]
+    if worker.accelerators - worker.pinned < number:
+        return None
     missing = number - worker.coming
     if missing <= 0:
         return 0.0, []
--- a/packages/scheduling/briardeal_scheduling/rounds/_costs.py
+++ b/packages/scheduling/briardeal_scheduling/rounds/_costs.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import attrs
+
 from briardeal_scheduling.queue import JobPhase
 from briardeal_scheduling.rounds._moves import RECLAIM_LIMIT_S
 
@@ -21,12 +23,22 @@
 """How much longer work of the same size must have left to make room for a gang."""
 
 
+@attrs.frozen
+class _Victim:
+    """A job that may be asked to leave: its size, its run time to go, and what it would cost."""
+
+    accelerators: int
+    remaining_s: float
+    cost: float
+
+
 class Costs:
     """Costs of preemption at one moment, in accelerator seconds; `None` where it is not allowed."""
 
     def __init__(self, state: State, now_s: float) -> None:
         self.state = state
         self.now_s = now_s
+        self.victims: dict[str, _Victim | None] = {}
 
     def reclaim(self, job_id: str) -> float | None:
         """Return the cost of taking back what a guarantee lent to a job."""
@@ -43,20 +55,28 @@
 
     def make_room(self, job_id: str, gang: Job, gang_remaining_s: float) -> float | None:
         """Return the cost of a checkpoint, for work that is smaller or has much longer to go."""
-        job = self.state.table.jobs[job_id]
+        if job_id not in self.victims:
+            self.victims[job_id] = self._as_victim(self.state.table.jobs[job_id])
+        victim = self.victims[job_id]
+        if victim is None or self.state.table.jobs[job_id].leaving:
+            return None
+        smaller = victim.accelerators < gang.accelerators
+        longer = victim.remaining_s > LONGER_FACTOR * gang_remaining_s
+        return victim.cost if smaller or longer else None
+
+    def _as_victim(self, job: Job) -> _Victim | None:
+        """Return what is to be known of a job that may be asked to leave, once in a round."""
         if not self._lent(job) or job.urgent or job.phase is not JobPhase.RUNNING:
             return None
         doublings = min(job.preemptions, LEAST_RUN_DOUBLINGS)
         if self.now_s - job.started_s < LEAST_RUN_S * 2**doublings:
             return None
-        if job.accelerators >= gang.accelerators:
-            prediction = self.state.predict(job, self.now_s)
-            remaining_s = prediction.remaining_s(job.elapsed_s(self.now_s))
-            if remaining_s <= LONGER_FACTOR * gang_remaining_s:
-                return None
         request = job.request
+        prediction = self.state.predict(job, self.now_s)
+        remaining_s = prediction.remaining_s(job.elapsed_s(self.now_s))
         checkpoint_s = self.state.history.checkpoint_s(request.customer, request.job_class)
-        return min(RECLAIM_LIMIT_S, checkpoint_s) * job.accelerators
+        cost = min(RECLAIM_LIMIT_S, checkpoint_s) * job.accelerators
+        return _Victim(job.accelerators, remaining_s, cost)
 
     def _lent(self, job: Job) -> bool:
         claimed = job.job_id in self.state.ledger.by_job
--- a/packages/scheduling/briardeal_scheduling/rounds/_state.py
+++ b/packages/scheduling/briardeal_scheduling/rounds/_state.py
@@ -61,6 +61,13 @@
     planned_s: float = float("-inf")
     moved_s: float = float("-inf")
 
+    @property
+    def examined(self) -> int:
+        """VMs looked at since the start, for measuring the cost of decisions."""
+        fleet = self.fleet
+        indexes = (fleet.free, fleet.room, fleet.slots)
+        return self.ledger.examined + sum(index.examined for index in indexes)
+
     def predict(self, job: Job, now_s: float) -> Prediction:
         """Return the expected run time of a job in all."""
         made_s, prediction = self.predictions.get(job.job_id, (-PREDICTION_TTL_S, None))
