--- a/packages/scheduling/briardeal_scheduling/guarantees/_plan.py
+++ b/packages/scheduling/briardeal_scheduling/guarantees/_plan.py
@@ -124,11 +124,13 @@
         self.margin_vms = margin_vms
         self.members = _members(groups)
         self.slots: dict[GuaranteeKey, list[str]] = {}
+        self.booked: dict[str, int] = defaultdict(int)
         self.examined = 0
         self.wants = sorted(wants, key=_difficulty)
         for want in wants:
             for worker_id in want.claims:
                 self.rooms[worker_id] -= want.guarantee.accelerators_per_vm
+                self.booked[worker_id] += want.guarantee.accelerators_per_vm
 
     def run(self) -> dict[GuaranteeKey, list[str]] | None:
         """Return the VMs for each guarantee, or `None` where none were found."""
@@ -145,7 +147,7 @@
                 return False
             self._take(chosen, want.guarantee.accelerators_per_vm)
             self.slots[want.key] = [*want.claims, *chosen]
-            if self._extend(position + 1):
+            if self._keeps_margin(want) and self._extend(position + 1):
                 return True
             self._take(chosen, -want.guarantee.accelerators_per_vm)
         return False
@@ -178,21 +180,32 @@
     def _take(self, workers: list[str], accelerators: int) -> None:
         for worker_id in workers:
             self.rooms[worker_id] -= accelerators
+            self.booked[worker_id] += accelerators
+
+    def _keeps_margin(self, want: Want) -> bool:
+        """Return whether the group of a guarantee just placed still has its spare VMs."""
+        if not self.margin_vms:
+            return True
+        group = self.groups[self.slots[want.key][0]][want.guarantee.adjacency]
+        members = self.members[group]
+        self.examined += len(members)
+        need = max(self.booked[vm] for vm in self.slots[want.key])
+        spares = sum(self.rooms[vm] >= need and not self.booked[vm] for vm in members)
+        return spares >= self.margin_vms
 
     def _margin_holds(self) -> bool:
         if not self.margin_vms:
             return True
         self.examined += MARGIN_CHECK_COST * len(self.rooms)
-        booked: dict[str, int] = defaultdict(int)
         finest: dict[str, Adjacency] = {}
         for want in self.wants:
             for worker_id in self.slots[want.key]:
-                booked[worker_id] += want.guarantee.accelerators_per_vm
                 finest[worker_id] = min(
                     finest.get(worker_id, Adjacency.REGION),
                     want.guarantee.adjacency,
                     key=FINENESS.index,
                 )
+        booked = {worker_id: self.booked[worker_id] for worker_id in finest}
         return margin_holds(self.rooms, self.members, self.groups, booked, finest, self.margin_vms)
 
 
