--- a/packages/scheduling/briardeal_scheduling/rounds/_round.py
+++ b/packages/scheduling/briardeal_scheduling/rounds/_round.py
@@ -142,7 +142,7 @@
         need = Need.of(job.request)
         index = self._index_for(job)
         avoided = self.state.avoided(job, self.now_s)
-        closed = self.reservations.closed_to(job)
+        closed = self._closed_to(job)
         key = (need, id(index), frozenset(closed))
         if not avoided and key in self.no_room:
             return False
@@ -206,7 +206,7 @@
             self.state.fleet,
             need,
             lambda job_id: self.costs.make_room(job_id, job, remaining_s),
-            self.state.avoided(job, self.now_s) | self.reservations.closed_to(job),
+            self.state.avoided(job, self.now_s) | self._closed_to(job),
             unbooked=_pins(job),
         )
         if opening is None:
@@ -259,6 +259,9 @@
             cause = Cause.WAITS_AFTER_FAILURE
             job.record.add(self.now_s, cause, job.retry_at_s, worker=failed_on[-1])
 
+    def _closed_to(self, job: Job) -> set[str]:
+        return self.reservations.closed_to(job) | self.state.on_trial(job)
+
     def _index_for(self, job: Job) -> CapacityIndex:
         fleet = self.state.fleet
         if not job.request.accelerators_per_task:
--- a/packages/scheduling/briardeal_scheduling/rounds/_state.py
+++ b/packages/scheduling/briardeal_scheduling/rounds/_state.py
@@ -85,6 +85,18 @@
             return set()
         return self.evidence.failed_on(job.job_id)
 
+    def on_trial(self, job: Job) -> set[str]:
+        """Return VMs on trial that a job must not have: they get one harmless job at a time."""
+        harmless = job.request.idempotent and job.request.tasks == 1
+        workers = self.fleet.workers
+        return {
+            worker_id
+            for worker_id, health in self.evidence.workers.items()
+            if health.on_trial
+            and worker_id in workers
+            and not (harmless and not workers[worker_id].tasks)
+        }
+
     def occupy(self, job: Job, placement: Placement) -> None:
         """Put a job on VMs that are free."""
         self.table.hold(job)
