--- a/tests/entry/structure/test_retention.py
+++ b/tests/entry/structure/test_retention.py
@@ -63,7 +63,7 @@
     async with Deployment(ENTRIES, RETENTION_S) as deployment:
         job_id = await submit(deployment)
         await asyncio.sleep(3 * RETENTION_S)
-        entries = deployment.store.streams["jobs-snapshots"].entries
+        entries = deployment.store.streams["jobs.snapshots"].entries
         newest = entries[-1]
         assert len(entries) > 1
         entries[-1] = type(newest)(
