Refuse no job for workers that are out of reach

Cause: a new owner that had taken over before all agents were back refused accepted jobs as never fitting; an accepted job was lost. Change: such a refusal counts only while as many workers are in reach as the region lately had. Conclusion: the refusal is told once it is sure.

--- a/packages/entry/briardeal/jobs/_owner.py
+++ b/packages/entry/briardeal/jobs/_owner.py
@@ -121,7 +121,7 @@
         if not await take_over(self.ownership, self.board, self.desk, holds):
             return
         log_event(Event.OWNER_STARTED, region=self.ownership.region, token=term.token)
-        rounds = Rounds(term, self.board, self.ownership.region)
+        rounds = Rounds(term, self.board, self.ownership.region, self.ownership.count_most_workers)
         rounds.adopt_all()
         right = Right.NONE
         while holds():
--- a/packages/entry/briardeal/jobs/_rounds.py
+++ b/packages/entry/briardeal/jobs/_rounds.py
@@ -10,13 +10,17 @@
 from briardeal.jobs._term import CANCELLED_WHY
 from briardeal_core.events import Event, log_event
 from briardeal_core.jobs import JobState
+from briardeal_core.reasons import Reason
 from briardeal_protocol.messages import StopMode
 from briardeal_scheduling import Abandon, Preempt, Start
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from briardeal.jobs._board import JobBoard
     from briardeal.jobs._members import WorkerAgent
     from briardeal.jobs._term import Term
+    from briardeal_core.reasons import Refusal
     from briardeal_protocol.messages import TaskStatus
     from briardeal_scheduling import Decision
 
@@ -35,14 +39,19 @@
         All jobs as the log tells them.
     region
         The region.
+    count_most_workers
+        Returns the most workers that the region has lately had at once.
     """
 
-    def __init__(self, term: Term, board: JobBoard, region: str) -> None:
+    def __init__(
+        self, term: Term, board: JobBoard, region: str, count_most_workers: Callable[[], int]
+    ) -> None:
         self.term = term
         self.maker = term.maker
         self.members = term.desk.members
         self.board = board
         self.region = region
+        self.count_most_workers = count_most_workers
         self._workers: set[str] = set()
         self._submitted: set[str] = set()
         self._cancelled: set[str] = set()
@@ -124,12 +133,19 @@
             job_id = view.job.job_id
             if job_id in self._submitted:
                 continue
-            self._submitted.add(job_id)
             refusal = self.maker.submit(view.job, _loop_time())
+            if refusal is not None and self._may_fit_later(refusal):
+                continue
+            self._submitted.add(job_id)
             if refusal is not None:
                 self.term.metrics.count_refusal(refusal.reason)
                 self.term.end_job(job_id, JobState.REFUSED, refusal.sentence)
 
+    def _may_fit_later(self, refusal: Refusal) -> bool:
+        """Return whether workers are out of reach that may hold the job once they are back."""
+        missing = len(self._workers) < self.count_most_workers()
+        return missing and refusal.reason is Reason.JOB_NEVER_FITS
+
     def _take_cancellations(self) -> None:
         for view in self.board.of_region(self.region):
             job_id = view.job.job_id
--- a/packages/entry/briardeal/jobs/ownership/_ownership.py
+++ b/packages/entry/briardeal/jobs/ownership/_ownership.py
@@ -178,6 +178,18 @@
         """Take note of a fencing token that an agent has seen."""
         self._fence = max(self._fence, token)
 
+    def count_most_workers(self) -> int:
+        """Return the most workers known at once, until there have been fewer for long.
+
+        A region that falls apart must not count as two whole ones.
+        """
+        count = self.count_workers()
+        now_s = _loop_time()
+        if count >= self._most_workers or now_s >= self._most_s + OUTAGE_LIMIT_S:
+            self._most_workers = count
+            self._most_s = now_s
+        return self._most_workers
+
     async def release(self) -> None:
         """Give the region up, so that another entry need not wait."""
         if self.token:
@@ -251,7 +263,7 @@
         record = OwnerRenewed(
             token=self.token,
             peers=tuple(sorted(self._live_peers())),
-            workers=self._count_most(),
+            workers=self.count_most_workers(),
         )
         await self._append(record)
 
@@ -353,18 +365,6 @@
                 self._known_peers[name] = now_s
         self._most_workers = max(self._most_workers, predecessor.workers)
 
-    def _count_most(self) -> int:
-        """Return the most workers known at once, until there have been fewer for long.
-
-        A region that falls apart must not count as two whole ones.
-        """
-        count = self.count_workers()
-        now_s = _loop_time()
-        if count >= self._most_workers or now_s >= self._most_s + OUTAGE_LIMIT_S:
-            self._most_workers = count
-            self._most_s = now_s
-        return self._most_workers
-
 
 def _loop_time() -> float:
     return asyncio.get_running_loop().time()
--- a/tests/entry/jobs/test_owner.py
+++ b/tests/entry/jobs/test_owner.py
@@ -257,3 +257,25 @@
         owner.kill()
         await cluster.wait_state(waiting, "finished")
         await settle(cluster)
+
+
+async def test_a_job_is_not_refused_while_workers_that_may_hold_it_are_out_of_reach():
+    configuration = Configuration(
+        classes=(JobClass(name="sampling", finish_within_s=600),),
+        customers=(Customer(name="audit"),),
+    )
+    async with Cluster(create_maker=Scheduler) as cluster:
+        for entry in cluster.entries:
+            entry.jobs.configure(configuration)
+        owner = await cluster.wait_owner()
+        await asyncio.sleep(5)
+        for entry in cluster.entries:
+            cluster.agents[0].network.cut(entry.listener.address)
+        owner.kill()
+        new = await cluster.wait_owner(than=owner)
+        job_id = await cluster.submit(new, tasks=4, command="5")
+        await asyncio.sleep(30)
+        for entry in cluster.entries:
+            cluster.agents[0].network.heal(entry.listener.address)
+        await cluster.wait_state(job_id, "finished")
+        await settle(cluster)
