--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -14,7 +14,16 @@
 if TYPE_CHECKING:
     from bench.figures import Figure
 
-GROUPS = ["agent_process", "entry_process", "log", "requests", "peers", "owner_state", "jobs"]
+GROUPS = [
+    "agent_process",
+    "entry_process",
+    "log",
+    "requests",
+    "peers",
+    "ownership",
+    "owner_state",
+    "jobs",
+]
 """Modules of this package with a `measure() -> list[Figure]`, in the order of the table."""
 
 
