Keep the VMs of each group sorted while guarantees are placed

Plans that find nothing looked at 400,000 VMs twice, and each guarantee sorted all VMs of its groups. Change: rooms and spares stay sorted within each group during the search, so that a guarantee looks only at the VMs that it takes. The search ends after 40,000 VMs looked at.

--- a/packages/scheduling/briardeal_scheduling/guarantees/_plan.py
+++ b/packages/scheduling/briardeal_scheduling/guarantees/_plan.py
@@ -9,6 +9,7 @@
 
 from briardeal_core.configuration import Adjacency
 from briardeal_scheduling.guarantees._margin import margin_holds
+from briardeal_scheduling.guarantees._rooms import SortedRooms
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
@@ -17,7 +18,7 @@
     from briardeal_scheduling.fleet import Group
 
 FINENESS = [Adjacency.RACK, Adjacency.FAILURE_DOMAIN, Adjacency.REGION]
-SEARCH_LIMIT = 400_000
+SEARCH_LIMIT = 40_000
 """VMs looked at before a search is given up."""
 
 
@@ -131,6 +132,10 @@
             for worker_id in want.claims:
                 self.rooms[worker_id] -= want.guarantee.accelerators_per_vm
                 self.booked[worker_id] += want.guarantee.accelerators_per_vm
+        adjacencies = {want.guarantee.adjacency for want in wants}
+        self.sorted_rooms = SortedRooms(groups, adjacencies)
+        self.sorted_spares = SortedRooms(groups, adjacencies)
+        self._fill()
 
     def run(self) -> dict[GuaranteeKey, list[str]] | None:
         """Return the VMs for each guarantee, or `None` where none were found."""
@@ -154,44 +159,73 @@
 
     def _choices(self, want: Want) -> Iterator[list[str]]:
         """Yield sets of VMs for a guarantee, the tightest first."""
+        need = want.guarantee.accelerators_per_vm
         missing = want.guarantee.vms - len(want.claims)
         options = []
         for group in _groups_for(want, self.members, self.groups):
-            fitting = self._fitting(want, group)
+            self.examined += 1
+            if self.sorted_rooms.count(group, need) < missing:
+                continue
+            fitting = self._fitting(want, group, missing)
             if len(fitting) >= missing:
-                options.append((len(fitting), fitting))
-        options.sort()
-        for _, fitting in options:
+                options.append((self._fitting_count(want, group), fitting, group))
+        options.sort(key=lambda option: option[:2])
+        for _, fitting, _ in options:
             yield [worker_id for _, worker_id in fitting[:missing]]
-        for _, fitting in options:
-            yield from _windows(fitting, missing)
+        for _, _, group in options:
+            yield from _windows(self._fitting(want, group), missing)
 
-    def _fitting(self, want: Want, group: Group) -> list[tuple[int, str]]:
+    def _fitting(self, want: Want, group: Group, limit: int | None = None) -> list[tuple[int, str]]:
+        """Return VMs for a guarantee, the tightest first; where it may take any, up to a limit."""
         need = want.guarantee.accelerators_per_vm
-        self.examined += len(self.members[group])
-        return sorted(
-            (self.rooms[worker_id], worker_id)
-            for worker_id in self.members[group]
-            if self.rooms[worker_id] >= need
-            and worker_id not in want.claims
-            and (want.allowed is None or worker_id in want.allowed)
-        )
+        if not want.claims and want.allowed is None:
+            fitting = self.sorted_rooms.fitting(group, need, limit)
+            self.examined += len(fitting)
+            return fitting
+        fitting = self.sorted_rooms.fitting(group, need)
+        self.examined += len(fitting)
+        return [
+            (room, worker_id)
+            for room, worker_id in fitting
+            if worker_id not in want.claims and (want.allowed is None or worker_id in want.allowed)
+        ]
+
+    def _fitting_count(self, want: Want, group: Group) -> int:
+        if want.claims or want.allowed is not None:
+            return len(self._fitting(want, group))
+        return self.sorted_rooms.count(group, want.guarantee.accelerators_per_vm)
+
+    def _fill(self) -> None:
+        entries = [(room, worker_id) for worker_id, room in self.rooms.items()]
+        self.examined += len(entries)
+        self.sorted_rooms.fill(entries)
+        self.sorted_spares.fill(entry for entry in entries if not self.booked[entry[1]])
 
     def _take(self, workers: list[str], accelerators: int) -> None:
         for worker_id in workers:
+            self._drop(worker_id)
             self.rooms[worker_id] -= accelerators
             self.booked[worker_id] += accelerators
+            self._put(worker_id)
+
+    def _drop(self, worker_id: str) -> None:
+        self.sorted_rooms.remove(self.rooms[worker_id], worker_id)
+        if not self.booked[worker_id]:
+            self.sorted_spares.remove(self.rooms[worker_id], worker_id)
+
+    def _put(self, worker_id: str) -> None:
+        self.sorted_rooms.add(self.rooms[worker_id], worker_id)
+        if not self.booked[worker_id]:
+            self.sorted_spares.add(self.rooms[worker_id], worker_id)
 
     def _keeps_margin(self, want: Want) -> bool:
         """Return whether the group of a guarantee just placed still has its spare VMs."""
         if not self.margin_vms:
             return True
         group = self.groups[self.slots[want.key][0]][want.guarantee.adjacency]
-        members = self.members[group]
-        self.examined += len(members)
+        self.examined += 1
         need = max(self.booked[vm] for vm in self.slots[want.key])
-        spares = sum(self.rooms[vm] >= need and not self.booked[vm] for vm in members)
-        return spares >= self.margin_vms
+        return self.sorted_spares.count(group, need) >= self.margin_vms
 
     def _margin_holds(self) -> bool:
         if not self.margin_vms:
--- /dev/null
+++ b/packages/scheduling/briardeal_scheduling/guarantees/_rooms.py
@@ -0,0 +1,62 @@
+"""The VMs of each group in the order of their room, while guarantees are placed."""
+
+from __future__ import annotations
+
+from bisect import bisect_left, insort
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from briardeal_core.configuration import Adjacency
+    from briardeal_scheduling.fleet import Group
+
+
+class SortedRooms:
+    """VMs with their room, sorted within each group.
+
+    Parameters
+    ----------
+    groups
+        Groups of each VM.
+    adjacencies
+        Those that are asked for; groups of others are left out.
+    """
+
+    def __init__(
+        self, groups: Mapping[str, Mapping[Adjacency, Group]], adjacencies: set[Adjacency]
+    ) -> None:
+        self._groups = {
+            worker_id: [own[adjacency] for adjacency in adjacencies]
+            for worker_id, own in groups.items()
+        }
+        self._lists: dict[Group, list[tuple[int, str]]] = defaultdict(list)
+
+    def fill(self, rooms: Iterable[tuple[int, str]]) -> None:
+        """Add many VMs at once."""
+        for entry in sorted(rooms):
+            for group in self._groups[entry[1]]:
+                self._lists[group].append(entry)
+
+    def add(self, room: int, worker_id: str) -> None:
+        """Add a VM."""
+        for group in self._groups[worker_id]:
+            insort(self._lists[group], (room, worker_id))
+
+    def remove(self, room: int, worker_id: str) -> None:
+        """Take a VM out."""
+        for group in self._groups[worker_id]:
+            entries = self._lists[group]
+            del entries[bisect_left(entries, (room, worker_id))]
+
+    def count(self, group: Group, need: int) -> int:
+        """Return how many VMs of a group have at least the needed room."""
+        entries = self._lists[group]
+        return len(entries) - bisect_left(entries, (need, ""))
+
+    def fitting(self, group: Group, need: int, limit: int | None = None) -> list[tuple[int, str]]:
+        """Return VMs with at least the needed room, the tightest first, up to a limit."""
+        entries = self._lists[group]
+        start = bisect_left(entries, (need, ""))
+        return entries[start:] if limit is None else entries[start : start + limit]
