--- a/packages/entry/briardeal/structure/_entry.py
+++ b/packages/entry/briardeal/structure/_entry.py
@@ -28,6 +28,7 @@
     from briardeal.config import EntrySettings
     from briardeal.requests import Answer, EndpointClient, Request
     from briardeal_core.clock import Clock
+    from briardeal_core.configuration import Configuration
     from briardeal_core.jobs import WorkerShape
     from briardeal_core.log import Log
     from briardeal_core.reasons import Refusal
@@ -112,7 +113,7 @@
             snapshot_interval_s=snapshot_interval_s,
         )
         self.board = self.jobs.board
-        self.configuration.subscribe(lambda _, configuration: self.jobs.configure(configuration))
+        self.configuration.subscribe(lambda _, configuration: self._configure(configuration))
         hello = EntryHello(entry_id=settings.entry_id, incarnation=self.incarnation)
         self.agents = AgentListener(network, settings.agent_listen, hello, self.table, self.jobs)
         self.peers = self._create_peers(peer_network)
@@ -142,11 +143,14 @@
         log_event(Event.PROCESS_STOPPING, name=self.settings.entry_id)
         await asyncio.sleep(BALANCER_NOTICE_S)
         self.gateway.accepting = False
-        deadline_s = _loop_time() + self.settings.drain_timeout_s
+        timeout_s = self.settings.drain_timeout_s
+        await asyncio.gather(self.peers.leave(timeout_s), self._finish_requests(timeout_s))
+        await self.admissions.flush(RELEASE_TIMEOUT_S)
+
+    async def _finish_requests(self, timeout_s: float) -> None:
+        deadline_s = _loop_time() + timeout_s
         while self.gateway.in_flight and _loop_time() < deadline_s:
             await asyncio.sleep(DRAIN_POLL_S)
-        await self.peers.leave(max(0.0, deadline_s - _loop_time()))
-        await self.admissions.flush(RELEASE_TIMEOUT_S)
 
     async def on_shutdown(self) -> None:
         """Log the end of the process."""
@@ -156,6 +160,10 @@
         """Return the whole answer to a caller's request, or why there is none."""
         return await self.gateway.handle(request)
 
+    def _configure(self, configuration: Configuration) -> None:
+        self.router.set_configuration(configuration)
+        self.jobs.configure(configuration)
+
     def render_metrics(self) -> bytes:
         """Return all metrics of this moment in the Prometheus text format."""
         self.readings.sample()
--- a/packages/scheduling/briardeal_scheduling/guarantees/_plan.py
+++ b/packages/scheduling/briardeal_scheduling/guarantees/_plan.py
@@ -9,6 +9,7 @@
 
 from briardeal_core.configuration import Adjacency
 from briardeal_scheduling.guarantees._margin import margin_holds
+from briardeal_scheduling.guarantees._rooms import SortedRooms
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
@@ -17,7 +18,7 @@
     from briardeal_scheduling.fleet import Group
 
 FINENESS = [Adjacency.RACK, Adjacency.FAILURE_DOMAIN, Adjacency.REGION]
-SEARCH_LIMIT = 400_000
+SEARCH_LIMIT = 40_000
 """VMs looked at before a search is given up."""
 
 
@@ -65,11 +66,14 @@
         Whether every guarantee has all its VMs.
     margin_held
         Whether that stays so when as many VMs fail as the margin says.
+    examined
+        VMs looked at in the search, for measuring its cost.
     """
 
     slots: dict[GuaranteeKey, list[str]]
     whole: bool
     margin_held: bool
+    examined: int = 0
 
 
 def make_plan(
@@ -96,14 +100,14 @@
     Plan
         With the margin where possible, else without, else shared by the smallest part met.
     """
-    if margin_vms:
-        slots = _Search(rooms, groups, wants, margin_vms).run()
+    examined = 0
+    for margin in dict.fromkeys((margin_vms, 0)):
+        search = _Search(rooms, groups, wants, margin)
+        slots = search.run()
+        examined += search.examined
         if slots is not None:
-            return Plan(slots, whole=True, margin_held=True)
-    slots = _Search(rooms, groups, wants, 0).run()
-    if slots is not None:
-        return Plan(slots, whole=True, margin_held=not margin_vms)
-    return Plan(_share(rooms, groups, wants), whole=False, margin_held=False)
+            return Plan(slots, True, margin == margin_vms, examined)
+    return Plan(_share(rooms, groups, wants), False, False, examined)
 
 
 class _Search:
@@ -121,11 +125,17 @@
         self.margin_vms = margin_vms
         self.members = _members(groups)
         self.slots: dict[GuaranteeKey, list[str]] = {}
+        self.booked: dict[str, int] = defaultdict(int)
         self.examined = 0
         self.wants = sorted(wants, key=_difficulty)
         for want in wants:
             for worker_id in want.claims:
                 self.rooms[worker_id] -= want.guarantee.accelerators_per_vm
+                self.booked[worker_id] += want.guarantee.accelerators_per_vm
+        adjacencies = {want.guarantee.adjacency for want in wants}
+        self.sorted_rooms = SortedRooms(groups, adjacencies)
+        self.sorted_spares = SortedRooms(groups, adjacencies)
+        self._fill()
 
     def run(self) -> dict[GuaranteeKey, list[str]] | None:
         """Return the VMs for each guarantee, or `None` where none were found."""
@@ -142,54 +152,94 @@
                 return False
             self._take(chosen, want.guarantee.accelerators_per_vm)
             self.slots[want.key] = [*want.claims, *chosen]
-            if self._extend(position + 1):
+            if self._keeps_margin(want) and self._extend(position + 1):
                 return True
             self._take(chosen, -want.guarantee.accelerators_per_vm)
         return False
 
     def _choices(self, want: Want) -> Iterator[list[str]]:
         """Yield sets of VMs for a guarantee, the tightest first."""
+        need = want.guarantee.accelerators_per_vm
         missing = want.guarantee.vms - len(want.claims)
         options = []
         for group in _groups_for(want, self.members, self.groups):
-            fitting = self._fitting(want, group)
+            self.examined += 1
+            if self.sorted_rooms.count(group, need) < missing:
+                continue
+            fitting = self._fitting(want, group, missing)
             if len(fitting) >= missing:
-                options.append((len(fitting), fitting))
-        options.sort()
-        for _, fitting in options:
+                options.append((self._fitting_count(want, group), fitting, group))
+        options.sort(key=lambda option: option[:2])
+        for _, fitting, _ in options:
             yield [worker_id for _, worker_id in fitting[:missing]]
-        for _, fitting in options:
-            yield from _windows(fitting, missing)
+        for _, _, group in options:
+            yield from _windows(self._fitting(want, group), missing)
 
-    def _fitting(self, want: Want, group: Group) -> list[tuple[int, str]]:
+    def _fitting(self, want: Want, group: Group, limit: int | None = None) -> list[tuple[int, str]]:
+        """Return VMs for a guarantee, the tightest first; where it may take any, up to a limit."""
         need = want.guarantee.accelerators_per_vm
-        self.examined += len(self.members[group])
-        return sorted(
-            (self.rooms[worker_id], worker_id)
-            for worker_id in self.members[group]
-            if self.rooms[worker_id] >= need
-            and worker_id not in want.claims
-            and (want.allowed is None or worker_id in want.allowed)
-        )
+        if not want.claims and want.allowed is None:
+            fitting = self.sorted_rooms.fitting(group, need, limit)
+            self.examined += len(fitting)
+            return fitting
+        fitting = self.sorted_rooms.fitting(group, need)
+        self.examined += len(fitting)
+        return [
+            (room, worker_id)
+            for room, worker_id in fitting
+            if worker_id not in want.claims and (want.allowed is None or worker_id in want.allowed)
+        ]
+
+    def _fitting_count(self, want: Want, group: Group) -> int:
+        if want.claims or want.allowed is not None:
+            return len(self._fitting(want, group))
+        return self.sorted_rooms.count(group, want.guarantee.accelerators_per_vm)
+
+    def _fill(self) -> None:
+        entries = [(room, worker_id) for worker_id, room in self.rooms.items()]
+        self.examined += len(entries)
+        self.sorted_rooms.fill(entries)
+        self.sorted_spares.fill(entry for entry in entries if not self.booked[entry[1]])
 
     def _take(self, workers: list[str], accelerators: int) -> None:
         for worker_id in workers:
+            self._drop(worker_id)
             self.rooms[worker_id] -= accelerators
+            self.booked[worker_id] += accelerators
+            self._put(worker_id)
+
+    def _drop(self, worker_id: str) -> None:
+        self.sorted_rooms.remove(self.rooms[worker_id], worker_id)
+        if not self.booked[worker_id]:
+            self.sorted_spares.remove(self.rooms[worker_id], worker_id)
+
+    def _put(self, worker_id: str) -> None:
+        self.sorted_rooms.add(self.rooms[worker_id], worker_id)
+        if not self.booked[worker_id]:
+            self.sorted_spares.add(self.rooms[worker_id], worker_id)
+
+    def _keeps_margin(self, want: Want) -> bool:
+        """Return whether the group of a guarantee just placed still has its spare VMs."""
+        if not self.margin_vms:
+            return True
+        group = self.groups[self.slots[want.key][0]][want.guarantee.adjacency]
+        self.examined += 1
+        need = max(self.booked[vm] for vm in self.slots[want.key])
+        return self.sorted_spares.count(group, need) >= self.margin_vms
 
     def _margin_holds(self) -> bool:
         if not self.margin_vms:
             return True
         self.examined += MARGIN_CHECK_COST * len(self.rooms)
-        booked: dict[str, int] = defaultdict(int)
         finest: dict[str, Adjacency] = {}
         for want in self.wants:
             for worker_id in self.slots[want.key]:
-                booked[worker_id] += want.guarantee.accelerators_per_vm
                 finest[worker_id] = min(
                     finest.get(worker_id, Adjacency.REGION),
                     want.guarantee.adjacency,
                     key=FINENESS.index,
                 )
+        booked = {worker_id: self.booked[worker_id] for worker_id in finest}
         return margin_holds(self.rooms, self.members, self.groups, booked, finest, self.margin_vms)
 
 
--- a/packages/scheduling/briardeal_scheduling/_state.py
+++ b/packages/scheduling/briardeal_scheduling/rounds/_state.py
@@ -39,8 +39,12 @@
         Records of jobs that are over, oldest first.
     predictions
         Predictions in use, with the time at which each was made.
+    fits_empty
+        Whether work of a shape fits on all VMs together, by the shape and the set of VMs.
     planned_s
         When the guarantees were planned last.
+    moved_s
+        When they were planned last for the sake of work that can't be preempted.
     """
 
     configuration: Configuration = attrs.field(factory=Configuration)
@@ -53,7 +57,16 @@
     evidence: Evidence = attrs.field(factory=Evidence)
     ended: OrderedDict[str, Record] = attrs.field(factory=OrderedDict)
     predictions: dict[str, tuple[float, Prediction]] = attrs.field(factory=dict)
+    fits_empty: dict[tuple[object, ...], bool] = attrs.field(factory=dict)
     planned_s: float = float("-inf")
+    moved_s: float = float("-inf")
+
+    @property
+    def examined(self) -> int:
+        """VMs looked at since the start, for measuring the cost of decisions."""
+        fleet = self.fleet
+        indexes = (fleet.free, fleet.room, fleet.slots)
+        return self.ledger.examined + sum(index.examined for index in indexes)
 
     def predict(self, job: Job, now_s: float) -> Prediction:
         """Return the expected run time of a job in all."""
@@ -72,6 +85,18 @@
             return set()
         return self.evidence.failed_on(job.job_id)
 
+    def on_trial(self, job: Job) -> set[str]:
+        """Return VMs on trial that a job must not have: they get one harmless job at a time."""
+        harmless = job.request.idempotent and job.request.tasks == 1
+        workers = self.fleet.workers
+        return {
+            worker_id
+            for worker_id, health in self.evidence.workers.items()
+            if health.on_trial
+            and worker_id in workers
+            and not (harmless and not workers[worker_id].tasks)
+        }
+
     def occupy(self, job: Job, placement: Placement) -> None:
         """Put a job on VMs that are free."""
         self.table.hold(job)
