Read the loop's clock in one place and share what groups of routes have in common

Cause: twelve modules had the same function for the loop's time, and four groups of routes the same constructor, as the list of doubled places showed. Change: loop_time in the clock package, and a base of the groups of routes. Conclusion: none needed.

--- a/packages/agent/briardeal_agent/links/_entry.py
+++ b/packages/agent/briardeal_agent/links/_entry.py
@@ -7,6 +7,7 @@
 
 from msgspec import structs
 
+from briardeal_core.clock import loop_time
 from briardeal_core.events import Event, log_event
 from briardeal_protocol.connections import Closed
 from briardeal_protocol.messages import (
@@ -89,7 +90,7 @@
         self.entry: EntryHello | None = None
         self.connection: Connection | None = None
         self.last_heard_s = 0.0
-        self.lost_s = asyncio.get_running_loop().time()
+        self.lost_s = loop_time()
         self.told: EndpointState | None = None
         self.orders: set[asyncio.Task[None]] = set()
 
@@ -120,7 +121,7 @@
         hello = self.host.hello()
         self.told = _without_load(hello.endpoint)
         await connection.send(hello)
-        self.last_heard_s = asyncio.get_running_loop().time()
+        self.last_heard_s = loop_time()
         return True
 
     async def _serve(self) -> bool:
@@ -129,13 +130,13 @@
         heartbeats = asyncio.create_task(self._send_heartbeats(connection))
         try:
             while not isinstance(message := await connection.receive(), Closed):
-                self.last_heard_s = asyncio.get_running_loop().time()
+                self.last_heard_s = loop_time()
                 await self._handle(connection, message)
         finally:
             heartbeats.cancel()
             entry, self.entry = self.entry, None
             self.connection = None
-            self.lost_s = asyncio.get_running_loop().time()
+            self.lost_s = loop_time()
             if entry is not None:
                 self.host.lose_entry(entry)
             await connection.close()
@@ -146,7 +147,7 @@
         sequence = 0
         while True:
             await asyncio.sleep(self.entry.heartbeat_interval_s if self.entry else HELLO_INTERVAL_S)
-            silence_s = asyncio.get_running_loop().time() - self.last_heard_s
+            silence_s = loop_time() - self.last_heard_s
             if silence_s >= SILENCE_TIMEOUT_S:
                 await connection.close()
                 return
--- a/packages/agent/briardeal_agent/links/_links.py
+++ b/packages/agent/briardeal_agent/links/_links.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from briardeal_agent.links._entry import EntryLink
+from briardeal_core.clock import loop_time
 
 if TYPE_CHECKING:
     import random
@@ -56,7 +57,7 @@
 
     def forget_lost(self) -> None:
         """Give up the links that have had no connection for long."""
-        oldest_s = asyncio.get_running_loop().time() - FORGET_AFTER_S
+        oldest_s = loop_time() - FORGET_AFTER_S
         for address, link in list(self.links.items()):
             if link.entry is None and link.lost_s <= oldest_s and address not in self.kept:
                 self.tasks.pop(address).cancel()
--- a/packages/agent/briardeal_agent/structure/_agent.py
+++ b/packages/agent/briardeal_agent/structure/_agent.py
@@ -12,7 +12,7 @@
 from briardeal_agent.links import EntryLinks
 from briardeal_agent.permits import QUARANTINE_S, Permits
 from briardeal_agent.tasks import Reports, TaskTable
-from briardeal_core.clock import WallClock
+from briardeal_core.clock import WallClock, loop_time
 from briardeal_core.events import Event, log_event
 from briardeal_core.jobs import WorkerShape
 from briardeal_core.metrics import Metrics
@@ -80,11 +80,11 @@
         self.rng = rng or random.Random()
         self.incarnation = int(self.clock.now_s() * 1000)
         self.metrics = Metrics()
-        self.permits = Permits(_loop_time, settings.agent_id, QUARANTINE_S)
+        self.permits = Permits(loop_time, settings.agent_id, QUARANTINE_S)
         self.announcements = Announcements(self.permits, settings.endpoint_lease_s)
         self.tasks: TaskTable | None = None
         if worker is not None:
-            self.tasks = TaskTable(worker, settings.accelerators, _loop_time)
+            self.tasks = TaskTable(worker, settings.accelerators, loop_time)
             self.reports = Reports(self.tasks)
         self.links = EntryLinks(self, network, self.rng, settings.entries)
         self.leaving = False
@@ -184,8 +184,8 @@
         await self.links.tell_all(message)
 
     async def _drain(self) -> None:
-        deadline_s = _loop_time() + self.settings.drain_timeout_s
-        while self.permits.held and _loop_time() < deadline_s:
+        deadline_s = loop_time() + self.settings.drain_timeout_s
+        while self.permits.held and loop_time() < deadline_s:
             await asyncio.sleep(DRAIN_POLL_S)
             self.permits.expire()
 
@@ -200,7 +200,3 @@
             accelerators=self.settings.accelerators,
         )
         return WorkerState(shape=shape, fence=self.tasks.fence)
-
-
-def _loop_time() -> float:
-    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/packages/core/briardeal_core/clock/_loop.py
@@ -0,0 +1,10 @@
+"""The clock of the running event loop, which tests pause and advance."""
+
+from __future__ import annotations
+
+import asyncio
+
+
+def loop_time() -> float:
+    """Return the time on the clock of the running loop, in seconds."""
+    return asyncio.get_running_loop().time()
--- a/packages/core/briardeal_core/configuration/store/_store.py
+++ b/packages/core/briardeal_core/configuration/store/_store.py
@@ -9,7 +9,7 @@
 import msgspec
 from mode import Service
 
-from briardeal_core.clock import WallClock
+from briardeal_core.clock import WallClock, loop_time
 from briardeal_core.configuration.store._archive import ConfigurationArchive
 from briardeal_core.configuration.store._diff import describe_changes
 from briardeal_core.configuration.store._force import ConfigurationInForce
@@ -229,7 +229,7 @@
         self, change: ConfigurationPublished, deadline_s: float
     ) -> Accepted | Conflict | Refusal:
         verdict = self.pending.add(change.change_id, change.expected_version)
-        deadline_at_s = asyncio.get_running_loop().time() + deadline_s
+        deadline_at_s = loop_time() + deadline_s
         appending = asyncio.create_task(self.writer.append(change, deadline_s=deadline_s))
         await asyncio.wait({appending, verdict}, return_when=asyncio.FIRST_COMPLETED)
         if not verdict.done():
@@ -238,7 +238,7 @@
                 return written
             if change.expected_version is None and not isinstance(written, Refusal):
                 self.follower.resume(written.offset)
-            left_s = max(0.0, deadline_at_s - asyncio.get_running_loop().time())
+            left_s = max(0.0, deadline_at_s - loop_time())
             await asyncio.wait({verdict}, timeout=left_s)
         appending.cancel()
         if not verdict.done():
--- a/packages/core/briardeal_core/log/_budget.py
+++ b/packages/core/briardeal_core/log/_budget.py
@@ -5,6 +5,8 @@
 import asyncio
 import enum
 
+from briardeal_core.clock import loop_time
+
 APPENDS_PER_S = 10.0
 APPEND_BURST = 10.0
 RESERVED_SHARE = 0.5
@@ -51,7 +53,7 @@
             await asyncio.sleep(wait_s)
 
     def _missing(self, priority: Priority) -> float:
-        now_s = asyncio.get_running_loop().time()
+        now_s = loop_time()
         if self._filled_at_s is not None:
             gained = (now_s - self._filled_at_s) * self.rate_per_s
             self._tokens = min(self.burst, self._tokens + gained)
--- a/packages/core/briardeal_core/log/_claims.py
+++ b/packages/core/briardeal_core/log/_claims.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import uuid
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -10,6 +9,7 @@
 import attrs
 import msgspec
 
+from briardeal_core.clock import loop_time
 from briardeal_core.log._budget import Priority
 from briardeal_core.log._model import Appended, LogUnavailable, PastRetention
 from briardeal_core.log._reader import StreamReader
@@ -168,7 +168,7 @@
 
     async def acquire(self) -> Held | HeldByOther | LogUnavailable:
         """Claim or renew the role, and tell who holds it by the order of the log."""
-        asked_at_s = asyncio.get_running_loop().time()
+        asked_at_s = loop_time()
         unread = await self._catch_up()
         if unread is not None:
             return unread
@@ -197,7 +197,7 @@
         holder = self.table.holders.get(self.role)
         if holder is None or holder.claimant != self.claimant:
             return None
-        return holder.token if self._until_s > asyncio.get_running_loop().time() else None
+        return holder.token if self._until_s > loop_time() else None
 
     async def _append(self, lease_s: float, token: int | None) -> Appended | LogUnavailable:
         claim = Claim(self.role, self.claimant, lease_s, token)
--- a/packages/core/briardeal_core/log/_follower.py
+++ b/packages/core/briardeal_core/log/_follower.py
@@ -9,6 +9,7 @@
 
 from mode import Service
 
+from briardeal_core.clock import loop_time
 from briardeal_core.events import Event, log_event
 from briardeal_core.log._copies import CopyFilter
 from briardeal_core.log._model import LogUnavailable, PastRetention
@@ -118,7 +119,7 @@
         """Return the seconds since the end of the stream was last seen; `None` before that."""
         if self._current_at_s is None:
             return None
-        return asyncio.get_running_loop().time() - self._current_at_s
+        return loop_time() - self._current_at_s
 
     async def wait_current(self) -> None:
         """Wait until the end of the stream has been reached once."""
@@ -172,7 +173,7 @@
             self.view.apply(item)
         if found.at_end:
             self.progress = FollowerState.CURRENT
-            self._current_at_s = asyncio.get_running_loop().time()
+            self._current_at_s = loop_time()
             self._current.set()
         return True
 
--- a/packages/core/briardeal_core/log/_writer.py
+++ b/packages/core/briardeal_core/log/_writer.py
@@ -9,6 +9,7 @@
 
 from mode import Service
 
+from briardeal_core.clock import loop_time
 from briardeal_core.events import Event, log_event
 from briardeal_core.log._budget import AppendBudget, Priority
 from briardeal_core.log._model import Appended, LogUnavailable, PastRetention
@@ -171,7 +172,7 @@
         return await self._read_back(batch.append_id) or outcome
 
     async def _note_end(self) -> None:
-        now_s = asyncio.get_running_loop().time()
+        now_s = loop_time()
         if now_s < self._end_known_at_s + END_STALE_S:
             return
         found = await self.target.read(self.stream, self._read_from, 1)
@@ -198,7 +199,7 @@
 
     def _resolve_written(self, appended: Appended) -> None:
         self._read_from = appended.offset + 1
-        self._end_known_at_s = asyncio.get_running_loop().time()
+        self._end_known_at_s = loop_time()
         for pending in self._in_flight.records:
             pending.resolve(Written(appended.offset, self._in_flight.append_id))
         self._in_flight = InFlight([], "")
--- a/packages/entry/briardeal/api/_configuration.py
+++ b/packages/entry/briardeal/api/_configuration.py
@@ -2,20 +2,16 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 import msgspec
 from aiohttp import web
 
 from briardeal.api._replies import reply_json, reply_refusal
+from briardeal.api._routes import Routes
 from briardeal_core.configuration import Configuration
 from briardeal_core.configuration.document import ConfigurationErrors, load_configuration
 from briardeal_core.configuration.store import Accepted, Conflict
 from briardeal_core.reasons import Reason, Refusal, RunState
 
-if TYPE_CHECKING:
-    from briardeal.structure import Entry
-
 UNKNOWN_AUTHOR = "an operator without a name"
 
 
@@ -58,17 +54,8 @@
     changes: tuple[str, ...]
 
 
-class ConfigurationRoutes:
-    """Routes for operators.
-
-    Parameters
-    ----------
-    entry
-        The entry.
-    """
-
-    def __init__(self, entry: Entry) -> None:
-        self.entry = entry
+class ConfigurationRoutes(Routes):
+    """Routes for operators."""
 
     def table(self) -> list[web.RouteDef]:
         """Return the routes."""
--- a/packages/entry/briardeal/api/_health.py
+++ b/packages/entry/briardeal/api/_health.py
@@ -2,25 +2,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from aiohttp import web
 
-if TYPE_CHECKING:
-    from briardeal.structure import Entry
-
-
-class HealthRoutes:
-    """Routes for the balancer and for monitoring.
+from briardeal.api._routes import Routes
 
-    Parameters
-    ----------
-    entry
-        The entry.
-    """
 
-    def __init__(self, entry: Entry) -> None:
-        self.entry = entry
+class HealthRoutes(Routes):
+    """Routes for the balancer and for monitoring."""
 
     def table(self) -> list[web.RouteDef]:
         """Return the routes."""
--- a/packages/entry/briardeal/api/_jobs.py
+++ b/packages/entry/briardeal/api/_jobs.py
@@ -8,12 +8,12 @@
 from aiohttp import web
 
 from briardeal.api._replies import reply_json, reply_refusal
+from briardeal.api._routes import Routes
 from briardeal_core.jobs import JobRequest
 from briardeal_core.reasons import Reason, Refusal, RunState
 
 if TYPE_CHECKING:
     from briardeal.jobs import JobView
-    from briardeal.structure import Entry
 
 
 class JobBody(msgspec.Struct, frozen=True, kw_only=True):
@@ -55,17 +55,8 @@
     sentences: tuple[str, ...]
 
 
-class JobRoutes:
-    """Routes for jobs.
-
-    Parameters
-    ----------
-    entry
-        The entry.
-    """
-
-    def __init__(self, entry: Entry) -> None:
-        self.entry = entry
+class JobRoutes(Routes):
+    """Routes for jobs."""
 
     def table(self) -> list[web.RouteDef]:
         """Return the routes."""
--- a/packages/entry/briardeal/api/_requests.py
+++ b/packages/entry/briardeal/api/_requests.py
@@ -2,20 +2,17 @@
 
 from __future__ import annotations
 
-import asyncio
 import math
-from typing import TYPE_CHECKING
 
 import msgspec
 from aiohttp import hdrs, web
 
 from briardeal.api._replies import reply_json, reply_refusal
+from briardeal.api._routes import Routes
 from briardeal.requests import Answer, Request
+from briardeal_core.clock import loop_time
 from briardeal_core.reasons import Reason, Refusal, RunState
 
-if TYPE_CHECKING:
-    from briardeal.structure import Entry
-
 DEFAULT_TYPE = "application/octet-stream"
 
 
@@ -25,17 +22,8 @@
     key: str
 
 
-class RequestRoutes:
-    """Routes for callers.
-
-    Parameters
-    ----------
-    entry
-        The entry.
-    """
-
-    def __init__(self, entry: Entry) -> None:
-        self.entry = entry
+class RequestRoutes(Routes):
+    """Routes for callers."""
 
     def table(self) -> list[web.RouteDef]:
         """Return the routes."""
@@ -72,7 +60,7 @@
             customer=http.headers.get("Briardeal-Customer", ""),
             body=body,
             content_type=http.headers.get(hdrs.CONTENT_TYPE, DEFAULT_TYPE),
-            deadline_s=asyncio.get_running_loop().time() + timeout_s,
+            deadline_s=loop_time() + timeout_s,
             idempotent=http.headers.get("Briardeal-Idempotent", "true").lower() != "false",
             key=http.headers.get("Idempotency-Key", ""),
         )
--- a/packages/entry/briardeal/jobs/_attempt.py
+++ b/packages/entry/briardeal/jobs/_attempt.py
@@ -9,6 +9,7 @@
 
 from briardeal.jobs._records import AttemptClosing, AttemptEnded, JobPlaced, JobStarted
 from briardeal.jobs.ownership import Right
+from briardeal_core.clock import loop_time
 from briardeal_scheduling import Failed, Finished, Lost, NotStarted, Stopped
 
 if TYPE_CHECKING:
@@ -111,7 +112,7 @@
         self.ordered = adopted
         outcome = None if adopted else await self._launch()
         if outcome is None:
-            self.state.settle_until_s = _loop_time() + START_SETTLE_S
+            self.state.settle_until_s = loop_time() + START_SETTLE_S
             outcome = await self._watch(on_started)
         return outcome if isinstance(outcome, Finished) else await self._close(outcome)
 
@@ -176,7 +177,7 @@
                 on_started()
             if self.leaving is not ordered:
                 ordered = self.leaving
-                self.state.settle_until_s = _loop_time() + LEAVE_SETTLE_S
+                self.state.settle_until_s = loop_time() + LEAVE_SETTLE_S
                 await self.desk.gangs.stop(self.gang, ordered)
             else:
                 await self._wait(POLL_S)
@@ -197,15 +198,15 @@
         closing: asyncio.Future[None] | None = None
         lapses_s = float("inf")
         next_stop_s = 0.0
-        while self.ordered and not self.state.is_settled(_loop_time() >= lapses_s):
+        while self.ordered and not self.state.is_settled(loop_time() >= lapses_s):
             closing = closing or self.desk.outbox.add(self._closing(outcome))
             if closing.done():
-                lapses_s = min(lapses_s, _loop_time() + RESTART_WAIT_S)
-            if _loop_time() >= next_stop_s:
-                next_stop_s = _loop_time() + STOP_INTERVAL_S
+                lapses_s = min(lapses_s, loop_time() + RESTART_WAIT_S)
+            if loop_time() >= next_stop_s:
+                next_stop_s = loop_time() + STOP_INTERVAL_S
                 await self.desk.gangs.stop(self.gang)
             else:
-                await self._wait(max(WAIT_MIN_S, next_stop_s - _loop_time()))
+                await self._wait(max(WAIT_MIN_S, next_stop_s - loop_time()))
         if isinstance(self.state.judge(None), Finished):
             return Finished()
         self.checkpoints = self.state.checkpoints()
@@ -254,7 +255,3 @@
     if isinstance(outcome, NotStarted):
         return f"not every task could start; {outcome.worker_id} could not."
     return "it was stopped as ordered."
-
-
-def _loop_time() -> float:
-    return asyncio.get_running_loop().time()
--- a/packages/entry/briardeal/jobs/_gang_state.py
+++ b/packages/entry/briardeal/jobs/_gang_state.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 import attrs
 
 from briardeal.jobs._members import ENDED
+from briardeal_core.clock import loop_time
 from briardeal_protocol.messages import StopMode, TaskState
 from briardeal_scheduling import Failed, Finished, Lost, NotStarted, Stopped
 
@@ -97,7 +97,7 @@
 
     def _broken(self, statuses: list[TaskStatus | None]) -> str | None:
         """Return a worker whose member is gone for good, or `None` where there is none."""
-        now_s = _loop_time()
+        now_s = loop_time()
         overdue = now_s >= self.settle_until_s
         leaving = any(s is not None and s.state is TaskState.STOPPING for s in statuses)
         for worker, status in zip(self.gang.workers, statuses, strict=True):
@@ -149,7 +149,3 @@
         if status is not None and status.state is TaskState.FINISHED:
             self.finished[worker] = status
         return status
-
-
-def _loop_time() -> float:
-    return asyncio.get_running_loop().time()
--- a/packages/entry/briardeal/jobs/_members.py
+++ b/packages/entry/briardeal/jobs/_members.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 import attrs
 
+from briardeal_core.clock import loop_time
 from briardeal_protocol.messages import TaskState
 
 if TYPE_CHECKING:
@@ -92,7 +92,7 @@
         agent = self.agents.get(entry.agent_id)
         if agent is not None and agent.entry is entry:
             del self.agents[entry.agent_id]
-            self.lost_s[entry.agent_id] = _loop_time()
+            self.lost_s[entry.agent_id] = loop_time()
             self._tell(None)
 
     def take(self, entry: AgentEntry, statuses: Sequence[TaskStatus], whole: bool = False) -> None:
@@ -150,7 +150,3 @@
 
 def _counts(state: TaskState) -> bool:
     return state in RUNS or state is TaskState.FINISHED
-
-
-def _loop_time() -> float:
-    return asyncio.get_running_loop().time()
--- a/packages/entry/briardeal/jobs/_owner.py
+++ b/packages/entry/briardeal/jobs/_owner.py
@@ -11,6 +11,7 @@
 from briardeal.jobs._takeover import take_over
 from briardeal.jobs._term import Term
 from briardeal.jobs.ownership import Right
+from briardeal_core.clock import loop_time
 from briardeal_core.events import Event, log_event
 
 if TYPE_CHECKING:
@@ -79,7 +80,7 @@
         """Take over a new configuration."""
         self.configuration = configuration
         if self.term is not None:
-            self.term.maker.configure(configuration, _loop_time())
+            self.term.maker.configure(configuration, loop_time())
             self.changed.set()
 
     @Service.task
@@ -103,7 +104,7 @@
     def _create_term(self) -> Term:
         maker = self.create_maker()
         if self.configuration is not None:
-            maker.configure(self.configuration, _loop_time())
+            maker.configure(self.configuration, loop_time())
         return Term(
             token=self.ownership.token,
             desk=self.desk,
@@ -148,7 +149,3 @@
         for job_id in names:
             if job_id in self.term.attempts:
                 self.term.attempts[job_id].changed.set()
-
-
-def _loop_time() -> float:
-    return asyncio.get_running_loop().time()
--- a/packages/entry/briardeal/jobs/_rounds.py
+++ b/packages/entry/briardeal/jobs/_rounds.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 from briardeal.jobs._gangs import Gang
 from briardeal.jobs._members import RUNS
 from briardeal.jobs._term import CANCELLED_WHY
+from briardeal_core.clock import loop_time
 from briardeal_core.events import Event, log_event
 from briardeal_core.jobs import JobState
 from briardeal_core.reasons import Reason
@@ -79,18 +79,18 @@
         self._take_new_jobs()
         self._take_cancellations()
         if may_start:
-            for decision in self.maker.decide(_loop_time()):
+            for decision in self.maker.decide(loop_time()):
                 self._carry_out(decision)
 
     def _raise_workers(self) -> None:
         for worker_id, agent in self.members.agents.items():
             if worker_id not in self._workers and agent.listed:
                 self._workers.add(worker_id)
-                self.maker.worker_up(agent.shape, _loop_time())
+                self.maker.worker_up(agent.shape, loop_time())
 
     def _drop_workers(self) -> None:
         """Take out the workers out of reach, once no attempt depends on what ran there."""
-        now_s = _loop_time()
+        now_s = loop_time()
         lost = self._workers - self.members.agents.keys()
         attempts = self.term.attempts.values() if lost else ()
         held = {worker for attempt in attempts for worker in attempt.gang.workers}
@@ -133,7 +133,7 @@
             job_id = view.job.job_id
             if job_id in self._submitted:
                 continue
-            refusal = self.maker.submit(view.job, _loop_time())
+            refusal = self.maker.submit(view.job, loop_time())
             if refusal is not None and self._may_fit_later(refusal):
                 continue
             self._submitted.add(job_id)
@@ -152,7 +152,7 @@
             if not view.cancelled or job_id in self._cancelled:
                 continue
             self._cancelled.add(job_id)
-            self.maker.cancel(job_id, _loop_time())
+            self.maker.cancel(job_id, loop_time())
             if job_id in self.term.attempts:
                 self.term.attempts[job_id].cancel()
             else:
@@ -169,7 +169,3 @@
             view = self.board.active.get(job_id)
             if view is not None and attempt is None and job_id not in self._cancelled:
                 self.term.start(view, decision)
-
-
-def _loop_time() -> float:
-    return asyncio.get_running_loop().time()
--- a/packages/entry/briardeal/jobs/_service.py
+++ b/packages/entry/briardeal/jobs/_service.py
@@ -18,6 +18,7 @@
 from briardeal.jobs._owner import Owner
 from briardeal.jobs._records import JOB_SCHEMA, JOB_STREAM, JobAccepted, JobCancelled
 from briardeal.jobs.ownership import NoPeers, Ownership
+from briardeal_core.clock import loop_time
 from briardeal_core.events import Event, log_event
 from briardeal_core.log import (
     AppendBudget,
@@ -188,7 +189,7 @@
         if view is None:
             return []
         term = self.owner.term
-        now_s = asyncio.get_running_loop().time()
+        now_s = loop_time()
         decided = term.maker.explain(job_id, now_s) if term is not None else []
         return [*view.history, *decided]
 
--- a/packages/entry/briardeal/jobs/_takeover.py
+++ b/packages/entry/briardeal/jobs/_takeover.py
@@ -7,6 +7,7 @@
 
 from briardeal.jobs._attempt import RESTART_WAIT_S
 from briardeal.jobs._records import OwnerStarted
+from briardeal_core.clock import loop_time
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -52,9 +53,9 @@
     desk: Desk, token: int, workers: int, longest_s: float, holds: Callable[[], bool]
 ) -> None:
     """Raise the fence of every agent, until enough of them have told their tasks."""
-    until_s = asyncio.get_running_loop().time() + longest_s
+    until_s = loop_time() + longest_s
     fenced: set[object] = set()
-    while holds() and asyncio.get_running_loop().time() < until_s:
+    while holds() and loop_time() < until_s:
         agents = [agent for agent in desk.members.agents.values() if agent not in fenced]
         if not agents and desk.members.count_listed() >= workers:
             return
--- a/packages/entry/briardeal/jobs/_term.py
+++ b/packages/entry/briardeal/jobs/_term.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 import attrs
@@ -11,12 +10,14 @@
 from briardeal.jobs._gang_state import GangState
 from briardeal.jobs._gangs import Gang
 from briardeal.jobs._records import JobEnded, JobPlaced
+from briardeal_core.clock import loop_time
 from briardeal_core.events import Event, log_event
 from briardeal_core.jobs import JobState
 from briardeal_core.reasons import Reason
 from briardeal_scheduling import Failed, Finished, Lost, NotStarted, Placement, Stopped
 
 if TYPE_CHECKING:
+    import asyncio
     from collections.abc import Callable, Coroutine
 
     from briardeal.jobs._attempt import Desk
@@ -144,7 +145,7 @@
     def _adopt(self, view: JobView, state: GangState) -> None:
         gang = state.gang
         placement = Placement(gang.workers, view.job.accelerators_per_task)
-        self.maker.adopt(view.job, placement, _loop_time(), gang.attempt)
+        self.maker.adopt(view.job, placement, loop_time(), gang.attempt)
         log_event(Event.JOB_ADOPTED, job=gang.job.job_id, attempt=gang.attempt)
         self._begin(view, Attempt(self.desk, gang, state, FOUND_WHY), adopted=True)
 
@@ -157,7 +158,7 @@
         job_id = view.job.job_id
 
         def on_started() -> None:
-            self.maker.report_started(job_id, _loop_time())
+            self.maker.report_started(job_id, loop_time())
             log_event(Event.JOB_STARTED, job=job_id, attempt=attempt.gang.attempt)
 
         outcome = await attempt.run(on_started, adopted)
@@ -188,10 +189,6 @@
             outcome = Stopped()
             self.end_job(job_id, JobState.CANCELLED, CANCELLED_WHY)
         elif not attempt.may_run_again(outcome):
-            self.maker.report_started(job_id, _loop_time())
+            self.maker.report_started(job_id, loop_time())
             self.end_job(job_id, JobState.FAILED, MAY_HAVE_RUN_WHY)
-        self.maker.report_ended(job_id, outcome, _loop_time())
-
-
-def _loop_time() -> float:
-    return asyncio.get_running_loop().time()
+        self.maker.report_ended(job_id, outcome, loop_time())
--- a/packages/entry/briardeal/jobs/ownership/_ownership.py
+++ b/packages/entry/briardeal/jobs/ownership/_ownership.py
@@ -17,6 +17,7 @@
     OwnerRenewed,
     owner_stream,
 )
+from briardeal_core.clock import loop_time
 from briardeal_core.events import Event, log_event
 from briardeal_core.log import (
     Batch,
@@ -145,11 +146,11 @@
 
     def log_age_s(self) -> float | None:
         """Return the seconds since the owner stream was last read; `None` for never."""
-        return None if self.read_s is None else _loop_time() - self.read_s
+        return None if self.read_s is None else loop_time() - self.read_s
 
     def right(self) -> Right:
         """Return whether this entry may start jobs at this moment."""
-        now_s = _loop_time()
+        now_s = loop_time()
         if not self._is_mine() or self._fence > self.token or self._right_until_s is None:
             return Right.NONE
         if now_s < self._start_s() or not self._follows_lawfully(now_s):
@@ -184,7 +185,7 @@
         A region that falls apart must not count as two whole ones.
         """
         count = self.count_workers()
-        now_s = _loop_time()
+        now_s = loop_time()
         if count >= self._most_workers or now_s >= self._most_s + OUTAGE_LIMIT_S:
             self._most_workers = count
             self._most_s = now_s
@@ -230,7 +231,7 @@
         return True
 
     def _take(self, records: tuple, at_end: bool) -> None:
-        now_s = _loop_time()
+        now_s = loop_time()
         if self.read_s is None or now_s - self.read_s > READ_GAP_S:
             self._live = False
             self._gap_s = now_s
@@ -268,7 +269,7 @@
         await self._append(record)
 
     async def _claim(self) -> None:
-        self._claim_not_before_s = _loop_time() + CLAIM_RETRY_S
+        self._claim_not_before_s = loop_time() + CLAIM_RETRY_S
         self._right_until_s = None
         self._sent_peers.clear()
         log_event(Event.OWNER_CLAIMS, region=self.region, entry=self.entry_id)
@@ -277,14 +278,14 @@
     async def _append(self, record: OwnerClaimed | OwnerRenewed | OwnerReleased) -> None:
         append_id = uuid.UUID(int=self.rng.getrandbits(128)).hex
         await self.budget.acquire(Priority.ACCEPTANCE)
-        self._sent_s[append_id] = _loop_time()
+        self._sent_s[append_id] = loop_time()
         if isinstance(record, OwnerRenewed):
             self._sent_peers[append_id] = frozenset(record.peers)
         data = encode_envelope([OWNER_SCHEMA.encode(record)])
         await self.target.append(self.reader.stream, data, append_id)
 
     def _may_claim(self) -> bool:
-        now_s = _loop_time()
+        now_s = loop_time()
         current = self.owners.current
         if not self._live or now_s - self.read_s > READ_WAIT_S + READ_RETRY_S:
             return False
@@ -344,7 +345,7 @@
 
     def _live_peers(self) -> set[str]:
         """Return the entries of the region heard lately, those that an earlier owner knew too."""
-        now_s = _loop_time()
+        now_s = loop_time()
         for state in self.peers.log_states():
             if state.region == self.region:
                 known_s = self._known_peers.get(state.entry_id, 0.0)
@@ -359,12 +360,8 @@
         if predecessor is None or self._inherited_token == self.token:
             return
         self._inherited_token = self.token
-        now_s = _loop_time()
+        now_s = loop_time()
         for name in predecessor.peers | {predecessor.entry_id}:
             if name != self.entry_id:
                 self._known_peers[name] = now_s
         self._most_workers = max(self._most_workers, predecessor.workers)
-
-
-def _loop_time() -> float:
-    return asyncio.get_running_loop().time()
--- a/packages/entry/briardeal/peers/_link.py
+++ b/packages/entry/briardeal/peers/_link.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from briardeal.peers._carriers import DomainName
+from briardeal_core.clock import loop_time
 from briardeal_protocol.connections import Closed, TimedOut
 from briardeal_protocol.peers import Broken, Forwarded, ForwardRefused, PeerHeartbeat
 
@@ -53,7 +54,7 @@
         self.member = member
         self.dialer = dialer
         self.domain = DomainName.of(member)
-        self.opened_s = self.heard_s = self.confirmed_s = _loop_time()
+        self.opened_s = self.heard_s = self.confirmed_s = loop_time()
         self.heartbeat: PeerHeartbeat | None = None
         self.heartbeat_s = self.heard_s
         self.leaving = False
@@ -69,7 +70,7 @@
     @property
     def lapsed(self) -> bool:
         """Whether the lease has lapsed in either direction."""
-        now_s = _loop_time()
+        now_s = loop_time()
         # A confirmation comes with the other end's next heartbeat.
         unconfirmed_s = now_s - self.confirmed_s - HEARTBEAT_INTERVAL_S
         return max(now_s - self.heard_s, unconfirmed_s) >= LEASE_S
@@ -102,7 +103,7 @@
 
     def take(self, message: PeerMessage) -> None:
         """Take note of a message that was heard."""
-        self.heard_s = _loop_time()
+        self.heard_s = loop_time()
         if isinstance(message, Forwarded | ForwardRefused):
             future = self.calls.get(message.call_id)
             if future is not None and not future.done():
@@ -138,7 +139,3 @@
         for future in self.calls.values():
             if not future.done():
                 future.set_result(Broken("the connection was lost"))
-
-
-def _loop_time() -> float:
-    return asyncio.get_running_loop().time()
--- a/packages/entry/briardeal/peers/_service.py
+++ b/packages/entry/briardeal/peers/_service.py
@@ -18,6 +18,7 @@
 from briardeal.peers._session import PeerSession
 from briardeal.peers._table import PeerTable
 from briardeal.peers._traffic import Traffic
+from briardeal_core.clock import loop_time
 from briardeal_core.events import Event, log_event
 from briardeal_protocol.connections import Closed
 from briardeal_protocol.peers import ConfigurationRequest, PeerHeartbeat, PeerHello, PeerLeaving
@@ -100,12 +101,12 @@
         self.myself = myself
         self.network = network
         self.hooks = hooks
-        self.book = MemberBook(myself, _loop_time)
-        self.table = PeerTable(self.book, _loop_time)
+        self.book = MemberBook(myself, loop_time)
+        self.table = PeerTable(self.book, loop_time)
         self.forwarder = Forwarder(self.table, hooks.handler)
         self.traffic = Traffic(metrics)
         self.dialer = Dialer(self.table, seeds, rng or random.Random())
-        self.exchange = ConfigurationExchange(hooks.configuration, _loop_time)
+        self.exchange = ConfigurationExchange(hooks.configuration, loop_time)
         self.own_load = OwnLoad(hooks.loads, self.table)
         self.sessions: dict[PeerLink, PeerSession] = {}
         self.tasks: set[asyncio.Task[None]] = set()
@@ -136,8 +137,8 @@
         for link in list(self.sessions):
             await link.send(PeerLeaving())
         self.state_changed()
-        deadline_s = _loop_time() + timeout_s
-        while any(link.busy for link in self.sessions) and _loop_time() < deadline_s:
+        deadline_s = loop_time() + timeout_s
+        while any(link.busy for link in self.sessions) and loop_time() < deadline_s:
             await asyncio.sleep(TICK_S)
 
     def state_changed(self, keep_s: float = LEASE_S) -> None:
@@ -227,7 +228,7 @@
             return
         if self._is_wanted(link) and self._admit(link):
             await self._run(link)
-        if _loop_time() - link.opened_s < LEASE_S:
+        if loop_time() - link.opened_s < LEASE_S:
             self.dialer.failed(address)
         await link.close()
 
@@ -342,11 +343,7 @@
 
 
 async def _close_when_idle(link: PeerLink) -> None:
-    deadline_s = _loop_time() + DRAIN_TIMEOUT_S
-    while link.busy and _loop_time() < deadline_s:
+    deadline_s = loop_time() + DRAIN_TIMEOUT_S
+    while link.busy and loop_time() < deadline_s:
         await asyncio.sleep(TICK_S)
     await link.close()
-
-
-def _loop_time() -> float:
-    return asyncio.get_running_loop().time()
--- a/packages/entry/briardeal/requests/_http.py
+++ b/packages/entry/briardeal/requests/_http.py
@@ -12,6 +12,7 @@
 
 from briardeal.requests._endpoint import NotSent, SentInVain
 from briardeal.requests._request import Answer
+from briardeal_core.clock import loop_time
 
 if TYPE_CHECKING:
     from aiohttp.connector import Connection
@@ -51,7 +52,7 @@
         """Open a connection."""
         connection = await super().connect(req, traces, timeout)
         progress = _current.get()
-        if asyncio.get_running_loop().time() >= progress.start_by_s:
+        if loop_time() >= progress.start_by_s:
             connection.close()
             raise _TooLateError
         progress.connected = True
@@ -107,7 +108,7 @@
 
     def _post(self, dispatch: Dispatch) -> aiohttp.client._RequestContextManager:
         request = dispatch.request
-        left_s = request.deadline_s - asyncio.get_running_loop().time()
+        left_s = request.deadline_s - loop_time()
         return self.session.post(
             f"http://{dispatch.address}{REQUEST_PATH}",
             data=request.body,
--- a/packages/entry/briardeal/structure/_entry.py
+++ b/packages/entry/briardeal/structure/_entry.py
@@ -15,7 +15,7 @@
 from briardeal.structure._gateway import Gateway
 from briardeal.structure._readings import Readings
 from briardeal.structure._sources import PeerStates, ReadLog, StoredConfiguration
-from briardeal_core.clock import WallClock
+from briardeal_core.clock import WallClock, loop_time
 from briardeal_core.configuration.store import ConfigurationStore
 from briardeal_core.events import Event, log_event
 from briardeal_core.jobs import JobState
@@ -89,9 +89,9 @@
         self.rng = rng or random.Random()
         self.incarnation = int(self.clock.now_s() * 1000)
         self.metrics = Metrics()
-        self.table = AgentTable(settings.agent_lease_s, _loop_time)
+        self.table = AgentTable(settings.agent_lease_s, loop_time)
         self.keys = Keys(settings.entry_id, self.incarnation, self.clock.now_s)
-        self.admissions = Admissions(settings.entry_id, self.incarnation, self.table, _loop_time)
+        self.admissions = Admissions(settings.entry_id, self.incarnation, self.table, loop_time)
         self.router = Router(
             self.table, client, self.metrics, self.admissions, settings.region, self.rng
         )
@@ -148,8 +148,8 @@
         await self.admissions.flush(RELEASE_TIMEOUT_S)
 
     async def _finish_requests(self, timeout_s: float) -> None:
-        deadline_s = _loop_time() + timeout_s
-        while self.gateway.in_flight and _loop_time() < deadline_s:
+        deadline_s = loop_time() + timeout_s
+        while self.gateway.in_flight and loop_time() < deadline_s:
             await asyncio.sleep(DRAIN_POLL_S)
 
     async def on_shutdown(self) -> None:
@@ -195,7 +195,3 @@
     def known_workers(self) -> list[WorkerShape]:
         """Return the workers that configuration is checked against."""
         return [entry.hello.worker.shape for entry in self.table.workers()]
-
-
-def _loop_time() -> float:
-    return asyncio.get_running_loop().time()
--- a/packages/entry/briardeal/structure/_sources.py
+++ b/packages/entry/briardeal/structure/_sources.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from briardeal_core.clock import loop_time
 from briardeal_core.configuration.store import VersionedConfiguration
 
 if TYPE_CHECKING:
@@ -62,7 +62,7 @@
     def last_read_s(self) -> float | None:
         """Return when the log last answered a read, on the loop's clock; `None` for never."""
         age_s = self.ownership.log_age_s()
-        return None if age_s is None else asyncio.get_running_loop().time() - age_s
+        return None if age_s is None else loop_time() - age_s
 
     def highest_token(self) -> int:
         """Return the highest fencing token read."""
--- a/packages/standins/briardeal_standins/endpoint/_memory.py
+++ b/packages/standins/briardeal_standins/endpoint/_memory.py
@@ -10,6 +10,7 @@
 
 from briardeal.requests import Answer, NotSent, SentInVain
 from briardeal_agent.announcements import Announcement
+from briardeal_core.clock import loop_time
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -126,7 +127,7 @@
     def leave(self) -> None:
         """Announce that no new work is taken."""
         self.leaving = True
-        self.left_s = asyncio.get_running_loop().time()
+        self.left_s = loop_time()
         self.tell_agent()
 
     def pause(self) -> None:
@@ -148,7 +149,7 @@
         await self.awake.wait()
         if dispatch.incarnation != self.incarnation:
             return NotSent("another incarnation", refused=True)
-        self.dispatched_s.append(asyncio.get_running_loop().time())
+        self.dispatched_s.append(loop_time())
         if self.fault is Fault.RESET:
             return SentInVain("reset")
         task = asyncio.create_task(self._run(dispatch))
--- a/packages/standins/briardeal_standins/log/_store.py
+++ b/packages/standins/briardeal_standins/log/_store.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from briardeal_core.clock import WallClock
+from briardeal_core.clock import WallClock, loop_time
 from briardeal_core.log import Appended, Batch, Entry, PastRetention
 
 if TYPE_CHECKING:
@@ -60,7 +60,7 @@
     async def wait(self, stream: str, offset: int, wait_s: float) -> None:
         """Wait until there is an entry at the offset, at most `wait_s` seconds."""
         found = self._find(stream)
-        deadline = asyncio.get_running_loop().time() + wait_s
+        deadline = loop_time() + wait_s
         try:
             async with asyncio.timeout_at(deadline):
                 while found.end <= offset:
--- a/packages/standins/briardeal_standins/worker/_worker.py
+++ b/packages/standins/briardeal_standins/worker/_worker.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from briardeal_agent.workers import PlatformTask, WorkerDown
+from briardeal_core.clock import loop_time
 from briardeal_protocol.messages import StopMode, TaskState
 
 if TYPE_CHECKING:
@@ -84,7 +85,7 @@
     """
 
     def __init__(self, now_s: Callable[[], float] | None = None) -> None:
-        self.now_s = now_s or _loop_time
+        self.now_s = now_s or loop_time
         self.down = False
         self.lost_answers = 0
         self.delay_s = 0.0
@@ -165,7 +166,3 @@
         return float(command)
     except ValueError:
         return DEFAULT_RUN_S
-
-
-def _loop_time() -> float:
-    return asyncio.get_running_loop().time()
