Share a shortfall of guarantees from a heap

Cause: where guarantees can't all hold, each VM that is given out compared the keys of all open guarantees and looked at every VM of a group. Change: the guarantee of which the smallest part is met comes from a heap, its VM from the sorted rooms. The order is the same.

--- a/packages/scheduling/briardeal_scheduling/guarantees/_plan.py
+++ b/packages/scheduling/briardeal_scheduling/guarantees/_plan.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from heapq import heapify, heappop, heappush
 from typing import TYPE_CHECKING
 
 import attrs
@@ -266,25 +267,35 @@
     for want in wants:
         for worker_id in want.claims:
             left[worker_id] -= want.guarantee.accelerators_per_vm
+    sorted_rooms = SortedRooms(groups, {want.guarantee.adjacency for want in wants})
+    sorted_rooms.fill((room, worker_id) for worker_id, room in left.items())
     homes: dict[GuaranteeKey, Group] = {}
-    open_wants = [want for want in wants if len(want.claims) < want.guarantee.vms]
-    while open_wants:
-        want = min(open_wants, key=lambda want: _part_met(want, slots))
-        worker_id = _next_vm(want, slots[want.key], left, members, groups, homes)
+    by_key = sorted(wants, key=lambda want: want.key)
+    shares = [
+        (len(want.claims) / want.guarantee.vms, rank)
+        for rank, want in enumerate(by_key)
+        if len(want.claims) < want.guarantee.vms
+    ]
+    heapify(shares)
+    while shares:
+        _, rank = heappop(shares)
+        want = by_key[rank]
+        worker_id = _next_vm(want, slots[want.key], sorted_rooms, members, groups, homes)
         if worker_id is None:
-            open_wants.remove(want)
             continue
         slots[want.key].append(worker_id)
+        sorted_rooms.remove(left[worker_id], worker_id)
         left[worker_id] -= want.guarantee.accelerators_per_vm
-        if len(slots[want.key]) == want.guarantee.vms:
-            open_wants.remove(want)
+        sorted_rooms.add(left[worker_id], worker_id)
+        if len(slots[want.key]) < want.guarantee.vms:
+            heappush(shares, (len(slots[want.key]) / want.guarantee.vms, rank))
     return slots
 
 
 def _next_vm(
     want: Want,
     taken: list[str],
-    left: dict[str, int],
+    sorted_rooms: SortedRooms,
     members: Mapping[Group, list[str]],
     groups: Mapping[str, Mapping[Adjacency, Group]],
     homes: dict[GuaranteeKey, Group],
@@ -294,19 +305,11 @@
         found = _groups_for(want, members, groups)
         if not found:
             return None
-        homes[want.key] = max(
-            found, key=lambda group: sum(left[vm] >= need for vm in members[group])
-        )
-    fitting = [
-        vm
-        for vm in members[homes[want.key]]
-        if left[vm] >= need and vm not in taken and (want.allowed is None or vm in want.allowed)
-    ]
-    return min(fitting, key=lambda vm: (left[vm], vm), default=None)
-
-
-def _part_met(want: Want, slots: dict[GuaranteeKey, list[str]]) -> tuple[float, GuaranteeKey]:
-    return len(slots[want.key]) / want.guarantee.vms, want.key
+        homes[want.key] = max(found, key=lambda group: sorted_rooms.count(group, need))
+    for _, worker_id in sorted_rooms.fitting(homes[want.key], need):
+        if worker_id not in taken and (want.allowed is None or worker_id in want.allowed):
+            return worker_id
+    return None
 
 
 def _difficulty(want: Want) -> tuple[int, int, int, GuaranteeKey]:
