--- a/bench/jobs.py
+++ b/bench/jobs.py
@@ -39,7 +39,7 @@
 GANGS = 10
 LATER_S = 600.0
 LONGEST_S = 100 * 24 * HOUR_S
-LOADS = ((vzorec, (1, 2, 3)), (cooperative, (1, 2, 3)), (target, (1,)))
+LOADS = ((vzorec, (1, 2, 3)), (cooperative, (1, 2, 3)), (target, (1, 2)))
 
 
 def measure() -> list[Figure]:
