Restart a gang that lost a VM from its newest checkpoint

Cause: checkpoints that a gang wrote while it ran were read only from the reports of agents in reach. The decisions were not told of such checkpoints either and took all work as unsaved. Change: the newest whole set is kept with the attempt and told to the decision maker. Conclusion: usage reports are still not fed; the decisions know only elapsed time.

--- a/packages/entry/briardeal/jobs/_attempt.py
+++ b/packages/entry/briardeal/jobs/_attempt.py
@@ -209,7 +209,7 @@
                 await self._wait(max(WAIT_MIN_S, next_stop_s - loop_time()))
         if isinstance(self.state.judge(None), Finished):
             return Finished()
-        self.checkpoints = self.state.checkpoints()
+        self.checkpoints = self.state.checkpoints
         if self.may_run_again(outcome):
             self.desk.outbox.add(self._ended(outcome))
         return outcome
--- a/packages/entry/briardeal/jobs/_decisions.py
+++ b/packages/entry/briardeal/jobs/_decisions.py
@@ -43,6 +43,9 @@
     def report_ended(self, job_id: str, outcome: Outcome, now_s: float) -> None:
         """Note how an attempt ended."""
 
+    def report_checkpoint(self, job_id: str, now_s: float) -> None:
+        """Note that the work of a job up to now stands in a checkpoint."""
+
     def decide(self, now_s: float) -> list[Decision]:
         """Return what is to be done now."""
 
--- a/packages/entry/briardeal/jobs/_first_fit.py
+++ b/packages/entry/briardeal/jobs/_first_fit.py
@@ -87,6 +87,9 @@
     def report_started(self, job_id: str, now_s: float) -> None:
         """Note that every task of a job runs."""
 
+    def report_checkpoint(self, job_id: str, now_s: float) -> None:
+        """Note that the work of a job up to now stands in a checkpoint."""
+
     def report_ended(self, job_id: str, outcome: Outcome, now_s: float) -> None:
         """Note how an attempt ended."""
         job = self.jobs.get(job_id)
--- a/packages/entry/briardeal/jobs/_gang_state.py
+++ b/packages/entry/briardeal/jobs/_gang_state.py
@@ -43,6 +43,9 @@
         clock.
     finished
         Members that have finished, which counts even after their worker is gone.
+    checkpoints
+        Newest checkpoint of each task, once all wrote one that they did not start from; it counts
+        even after a worker is gone.
     """
 
     members: Members
@@ -51,6 +54,7 @@
     was_whole: bool = False
     settle_until_s: float = 0.0
     finished: dict[str, TaskStatus] = attrs.field(factory=dict)
+    checkpoints: tuple[str, ...] = ()
 
     def judge(self, leaving: StopMode | None) -> Outcome | None:
         """Return how the attempt ended, or `None` while it goes on.
@@ -62,13 +66,15 @@
         """
         statuses = self._statuses()
         states = [None if status is None else status.state for status in statuses]
+        newest = self._newest_checkpoints(statuses)
+        self.checkpoints = newest or self.checkpoints
         self.was_whole = self.was_whole or all(state in GOES_ON for state in states)
         if all(state is TaskState.FINISHED for state in states):
             return Finished()
         broken = self._broken(statuses)
         if broken is None:
             return None
-        if all(state in ENDED for state in states) and self.checkpoints():
+        if all(state in ENDED for state in states) and newest:
             return Stopped(checkpointed=True)
         if TaskState.FAILED in states:
             return Failed(self.gang.workers[states.index(TaskState.FAILED)])
@@ -87,9 +93,8 @@
         """
         return all(self._is_member_settled(worker, lapsed) for worker in self.gang.workers)
 
-    def checkpoints(self) -> tuple[str, ...]:
-        """Return a checkpoint of each task, if all wrote one that they did not start from."""
-        names = tuple(s.checkpoint for s in self._statuses() if s is not None and s.checkpoint)
+    def _newest_checkpoints(self, statuses: list[TaskStatus | None]) -> tuple[str, ...]:
+        names = tuple(s.checkpoint for s in statuses if s is not None and s.checkpoint)
         if len(names) < len(self.gang.workers):
             return ()
         pairs = zip(names, self.gang.checkpoints, strict=False)
--- a/packages/entry/briardeal/jobs/_rounds.py
+++ b/packages/entry/briardeal/jobs/_rounds.py
@@ -56,6 +56,7 @@
         self._submitted: set[str] = set()
         self._cancelled: set[str] = set()
         self._searched: set[WorkerAgent] = set()
+        self._checkpoints: dict[str, tuple[str, ...]] = {}
 
     def adopt_all(self) -> None:
         """Take over what runs, by the log and by the agents' own word."""
@@ -78,6 +79,7 @@
         self._search_late_agents()
         self._take_new_jobs()
         self._take_cancellations()
+        self._report_checkpoints()
         if may_start:
             for decision in self.maker.decide(loop_time()):
                 self._carry_out(decision)
@@ -158,6 +160,18 @@
             else:
                 self.term.end_job(job_id, JobState.CANCELLED, CANCELLED_WHY)
 
+    def _report_checkpoints(self) -> None:
+        """Tell of the checkpoints that gangs wrote while they ran."""
+        newest = {
+            job_id: attempt.state.checkpoints
+            for job_id, attempt in self.term.attempts.items()
+            if attempt.state.checkpoints
+        }
+        for job_id, names in newest.items():
+            if names != self._checkpoints.get(job_id):
+                self.maker.report_checkpoint(job_id, loop_time())
+        self._checkpoints = newest
+
     def _carry_out(self, decision: Decision) -> None:
         job_id = decision.job_id
         attempt = self.term.attempts.get(job_id)
--- a/tests/entry/jobs/test_owner.py
+++ b/tests/entry/jobs/test_owner.py
@@ -4,9 +4,10 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
-from briardeal.jobs import RESTART_WAIT_S
+from briardeal.jobs import RESTART_WAIT_S, FirstFit
 from briardeal_core.configuration import Configuration, Customer, JobClass
 from briardeal_core.reasons import Reason, Refusal, RunState
 from briardeal_protocol.messages import ReserveTask, StartTask
@@ -224,6 +225,32 @@
         assert "may not run twice" in cluster.view(once).why
 
 
+class CountingFirstFit(FirstFit):
+    def __init__(self) -> None:
+        super().__init__()
+        self.checkpoints = []
+
+    def report_checkpoint(self, job_id: str, now_s: float) -> None:
+        self.checkpoints.append(job_id)
+
+
+async def test_a_gang_that_loses_a_vm_goes_on_from_its_newest_checkpoint():
+    async with Cluster(workers=5, create_maker=CountingFirstFit) as cluster:
+        owner = await cluster.wait_owner()
+        job_id = await cluster.submit(owner, tasks=4, command="200", checkpointable=True)
+        await cluster.wait_running(job_id)
+        running = [a.worker.running[f"{job_id}.1"] for a in cluster.agents if a.worker.running]
+        for held in running:
+            held.task = msgspec.structs.replace(held.task, checkpoint="at-50")
+        await asyncio.sleep(5)
+        assert owner.jobs.owner.term.maker.checkpoints == [job_id]
+        next(a for a in cluster.agents if a.worker.running).kill()
+        await asyncio.sleep(400)
+        await settle(cluster)
+        again = [a.worker.running.get(f"{job_id}.2") for a in cluster.agents]
+        assert [held.task.checkpoint for held in again if held is not None] == ["at-50"] * 4
+
+
 async def test_a_cancelled_job_ends_with_nothing_running():
     async with Cluster() as cluster:
         owner = await cluster.wait_owner()
