Take a job over with the time that it has run

Cause: a new owner told the decisions that each job it found had started at that moment, so predicted ends and lost work were wrong after every takeover. Change: the start is reckoned from the record of the placement, or from the agent's word where there is none. Conclusion: what remains for the decisions to learn is usage reports.

--- a/bench/ownership.py
+++ b/bench/ownership.py
@@ -13,8 +13,9 @@
 from briardeal.jobs import FirstFit
 from briardeal.jobs.ownership import Right
 from briardeal_agent.tasks import GANG_BOUND_S
+from briardeal_core.clock import loop_time
 from tests.entry.jobs.checker import collect, doubled, partial_s
-from tests.entry.jobs.cluster import Cluster, loop_time
+from tests.entry.jobs.cluster import Cluster
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/packages/entry/briardeal/jobs/_term.py
+++ b/packages/entry/briardeal/jobs/_term.py
@@ -115,7 +115,8 @@
         """Take over the last start of a job as the log tells it."""
         gang = self._gang(view, self.memory(view), view.workers)
         was_whole = view.state is JobState.RUNNING
-        self._adopt(view, GangState(self.desk.members, gang, view.placed_at_s, was_whole))
+        state = GangState(self.desk.members, gang, view.placed_at_s, was_whole)
+        self._adopt(view, state, run_s=self.clock.now_s() - view.placed_at_s)
 
     def adopt_unrecorded(self, view: JobView, status: TaskStatus) -> None:
         """Take over a start that an earlier owner made while it could not write to the log."""
@@ -131,7 +132,8 @@
                 why=FOUND_WHY,
             )
         )
-        self._adopt(view, GangState(self.desk.members, gang, was_whole=True))
+        state = GangState(self.desk.members, gang, was_whole=True)
+        self._adopt(view, state, run_s=status.run_s)
 
     def end_job(self, job_id: str, state: JobState, why: str) -> None:
         """Record that a job has come to its end."""
@@ -142,10 +144,11 @@
     def _gang(self, view: JobView, memory: JobMemory, workers: tuple[str, ...]) -> Gang:
         return Gang(view.job, memory.attempt, workers, self.token, memory.checkpoints)
 
-    def _adopt(self, view: JobView, state: GangState) -> None:
+    def _adopt(self, view: JobView, state: GangState, run_s: float) -> None:
         gang = state.gang
         placement = Placement(gang.workers, view.job.accelerators_per_task)
-        self.maker.adopt(view.job, placement, loop_time(), gang.attempt)
+        started_s = loop_time() - max(0.0, run_s)
+        self.maker.adopt(view.job, placement, started_s, gang.attempt)
         log_event(Event.JOB_ADOPTED, job=gang.job.job_id, attempt=gang.attempt)
         self._begin(view, Attempt(self.desk, gang, state, FOUND_WHY), adopted=True)
 
--- a/tests/entry/jobs/cluster.py
+++ b/tests/entry/jobs/cluster.py
@@ -13,7 +13,7 @@
 from briardeal_agent.config import AgentSettings
 from briardeal_agent.structure import Agent
 from briardeal_agent.workers import WorkerDown
-from briardeal_core.clock import WallClock
+from briardeal_core.clock import WallClock, loop_time
 from briardeal_core.jobs import JobRequest
 from briardeal_core.log import LogUnavailable
 from briardeal_core.metrics import Metrics
@@ -29,10 +29,6 @@
 EPOCH_S = 1_000_000.0
 
 
-def loop_time() -> float:
-    return asyncio.get_running_loop().time()
-
-
 class Gate:
     """Whether a process runs, is paused or is dead."""
 
--- a/tests/entry/jobs/test_owner.py
+++ b/tests/entry/jobs/test_owner.py
@@ -8,12 +8,13 @@
 import pytest
 
 from briardeal.jobs import RESTART_WAIT_S, FirstFit
+from briardeal_core.clock import loop_time
 from briardeal_core.configuration import Configuration, Customer, JobClass
 from briardeal_core.reasons import Reason, Refusal, RunState
 from briardeal_protocol.messages import ReserveTask, StartTask
 from briardeal_scheduling import Preempt, PreemptMode, Scheduler
 from tests.entry.jobs.checker import check
-from tests.entry.jobs.cluster import Cluster, create_job, loop_time
+from tests.entry.jobs.cluster import Cluster, create_job
 
 pytestmark = pytest.mark.looptime(noop_cycles=2)
 
@@ -281,7 +282,13 @@
         del cluster.accepted[never]
         await cluster.wait_running(running, within_s=2)
         assert "ago" in owner.jobs.explain(waiting)[-1]
+        killed_s = loop_time()
         owner.kill()
+        new = await cluster.wait_owner(than=owner)
+        while new.jobs.owner.term is None or running not in new.jobs.owner.term.attempts:
+            await asyncio.sleep(0.1)
+        adopted = new.jobs.owner.term.maker.state.table.jobs[running]
+        assert adopted.started_s < killed_s
         await cluster.wait_state(waiting, "finished")
         await settle(cluster)
 
--- a/tests/entry/jobs/test_ownership.py
+++ b/tests/entry/jobs/test_ownership.py
@@ -14,10 +14,10 @@
 from briardeal.jobs._service import VIEW_FRESH_S
 from briardeal.jobs.ownership import CONFIRM_TTL_S, MARGIN_S, Ownership, Right
 from briardeal_agent.tasks import MEMBER_TTL_S
-from briardeal_core.clock import WallClock
+from briardeal_core.clock import WallClock, loop_time
 from briardeal_core.log import AppendBudget
 from briardeal_standins.log import LogStore
-from tests.entry.jobs.cluster import REGION, Gate, GatedLog, PeerWord, loop_time
+from tests.entry.jobs.cluster import REGION, Gate, GatedLog, PeerWord
 
 STEP_S = 5.0
 SAMPLE_S = 0.5
--- a/tests/entry/jobs/test_schedules.py
+++ b/tests/entry/jobs/test_schedules.py
@@ -7,9 +7,10 @@
 
 import pytest
 
+from briardeal_core.clock import loop_time
 from briardeal_core.jobs import JobRequest
 from tests.entry.jobs.checker import check
-from tests.entry.jobs.cluster import Cluster, create_job, loop_time
+from tests.entry.jobs.cluster import Cluster, create_job
 
 pytestmark = pytest.mark.looptime(noop_cycles=2)
 
