Give every failed call a reason and count every refusal

Cause: a call to no route, with a wrong method or too large a body was answered in plain text; refusals made by the API itself and by the agent were not counted; two events were in the catalogue and never logged. No test showed that requests need no log. Change: a middleware answers what reaches no route, and an error of the entry itself as unknown; the API and the agent count what they refuse; a test holds the catalogues against their use, another sends requests through all entries in ordinary times and after ten minutes without the log.

--- a/packages/agent/briardeal_agent/structure/_agent.py
+++ b/packages/agent/briardeal_agent/structure/_agent.py
@@ -16,11 +16,13 @@
 from briardeal_core.events import Event, log_event
 from briardeal_core.jobs import WorkerShape
 from briardeal_core.metrics import Metrics
+from briardeal_core.reasons import Reason
 from briardeal_protocol.messages import (
     Admit,
     AgentHello,
     AgentLeaving,
     GangsWhole,
+    NotAdmitted,
     Release,
     ReserveTask,
     StartTask,
@@ -37,6 +39,7 @@
     from briardeal_core.clock import Clock
     from briardeal_protocol.connections import Network
     from briardeal_protocol.messages import (
+        Admitted,
         AgentMessage,
         EndpointState,
         EntryHello,
@@ -154,7 +157,7 @@
     async def answer(self, link: EntryLink, message: EntryMessage) -> AgentMessage | None:
         """Carry out an order and return the answer."""
         if isinstance(message, Admit):
-            return self.permits.admit(link.entry, message)
+            return self._admit(link.entry, message)
         if isinstance(message, Release):
             self.permits.release(link.entry, message)
             return None
@@ -169,6 +172,12 @@
         status = await self._answer_task(message)
         return self._task_message(status, call_id=message.call_id)
 
+    def _admit(self, entry: EntryHello, message: Admit) -> Admitted | NotAdmitted:
+        answer = self.permits.admit(entry, message)
+        if isinstance(answer, NotAdmitted):
+            self.metrics.count_refusal(Reason[answer.reason.upper()])
+        return answer
+
     async def _answer_task(self, message: EntryMessage) -> TaskStatus:
         if isinstance(message, ReserveTask):
             return self.tasks.reserve(message)
--- a/packages/core/briardeal_core/events/_catalogue.py
+++ b/packages/core/briardeal_core/events/_catalogue.py
@@ -31,6 +31,7 @@
     REQUEST_REFUSED = (300, "A request was refused; the reason says why.")
     REQUEST_RETRIED = (301, "A request was sent again; the reason says why.")
     REQUEST_UNKNOWN = (302, "It is not known whether a request ran.")
+    REQUEST_FAILED = (303, "A call met an error of this entry itself; report it.")
     JOB_ACCEPTED = (400, "A job was accepted and stands in the log.")
     JOB_REFUSED = (401, "A job was refused; the reason says why.")
     JOB_STARTED = (402, "Every task of a job has started.")
--- a/packages/core/briardeal_core/reasons/_catalogue.py
+++ b/packages/core/briardeal_core/reasons/_catalogue.py
@@ -47,6 +47,7 @@
     WORKER_LOST = "The VM of a task was lost, so the whole job is started again."
     TASK_FAILED = "A task of the job failed, so the job is tried again elsewhere."
     GANG_NOT_WHOLE = "Not every task of the job could start, so none of it ran."
+    INTERNAL_ERROR = "This entry met an error of its own."
 
     @property
     def code(self) -> str:
--- a/packages/entry/briardeal/api/_app.py
+++ b/packages/entry/briardeal/api/_app.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from briardeal.api._configuration import ConfigurationRoutes
+from briardeal.api._failures import create_failure_middleware
 from briardeal.api._health import HealthRoutes
 from briardeal.api._jobs import JobRoutes
 from briardeal.api._requests import RequestRoutes
@@ -19,7 +20,10 @@
 
 def create_app(entry: Entry) -> web.Application:
     """Return the application of one entry."""
-    app = web.Application(client_max_size=BODY_LIMIT_BYTES)
+    app = web.Application(
+        client_max_size=BODY_LIMIT_BYTES,
+        middlewares=[create_failure_middleware(entry.metrics)],
+    )
     app.add_routes(HealthRoutes(entry).table())
     app.add_routes(RequestRoutes(entry).table())
     app.add_routes(JobRoutes(entry).table())
--- a/packages/entry/briardeal/api/_configuration.py
+++ b/packages/entry/briardeal/api/_configuration.py
@@ -5,7 +5,7 @@
 import msgspec
 from aiohttp import web
 
-from briardeal.api._replies import reply_json, reply_refusal
+from briardeal.api._replies import reply_json
 from briardeal.api._routes import Routes
 from briardeal_core.configuration import Configuration
 from briardeal_core.configuration.document import ConfigurationErrors, load_configuration
@@ -86,20 +86,20 @@
         """Replace the configuration, provided that the expected version is still in force."""
         expected_version = _parse_version(http, "expected_version")
         if expected_version is None:
-            return reply_refusal(_invalid("expected_version must be a whole number, 0 or more."))
+            return self.refuse(_invalid("expected_version must be a whole number, 0 or more."))
         loaded = await self._load(http)
         if isinstance(loaded, Refusal):
-            return reply_refusal(loaded)
+            return self.refuse(loaded)
         store = self.entry.configuration
-        return _reply_outcome(await store.apply(loaded, expected_version, _read_author(http)))
+        return self._reply_outcome(await store.apply(loaded, expected_version, _read_author(http)))
 
     async def replace_lost(self, http: web.Request) -> web.Response:
         """Start again from a given configuration after the log has lost what led to the last."""
         loaded = await self._load(http)
         if isinstance(loaded, Refusal):
-            return reply_refusal(loaded)
+            return self.refuse(loaded)
         store = self.entry.configuration
-        return _reply_outcome(await store.replace_lost(loaded, _read_author(http)))
+        return self._reply_outcome(await store.replace_lost(loaded, _read_author(http)))
 
     async def history(self, http: web.Request) -> web.Response:
         """Return the last changes, won and lost, oldest first."""
@@ -109,10 +109,10 @@
         """Return what differs between two versions."""
         old, new = _parse_version(http, "old"), _parse_version(http, "new")
         if old is None or new is None:
-            return reply_refusal(_invalid("old and new must be versions."))
+            return self.refuse(_invalid("old and new must be versions."))
         changes = await self.entry.configuration.archive.diff(old, new)
         if isinstance(changes, Refusal):
-            return reply_refusal(changes)
+            return self.refuse(changes)
         return reply_json(DiffBody(changes))
 
     async def _load(self, http: web.Request) -> Configuration | Refusal:
@@ -121,13 +121,14 @@
             return Refusal(Reason.CONFIGURATION_INVALID, RunState.NOT_RUN, detail=str(loaded))
         return loaded
 
-
-def _reply_outcome(outcome: Accepted | Conflict | Refusal) -> web.Response:
-    if isinstance(outcome, Accepted):
-        return reply_json(AcceptedBody(outcome.version))
-    if isinstance(outcome, Conflict):
-        outcome = Refusal(Reason.CONFIGURATION_CONFLICT, RunState.NOT_RUN, detail=outcome.sentence)
-    return reply_refusal(outcome)
+    def _reply_outcome(self, outcome: Accepted | Conflict | Refusal) -> web.Response:
+        if isinstance(outcome, Accepted):
+            return reply_json(AcceptedBody(outcome.version))
+        if isinstance(outcome, Conflict):
+            outcome = Refusal(
+                Reason.CONFIGURATION_CONFLICT, RunState.NOT_RUN, detail=outcome.sentence
+            )
+        return self.refuse(outcome)
 
 
 def _read_author(http: web.Request) -> str:
--- a/packages/entry/briardeal/api/_jobs.py
+++ b/packages/entry/briardeal/api/_jobs.py
@@ -73,9 +73,7 @@
         try:
             job = msgspec.json.decode(_with_id(await http.read()), type=JobRequest)
         except msgspec.DecodeError as error:
-            return reply_refusal(
-                Refusal(Reason.REQUEST_INVALID, RunState.NOT_RUN, None, f"{error}.")
-            )
+            return self.refuse(Refusal(Reason.REQUEST_INVALID, RunState.NOT_RUN, None, f"{error}."))
         key = http.headers.get("Idempotency-Key", "")
         outcome = await self.entry.jobs.submit(job, key)
         if isinstance(outcome, Refusal):
@@ -90,7 +88,7 @@
         """Return one job."""
         view = self.entry.board.jobs.get(http.match_info["job_id"])
         if view is None:
-            return reply_refusal(Refusal(Reason.JOB_UNKNOWN, RunState.NOT_RUN))
+            return self.refuse(Refusal(Reason.JOB_UNKNOWN, RunState.NOT_RUN))
         return reply_json(_describe(view))
 
     async def explanation(self, http: web.Request) -> web.Response:
@@ -98,7 +96,7 @@
         job_id = http.match_info["job_id"]
         sentences = self.entry.jobs.explain(job_id)
         if not sentences:
-            return reply_refusal(Refusal(Reason.JOB_UNKNOWN, RunState.NOT_RUN))
+            return self.refuse(Refusal(Reason.JOB_UNKNOWN, RunState.NOT_RUN))
         return reply_json(ExplanationBody(job_id=job_id, sentences=tuple(sentences)))
 
     async def cancel(self, http: web.Request) -> web.Response:
--- a/packages/entry/briardeal/api/_requests.py
+++ b/packages/entry/briardeal/api/_requests.py
@@ -39,7 +39,9 @@
     async def send(self, http: web.Request) -> web.Response:
         """Carry a request to an endpoint and return its whole answer."""
         request = await self._read(http)
-        outcome = request if isinstance(request, Refusal) else await self.entry.handle(request)
+        if isinstance(request, Refusal):
+            return self.refuse(request)
+        outcome = await self.entry.handle(request)
         answered = isinstance(outcome, Answer)
         response = _reply_answer(outcome) if answered else reply_refusal(outcome)
         if not self.entry.ready:
--- a/packages/entry/briardeal/jobs/_rounds.py
+++ b/packages/entry/briardeal/jobs/_rounds.py
@@ -141,6 +141,7 @@
             self._submitted.add(job_id)
             if refusal is not None:
                 self.term.metrics.count_refusal(refusal.reason)
+                log_event(Event.JOB_REFUSED, job=job_id, reason=refusal.reason.code)
                 self.term.end_job(job_id, JobState.REFUSED, refusal.sentence)
 
     def _may_fit_later(self, refusal: Refusal) -> bool:
--- a/packages/entry/briardeal/structure/_gateway.py
+++ b/packages/entry/briardeal/structure/_gateway.py
@@ -95,8 +95,9 @@
 
     def _refuse(self, refusal: Refusal, request: Request) -> Refusal:
         self.metrics.count_refusal(refusal.reason)
+        unknown = refusal.run_state is RunState.UNKNOWN
         log_event(
-            Event.REQUEST_REFUSED,
+            Event.REQUEST_UNKNOWN if unknown else Event.REQUEST_REFUSED,
             reason=refusal.reason.code,
             service=request.service,
             customer=request.customer,
--- /dev/null
+++ b/tests/entry/api/test_failures.py
@@ -0,0 +1,39 @@
+"""Every answer that is not a success has a reason, a sentence and a run state."""
+
+from __future__ import annotations
+
+import pytest
+
+pytestmark = pytest.mark.looptime
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "headers", "status", "reason"),
+    [
+        ("GET", "/v1/nothing", {}, 404, "request_invalid"),
+        ("PATCH", "/v1/jobs", {}, 405, "request_invalid"),
+        ("POST", "/v1/jobs", {}, 400, "request_invalid"),
+        ("DELETE", "/v1/jobs/none", {}, 404, "job_unknown"),
+        ("GET", "/v1/configuration/diff?old=1&new=x", {}, 400, "request_invalid"),
+        ("POST", "/v1/services/s/requests", {"Briardeal-Timeout-S": "x"}, 400, "request_invalid"),
+        ("POST", "/v1/services/s/requests", {"Briardeal-Idempotent": "false"}, 400, "key_required"),
+    ],
+)
+async def test_a_failed_call_is_refused_with_a_reason(
+    client, entry, method, path, headers, status, reason
+):
+    response = await client.request(method, path, headers=headers)
+    refusal = await response.json()
+    assert (response.status, refusal["reason"]) == (status, reason)
+    assert refusal["run_state"] == "not_run"
+    assert refusal["message"]
+    assert entry.metrics.refusals.get({"reason": reason}) == 1
+
+
+async def test_an_error_of_the_entry_leaves_open_whether_the_request_ran(client, entry):
+    entry.gateway.accepting = True
+    entry.gateway.router = None
+    response = await client.post("/v1/services/s/requests", data=b"x")
+    refusal = await response.json()
+    assert (response.status, refusal["reason"]) == (500, "internal_error")
+    assert refusal["run_state"] == "unknown"
--- a/tests/entry/structure/test_gateway.py
+++ b/tests/entry/structure/test_gateway.py
@@ -95,3 +95,30 @@
         assert isinstance(await homed, Answer)
         await drained
         assert isinstance(await send(deployment, "b"), Answer)
+
+
+async def send_everywhere(deployment):
+    for name in ENTRIES:
+        key = issue_key(deployment, name)
+        answers = [await send(deployment, other, key=key) for other in ENTRIES]
+        answers.append(await send(deployment, name))
+        assert answers == [Answer(200, b"draw", "text/plain")] * len(answers)
+
+
+async def test_requests_append_nothing_and_go_on_through_an_outage_of_the_log():
+    async with Deployment(ENTRIES) as deployment:
+        endpoint = await deployment.add_endpoint("vm", "sampling", "koper")
+        await asyncio.sleep(ANNOUNCED_S)
+        ends = count_entries(deployment)
+        await send_everywhere(deployment)
+        assert count_entries(deployment) == ends
+        deployment.cut_log()
+        await asyncio.sleep(600)
+        await send_everywhere(deployment)
+        assert len(endpoint.runs) == 2 * 2 * len(ENTRIES)
+
+
+def count_entries(deployment):
+    """Return the entries of each stream but those that owners renew their claims on."""
+    streams = deployment.store.streams.items()
+    return {name: len(s.entries) for name, s in streams if not name.startswith("owners-")}
--- a/tests/standins/test_pages.py
+++ b/tests/standins/test_pages.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import re
 from collections import Counter
 from pathlib import Path
 
 import pytest
 
 from briardeal_core.events import Event
+from briardeal_core.reasons import Reason
 from briardeal_standins.pages import PAGES
 
+PACKAGES = Path(__file__).parents[2] / "packages"
 USER_GUIDE = Path(__file__).parents[2] / "docs" / "user-guide"
 
 
@@ -21,3 +24,10 @@
 def test_event_numbers_are_unique():
     numbers = Counter(event.number for event in Event)
     assert [number for number, times in numbers.items() if times > 1] == []
+
+
+@pytest.mark.parametrize("catalogue", [Event, Reason])
+def test_every_entry_of_a_catalogue_is_used(catalogue):
+    sources = "\n".join(path.read_text() for path in PACKAGES.rglob("*.py"))
+    names = [f"{catalogue.__name__}.{entry.name}" for entry in catalogue]
+    assert [name for name in names if not re.search(rf"\b{name}\b", sources)] == []
