--- a/packages/entry/briardeal/jobs/_attempt.py
+++ b/packages/entry/briardeal/jobs/_attempt.py
@@ -48,7 +48,7 @@
 
 
 @attrs.frozen
-class Desk:
+class AttemptContext:
     """What every attempt of one owner uses.
 
     Parameters
@@ -76,7 +76,7 @@
 
     Parameters
     ----------
-    desk
+    context
         What all attempts share.
     gang
         The job, its workers and the number of the start.
@@ -96,7 +96,7 @@
         Checkpoint of each task that the gang left, if it did.
     """
 
-    desk: Desk
+    context: AttemptContext
     gang: Gang
     state: GangState
     why: str
@@ -131,7 +131,7 @@
         self.changed.set()
 
     async def _launch(self) -> Outcome | None:
-        placed = self.desk.outbox.add(
+        placed = self.context.outbox.add(
             JobPlaced(
                 job_id=self.gang.job.job_id,
                 attempt=self.gang.attempt,
@@ -147,25 +147,25 @@
                 await asyncio.sleep(RIGHT_POLL_S)
             else:
                 await asyncio.wait([placed], timeout=RIGHT_POLL_S)
-        missing = await self.desk.gangs.reserve(self.gang)
+        missing = await self.context.gangs.reserve(self.gang)
         if missing or not self._may_start(placed):
-            await self.desk.gangs.stop(self.gang)
+            await self.context.gangs.stop(self.gang)
             await self._back_off()
             return NotStarted((missing or self.gang.workers)[0])
         self.ordered = True
-        await self.desk.gangs.start(self.gang)
+        await self.context.gangs.start(self.gang)
         return None
 
     def _may_start(self, placed: asyncio.Future[None]) -> bool:
         """Return whether the gang may start; without its record, only one that may run twice."""
-        right = self.desk.right()
+        right = self.context.right()
         if placed.done():
             return right is not Right.NONE
         return right is Right.CONFIRMED and self.gang.job.idempotent
 
     async def _back_off(self) -> None:
         longest_s = min(BACKOFF_CAP_S, BACKOFF_BASE_S * 2**self.failures)
-        await asyncio.sleep(self.desk.rng.uniform(0, longest_s))
+        await asyncio.sleep(self.context.rng.uniform(0, longest_s))
 
     async def _watch(self, on_started: Callable[[], None]) -> Outcome:
         started = False
@@ -178,7 +178,7 @@
             if self.leaving is not ordered:
                 ordered = self.leaving
                 self.state.settle_until_s = loop_time() + LEAVE_SETTLE_S
-                await self.desk.gangs.stop(self.gang, ordered)
+                await self.context.gangs.stop(self.gang, ordered)
             else:
                 await self._wait(POLL_S)
         if self.state.was_whole and not started:
@@ -199,19 +199,19 @@
         lapses_s = float("inf")
         next_stop_s = 0.0
         while self.ordered and not self.state.is_settled(loop_time() >= lapses_s):
-            closing = closing or self.desk.outbox.add(self._closing(outcome))
+            closing = closing or self.context.outbox.add(self._closing(outcome))
             if closing.done():
                 lapses_s = min(lapses_s, loop_time() + RESTART_WAIT_S)
             if loop_time() >= next_stop_s:
                 next_stop_s = loop_time() + STOP_INTERVAL_S
-                await self.desk.gangs.stop(self.gang)
+                await self.context.gangs.stop(self.gang)
             else:
                 await self._wait(max(WAIT_MIN_S, next_stop_s - loop_time()))
         if isinstance(self.state.judge(None), Finished):
             return Finished()
         self.checkpoints = self.state.checkpoints
         if self.may_run_again(outcome):
-            self.desk.outbox.add(self._ended(outcome))
+            self.context.outbox.add(self._ended(outcome))
         return outcome
 
     def _ended(self, outcome: Outcome) -> AttemptEnded:
@@ -232,7 +232,7 @@
         )
 
     def _record_start(self) -> None:
-        self.desk.outbox.add(
+        self.context.outbox.add(
             JobStarted(
                 job_id=self.gang.job.job_id, attempt=self.gang.attempt, token=self.gang.token
             )
--- a/packages/entry/briardeal/jobs/_owner.py
+++ b/packages/entry/briardeal/jobs/_owner.py
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from briardeal.jobs._attempt import Desk
+    from briardeal.jobs._attempt import AttemptContext
     from briardeal.jobs._board import JobBoard
     from briardeal.jobs._decisions import DecisionMaker
     from briardeal.jobs.ownership import Ownership
@@ -39,7 +39,7 @@
         Tells whether this entry owns the region and may start jobs.
     board
         All jobs as the log tells them.
-    desk
+    context
         Agents in reach, orders to them, and records on their way to the log.
     create_maker
         Returns a new decision maker for each time of ownership.
@@ -58,7 +58,7 @@
         self,
         ownership: Ownership,
         board: JobBoard,
-        desk: Desk,
+        context: AttemptContext,
         create_maker: Callable[[], DecisionMaker],
         clock: Clock,
         metrics: Metrics,
@@ -66,14 +66,14 @@
         super().__init__()
         self.ownership = ownership
         self.board = board
-        self.desk = desk
+        self.context = context
         self.create_maker = create_maker
         self.clock = clock
         self.metrics = metrics
         self.configuration: Configuration | None = None
         self.term: Term | None = None
         self.changed = asyncio.Event()
-        desk.members.listeners.append(self._notice_members)
+        context.members.listeners.append(self._notice_members)
         board.listeners.append(self.changed.set)
 
     def configure(self, configuration: Configuration) -> None:
@@ -98,7 +98,7 @@
 
     async def on_stop(self) -> None:
         """Give the region up where every decision stands in the log."""
-        if self.ownership.token and not self.desk.outbox.pending:
+        if self.ownership.token and not self.context.outbox.pending:
             await self.ownership.release()
 
     def _create_term(self) -> Term:
@@ -107,7 +107,7 @@
             maker.configure(self.configuration, loop_time())
         return Term(
             token=self.ownership.token,
-            desk=self.desk,
+            context=self.context,
             maker=maker,
             clock=self.clock,
             metrics=self.metrics,
@@ -119,7 +119,7 @@
         def holds() -> bool:
             return self.ownership.token == term.token and not self.should_stop
 
-        if not await take_over(self.ownership, self.board, self.desk, holds):
+        if not await take_over(self.ownership, self.board, self.context, holds):
             return
         log_event(Event.OWNER_STARTED, region=self.ownership.region, token=term.token)
         rounds = Rounds(term, self.board, self.ownership.region, self.ownership.count_most_workers)
--- a/packages/entry/briardeal/jobs/_rounds.py
+++ b/packages/entry/briardeal/jobs/_rounds.py
@@ -48,7 +48,7 @@
     ) -> None:
         self.term = term
         self.maker = term.maker
-        self.members = term.desk.members
+        self.members = term.context.members
         self.board = board
         self.region = region
         self.count_most_workers = count_most_workers
@@ -128,7 +128,7 @@
         log_event(Event.STRAY_STOPPED, job=status.job_id, attempt=status.attempt)
         view = self.board.jobs[status.job_id]
         gang = Gang(view.job, status.attempt, (agent.entry.agent_id,), self.term.token)
-        self.term.spawn(self.term.desk.gangs.stop(gang))
+        self.term.spawn(self.term.context.gangs.stop(gang))
 
     def _take_new_jobs(self) -> None:
         for view in self.board.of_region(self.region):
--- a/packages/entry/briardeal/jobs/_service.py
+++ b/packages/entry/briardeal/jobs/_service.py
@@ -10,7 +10,7 @@
 import msgspec
 from mode import Service
 
-from briardeal.jobs._attempt import Desk
+from briardeal.jobs._attempt import AttemptContext
 from briardeal.jobs._board import JobBoard
 from briardeal.jobs._gangs import Gangs
 from briardeal.jobs._members import Members
@@ -128,9 +128,11 @@
         self.ownership = Ownership(
             log, region, entry_id, peers or NoPeers(), self._count_workers, budget, rng
         )
-        desk = Desk(self.members, Gangs(self.members), self.outbox, self.ownership.right, rng)
-        self.gangs = desk.gangs
-        self.owner = Owner(self.ownership, self.board, desk, create_maker, clock, metrics)
+        context = AttemptContext(
+            self.members, Gangs(self.members), self.outbox, self.ownership.right, rng
+        )
+        self.gangs = context.gangs
+        self.owner = Owner(self.ownership, self.board, context, create_maker, clock, metrics)
 
     def on_init_dependencies(self) -> list[Service]:
         """Return the services that start and stop with this one."""
--- a/packages/entry/briardeal/jobs/_takeover.py
+++ b/packages/entry/briardeal/jobs/_takeover.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from briardeal.jobs._attempt import Desk
+    from briardeal.jobs._attempt import AttemptContext
     from briardeal.jobs._board import JobBoard
     from briardeal.jobs.ownership import Ownership
 
@@ -23,7 +23,7 @@
 
 
 async def take_over(
-    ownership: Ownership, board: JobBoard, desk: Desk, holds: Callable[[], bool]
+    ownership: Ownership, board: JobBoard, context: AttemptContext, holds: Callable[[], bool]
 ) -> bool:
     """Learn what was decided before and what runs; return whether the region is still ours.
 
@@ -33,34 +33,34 @@
         Tells what the earlier owner left.
     board
         All jobs as the log tells them.
-    desk
+    context
         Agents in reach and records on their way to the log.
     holds
         Returns whether this entry still owns the region.
     """
     token = ownership.token
-    desk.outbox.add(OwnerStarted(region=ownership.region, token=token))
+    context.outbox.add(OwnerStarted(region=ownership.region, token=token))
     while holds() and board.tokens.get(ownership.region, 0) < token:
         await asyncio.sleep(POLL_S)
     predecessor = ownership.owners.predecessor
     workers = predecessor.workers if predecessor is not None else 0
     longest_s = RESTART_WAIT_S if ownership.took_over_blind() else LIST_WAIT_S
-    await _fence_agents(desk, token, workers, longest_s, holds)
+    await _fence_agents(context, token, workers, longest_s, holds)
     return holds()
 
 
 async def _fence_agents(
-    desk: Desk, token: int, workers: int, longest_s: float, holds: Callable[[], bool]
+    context: AttemptContext, token: int, workers: int, longest_s: float, holds: Callable[[], bool]
 ) -> None:
     """Raise the fence of every agent, until enough of them have told their tasks."""
     until_s = loop_time() + longest_s
     fenced: set[object] = set()
     while holds() and loop_time() < until_s:
-        agents = [agent for agent in desk.members.agents.values() if agent not in fenced]
-        if not agents and desk.members.count_listed() >= workers:
+        agents = [agent for agent in context.members.agents.values() if agent not in fenced]
+        if not agents and context.members.count_listed() >= workers:
             return
         answers = await asyncio.gather(
-            *(desk.gangs.take_inventory(agent, token) for agent in agents)
+            *(context.gangs.take_inventory(agent, token) for agent in agents)
         )
         fenced.update(agent for agent, told in zip(agents, answers, strict=True) if told)
         await asyncio.sleep(POLL_S)
--- a/packages/entry/briardeal/jobs/_term.py
+++ b/packages/entry/briardeal/jobs/_term.py
@@ -20,7 +20,7 @@
     import asyncio
     from collections.abc import Callable, Coroutine
 
-    from briardeal.jobs._attempt import Desk
+    from briardeal.jobs._attempt import AttemptContext
     from briardeal.jobs._decisions import DecisionMaker
     from briardeal.jobs._view import JobView
     from briardeal_core.clock import Clock
@@ -66,7 +66,7 @@
     ----------
     token
         Fencing token.
-    desk, maker, clock, metrics
+    context, maker, clock, metrics
         What the owner works with.
     spawn
         Runs a coroutine as a task of the owner.
@@ -77,7 +77,7 @@
     """
 
     token: int
-    desk: Desk
+    context: AttemptContext
     maker: DecisionMaker
     clock: Clock
     metrics: Metrics
@@ -92,7 +92,7 @@
         for task in self.tasks.values():
             task.cancel()
         self.attempts.clear()
-        self.desk.outbox.clear()
+        self.context.outbox.clear()
 
     def memory(self, view: JobView) -> JobMemory:
         """Return what is known of a job."""
@@ -107,15 +107,15 @@
         memory = self.memory(view)
         memory.attempt += 1
         gang = self._gang(view, memory, decision.placement.workers)
-        state = GangState(self.desk.members, gang, self.clock.now_s())
-        attempt = Attempt(self.desk, gang, state, decision.explanation, memory.failures)
+        state = GangState(self.context.members, gang, self.clock.now_s())
+        attempt = Attempt(self.context, gang, state, decision.explanation, memory.failures)
         self._begin(view, attempt, adopted=False)
 
     def adopt(self, view: JobView) -> None:
         """Take over the last start of a job as the log tells it."""
         gang = self._gang(view, self.memory(view), view.workers)
         was_whole = view.state is JobState.RUNNING
-        state = GangState(self.desk.members, gang, view.placed_at_s, was_whole)
+        state = GangState(self.context.members, gang, view.placed_at_s, was_whole)
         self._adopt(view, state, run_s=self.clock.now_s() - view.placed_at_s)
 
     def adopt_unrecorded(self, view: JobView, status: TaskStatus) -> None:
@@ -123,7 +123,7 @@
         memory = self.memory(view)
         memory.attempt = status.attempt
         gang = self._gang(view, memory, status.workers)
-        self.desk.outbox.add(
+        self.context.outbox.add(
             JobPlaced(
                 job_id=status.job_id,
                 attempt=status.attempt,
@@ -132,13 +132,13 @@
                 why=FOUND_WHY,
             )
         )
-        state = GangState(self.desk.members, gang, was_whole=True)
+        state = GangState(self.context.members, gang, was_whole=True)
         self._adopt(view, state, run_s=status.run_s)
 
     def end_job(self, job_id: str, state: JobState, why: str) -> None:
         """Record that a job has come to its end."""
         self.memories.pop(job_id, None)
-        self.desk.outbox.add(JobEnded(job_id=job_id, state=state, why=why, token=self.token))
+        self.context.outbox.add(JobEnded(job_id=job_id, state=state, why=why, token=self.token))
         log_event(Event.JOB_ENDED, job=job_id, state=state.value)
 
     def _gang(self, view: JobView, memory: JobMemory, workers: tuple[str, ...]) -> Gang:
@@ -150,7 +150,7 @@
         started_s = loop_time() - max(0.0, run_s)
         self.maker.adopt(view.job, placement, started_s, gang.attempt)
         log_event(Event.JOB_ADOPTED, job=gang.job.job_id, attempt=gang.attempt)
-        self._begin(view, Attempt(self.desk, gang, state, FOUND_WHY), adopted=True)
+        self._begin(view, Attempt(self.context, gang, state, FOUND_WHY), adopted=True)
 
     def _begin(self, view: JobView, attempt: Attempt, adopted: bool) -> None:
         job_id = view.job.job_id
--- a/packages/entry/briardeal/jobs/ownership/__init__.py
+++ b/packages/entry/briardeal/jobs/ownership/__init__.py
@@ -1,6 +1,6 @@
 """Which entry of a region may start jobs."""
 
-from briardeal.jobs.ownership._owners import Owners, Reign
+from briardeal.jobs.ownership._owners import OwnerClaim, Owners
 from briardeal.jobs.ownership._ownership import (
     CONFIRM_TTL_S,
     LEASE_TTL_S,
@@ -36,7 +36,7 @@
     "Ownership",
     "PeerLogState",
     "PeerLogStates",
-    "Reign",
+    "OwnerClaim",
     "Right",
     "owner_stream",
 ]
--- a/packages/entry/briardeal/jobs/ownership/_owners.py
+++ b/packages/entry/briardeal/jobs/ownership/_owners.py
@@ -13,7 +13,7 @@
 
 
 @attrs.define
-class Reign:
+class OwnerClaim:
     """The time of one owner.
 
     Parameters
@@ -56,15 +56,15 @@
     Attributes
     ----------
     current
-        The newest reign.
+        The newest claim.
     predecessor
-        The last reign before it that may still be at work; one that never renewed has never been,
+        The last claim before it that may still be at work; one that never renewed has never been,
         and one that released is not any more.
     """
 
     def __init__(self) -> None:
-        self.current: Reign | None = None
-        self.predecessor: Reign | None = None
+        self.current: OwnerClaim | None = None
+        self.predecessor: OwnerClaim | None = None
 
     @property
     def token(self) -> int:
@@ -87,7 +87,7 @@
         if isinstance(record, OwnerClaimed):
             self._end_reign()
             token = item.offset + 1
-            self.current = Reign(token, record.entry_id, item.append_id, now_s, now_s, live)
+            self.current = OwnerClaim(token, record.entry_id, item.append_id, now_s, now_s, live)
         elif self.current is None or record.token != self.current.token:
             return
         elif isinstance(record, OwnerReleased):
--- a/packages/entry/briardeal/jobs/ownership/_ownership.py
+++ b/packages/entry/briardeal/jobs/ownership/_ownership.py
@@ -32,7 +32,7 @@
     import random
     from collections.abc import Callable
 
-    from briardeal.jobs.ownership._owners import Reign
+    from briardeal.jobs.ownership._owners import OwnerClaim
     from briardeal.jobs.ownership._peers import PeerLogState, PeerLogStates
     from briardeal_core.log import AppendBudget, Log
 
@@ -323,7 +323,7 @@
         return self._lawful_token == self.token
 
     def _is_confirmed(self, now_s: float) -> bool:
-        current: Reign = self.owners.current
+        current: OwnerClaim = self.owners.current
         if now_s >= self._right_until_s + OUTAGE_LIMIT_S or self.log_age_s() <= READ_LOST_S:
             return False
         if not current.workers or 2 * self.count_workers() < current.workers:
--- a/packages/entry/briardeal/requests/_lines.py
+++ b/packages/entry/briardeal/requests/_queues.py
@@ -15,7 +15,7 @@
 WAIT_MAX_S = 2.0
 """Longest wait for a slot."""
 
-LINE_LIMIT = 256
+QUEUE_LIMIT = 256
 """Most requests of one customer that wait for one service."""
 
 DRAIN_SAMPLES = 32
@@ -28,7 +28,7 @@
 RETRY_MAX_S = 30.0
 RETRY_DEFAULT_S = 1.0
 
-LineName = tuple[str, str]
+QueueName = tuple[str, str]
 
 
 @dataclass(frozen=True)
@@ -38,7 +38,7 @@
     Parameters
     ----------
     retry_after_s
-        When the line will have drained, in seconds.
+        When the queue will have drained, in seconds.
     """
 
     retry_after_s: float
@@ -46,23 +46,23 @@
 
 @attrs.define(eq=False)
 class Waiter:
-    """One request in a line.
+    """One request in a queue.
 
     Parameters
     ----------
-    line
-        The line.
+    queue
+        The queue.
     turn
         Set when it is worth asking for a slot.
     """
 
-    line: Line
+    queue: RequestQueue
     turn: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     @property
     def is_first(self) -> bool:
-        """Whether the request is the next of its line."""
-        return self.line.waiters[0] is self
+        """Whether the request is the next of its queue."""
+        return self.queue.waiters[0] is self
 
     async def wait(self, timeout_s: float) -> None:
         """Wait until a slot may be free, at most `timeout_s` seconds."""
@@ -75,7 +75,7 @@
 
 
 @attrs.define(eq=False)
-class Line:
+class RequestQueue:
     """Requests of one customer that wait for one service.
 
     Parameters
@@ -105,8 +105,8 @@
         return (len(self.waiters) + 1) * interval_s
 
 
-class Lines:
-    """All lines of one entry.
+class RequestQueues:
+    """All queues of one entry.
 
     Parameters
     ----------
@@ -116,57 +116,57 @@
 
     def __init__(self, now_s: Callable[[], float]) -> None:
         self.now_s = now_s
-        self.lines: dict[LineName, Line] = {}
-
-    def line(self, service: str, customer: str, share: float) -> Line:
-        """Return the line of a customer for a service."""
-        line = self.lines.setdefault((service, customer), Line())
-        line.share = share
-        return line
-
-    def enter(self, line: Line, left_s: float) -> Waiter | TooLong:
-        """Join a line, unless the wait is expected to be longer than allowed."""
-        wait_s = line.wait_s(self.now_s())
-        if len(line.waiters) >= LINE_LIMIT or wait_s > min(left_s, WAIT_MAX_S):
-            return TooLong(self.retry_after_s(line))
-        waiter = Waiter(line)
-        line.waiters.append(waiter)
+        self.queues: dict[QueueName, RequestQueue] = {}
+
+    def queue(self, service: str, customer: str, share: float) -> RequestQueue:
+        """Return the queue of a customer for a service."""
+        queue = self.queues.setdefault((service, customer), RequestQueue())
+        queue.share = share
+        return queue
+
+    def enter(self, queue: RequestQueue, left_s: float) -> Waiter | TooLong:
+        """Join a queue, unless the wait is expected to be longer than allowed."""
+        wait_s = queue.wait_s(self.now_s())
+        if len(queue.waiters) >= QUEUE_LIMIT or wait_s > min(left_s, WAIT_MAX_S):
+            return TooLong(self.retry_after_s(queue))
+        waiter = Waiter(queue)
+        queue.waiters.append(waiter)
         return waiter
 
     def leave(self, waiter: Waiter) -> None:
-        """Leave a line and let the next one try."""
-        waiter.line.waiters.remove(waiter)
-        if waiter.line.waiters:
-            waiter.line.waiters[0].turn.set()
+        """Leave a queue and let the next one try."""
+        waiter.queue.waiters.remove(waiter)
+        if waiter.queue.waiters:
+            waiter.queue.waiters[0].turn.set()
 
-    def retry_after_s(self, line: Line) -> float:
+    def retry_after_s(self, queue: RequestQueue) -> float:
         """Return when a slot is to be expected, in seconds."""
-        wait_s = line.wait_s(self.now_s()) or RETRY_DEFAULT_S
+        wait_s = queue.wait_s(self.now_s()) or RETRY_DEFAULT_S
         return min(max(wait_s, RETRY_MIN_S), RETRY_MAX_S)
 
-    def take_slot(self, line: Line) -> None:
+    def take_slot(self, queue: RequestQueue) -> None:
         """Count a slot that a customer holds."""
-        line.in_use += 1
+        queue.in_use += 1
 
-    def give_back_slot(self, line: Line, service: str) -> None:
+    def give_back_slot(self, queue: RequestQueue, service: str) -> None:
         """Count a slot that became free and let the customer furthest below its share try."""
-        line.in_use -= 1
-        line.ended_s.append(self.now_s())
+        queue.in_use -= 1
+        queue.ended_s.append(self.now_s())
         waiting = [
-            other for name, other in self.lines.items() if name[0] == service and other.waiters
+            other for name, other in self.queues.items() if name[0] == service and other.waiters
         ]
         if waiting:
             first = min(waiting, key=_use_of_share)
             first.waiters[0].turn.set()
 
     def forget_idle(self) -> None:
-        """Forget lines without requests and without fresh completions."""
+        """Forget queues without requests and without fresh completions."""
         oldest_s = self.now_s() - DRAIN_WINDOW_S
-        for name, line in list(self.lines.items()):
-            fresh = line.ended_s and line.ended_s[-1] >= oldest_s
-            if not line.waiters and not line.in_use and not fresh:
-                del self.lines[name]
+        for name, queue in list(self.queues.items()):
+            fresh = queue.ended_s and queue.ended_s[-1] >= oldest_s
+            if not queue.waiters and not queue.in_use and not fresh:
+                del self.queues[name]
 
 
-def _use_of_share(line: Line) -> float:
-    return (line.in_use + 1) / max(line.share, 0.01)
+def _use_of_share(queue: RequestQueue) -> float:
+    return (queue.in_use + 1) / max(queue.share, 0.01)
--- a/packages/entry/briardeal/requests/_router.py
+++ b/packages/entry/briardeal/requests/_router.py
@@ -11,7 +11,7 @@
 from briardeal.requests._choice import RegionalChooser, endpoint_name
 from briardeal.requests._endpoint import Dispatch, NotSent, SentInVain
 from briardeal.requests._health import Health
-from briardeal.requests._lines import Lines
+from briardeal.requests._queues import RequestQueues
 from briardeal.requests._request import Answer
 from briardeal.requests._slots import Slots
 from briardeal_core.events import Event, log_event
@@ -72,9 +72,9 @@
         self.region = region
         self.rng = rng or random.Random()
         self.health = Health(table.now_s, self.rng)
-        self.lines = Lines(table.now_s)
+        self.queues = RequestQueues(table.now_s)
         chooser = RegionalChooser(region, self.health, self.rng)
-        self.slots = Slots(table, admissions, self.lines, self.health, chooser, metrics, self.rng)
+        self.slots = Slots(table, admissions, self.queues, self.health, chooser, metrics, self.rng)
         self.budget = RetryBudget()
         self.shares: dict[str, float] = {}
         self.cross_region_bytes = metrics.counter(
@@ -105,22 +105,22 @@
 
     def forget_idle(self) -> None:
         """Forget customers and endpoints that were not met for long."""
-        self.lines.forget_idle()
+        self.queues.forget_idle()
         self.health.forget_idle()
 
     async def _attempt(self, attempts: Attempts) -> Answer | Refusal:
         request = attempts.request
-        line = self.lines.line(
+        queue = self.queues.queue(
             request.service, request.customer, self.shares.get(request.customer, 0.0)
         )
-        admitted = await self.slots.find(attempts, line)
+        admitted = await self.slots.find(attempts, queue)
         if isinstance(admitted, Refusal):
             return admitted
-        self.lines.take_slot(line)
+        self.queues.take_slot(queue)
         try:
             outcome = await self._send(admitted, request)
         finally:
-            self.lines.give_back_slot(line, request.service)
+            self.queues.give_back_slot(queue, request.service)
         if isinstance(outcome, SentInVain) or (isinstance(outcome, Answer) and outcome.failed):
             attempts.failed.add(admitted.agent.agent_id)
         return _explain(outcome, request, self.table.now_s())
--- a/packages/entry/briardeal/requests/_slots.py
+++ b/packages/entry/briardeal/requests/_slots.py
@@ -9,7 +9,7 @@
 
 from briardeal.requests._admission import Permit
 from briardeal.requests._choice import endpoint_name
-from briardeal.requests._lines import WAIT_MAX_S, TooLong
+from briardeal.requests._queues import WAIT_MAX_S, TooLong
 from briardeal_core.reasons import Reason, Refusal, RunState
 
 if TYPE_CHECKING:
@@ -20,7 +20,7 @@
     from briardeal.requests._attempts import Attempts
     from briardeal.requests._choice import Chooser
     from briardeal.requests._health import Health
-    from briardeal.requests._lines import Line, Lines, Waiter
+    from briardeal.requests._queues import RequestQueue, RequestQueues, Waiter
     from briardeal.requests._request import Request
     from briardeal_core.metrics import Metrics
 
@@ -51,7 +51,7 @@
         Agents that are alive.
     admissions
         Asks agents for slots.
-    lines
+    queues
         Requests that wait for a slot.
     health
         Evidence on failures of endpoints.
@@ -65,26 +65,26 @@
 
     table: AgentTable
     admissions: Admissions
-    lines: Lines
+    queues: RequestQueues
     health: Health
     chooser: Chooser
     metrics: Metrics
     rng: random.Random
 
-    async def find(self, attempts: Attempts, line: Line) -> Permit | Refusal:
-        """Ask for a slot, and wait in line for one where all are held."""
-        if not line.waiters:
-            outcome = await self._ask_agents(attempts, line)
+    async def find(self, attempts: Attempts, queue: RequestQueue) -> Permit | Refusal:
+        """Ask for a slot, and wait in queue for one where all are held."""
+        if not queue.waiters:
+            outcome = await self._ask_agents(attempts, queue)
             if isinstance(outcome, Permit) or outcome.reason is not Reason.ENDPOINTS_BUSY:
                 return outcome
         left_s = attempts.request.deadline_s - self.table.now_s()
-        waiter = self.lines.enter(line, left_s)
+        waiter = self.queues.enter(queue, left_s)
         if isinstance(waiter, TooLong):
             return Refusal(Reason.ENDPOINTS_BUSY, RunState.NOT_RUN, waiter.retry_after_s)
         try:
             return await self._wait_for_slot(attempts, waiter)
         finally:
-            self.lines.leave(waiter)
+            self.queues.leave(waiter)
 
     async def _wait_for_slot(self, attempts: Attempts, waiter: Waiter) -> Permit | Refusal:
         until_s = min(attempts.request.deadline_s, self.table.now_s() + WAIT_MAX_S)
@@ -94,15 +94,15 @@
             poll_s = min(2 * poll_s, POLL_MAX_S)
             if not waiter.is_first:
                 continue
-            outcome = await self._ask_agents(attempts, waiter.line)
+            outcome = await self._ask_agents(attempts, waiter.queue)
             if isinstance(outcome, Permit) or outcome.reason is not Reason.ENDPOINTS_BUSY:
                 return outcome
         if attempts.request.deadline_s - self.table.now_s() <= WAIT_MIN_S:
             return Refusal(Reason.DEADLINE_PASSED, RunState.NOT_RUN)
-        retry_after_s = self.lines.retry_after_s(waiter.line)
+        retry_after_s = self.queues.retry_after_s(waiter.queue)
         return Refusal(Reason.ENDPOINTS_BUSY, RunState.NOT_RUN, retry_after_s)
 
-    async def _ask_agents(self, attempts: Attempts, line: Line) -> Permit | Refusal:
+    async def _ask_agents(self, attempts: Attempts, queue: RequestQueue) -> Permit | Refusal:
         asked: set[str] = set()
         refusal = Refusal(Reason.NO_ENDPOINT, RunState.NOT_RUN, NO_ENDPOINT_RETRY_S)
         for _ in range(ADMISSIONS_MAX):
@@ -112,7 +112,7 @@
             if agent is None:
                 break
             asked.add(agent.agent_id)
-            outcome = await self._ask(agent, attempts.request, line)
+            outcome = await self._ask(agent, attempts.request, queue)
             if isinstance(outcome, Permit) or outcome.reason not in ASK_ANOTHER:
                 return outcome
             self.metrics.count_retry(outcome.reason)
@@ -120,10 +120,12 @@
                 refusal = outcome
         return replace(refusal, retry_after_s=NO_ENDPOINT_RETRY_S)
 
-    async def _ask(self, agent: AgentEntry, request: Request, line: Line) -> Permit | Refusal:
+    async def _ask(
+        self, agent: AgentEntry, request: Request, queue: RequestQueue
+    ) -> Permit | Refusal:
         name = endpoint_name(agent)
         self.health.begin(name)
-        outcome = await self.admissions.admit(agent, request, line.share)
+        outcome = await self.admissions.admit(agent, request, queue.share)
         if isinstance(outcome, Refusal):
             self.health.cancel(name)
         return outcome
