--- a/tests/entry/jobs/test_api.py
+++ b/tests/entry/jobs/test_api.py
@@ -10,6 +10,7 @@
 from aiohttp.test_utils import TestClient, TestServer
 
 from briardeal.api._jobs import JobRoutes
+from briardeal_core.metrics import Metrics
 from tests.entry.jobs.cluster import Cluster
 
 pytestmark = pytest.mark.looptime(noop_cycles=2)
