--- a/tests/bench/test_known_red.py
+++ b/tests/bench/test_known_red.py
@@ -20,7 +20,13 @@
 def test_the_runner_expects_exactly_the_listed_failures(figure, listed, passes, monkeypatch):
     known_red = {ENTRY.check: ENTRY} if listed else {}
     monkeypatch.setattr(bench_main, "load_known_red", lambda: known_red)
-    assert bench_main._report([figure]) is passes
+    assert bench_main._report([figure], complete=False) is passes
+
+
+@pytest.mark.parametrize("complete", [True, False])
+def test_a_listed_figure_that_is_not_measured_fails_a_complete_run(complete, monkeypatch):
+    monkeypatch.setattr(bench_main, "load_known_red", lambda: {ENTRY.check: ENTRY})
+    assert bench_main._report([], complete=complete) is not complete
 
 
 def test_an_entry_without_its_question_is_an_error(tmp_path):
