Refuse jobs of no possible shape before they reach the log

Cause: a job of zero tasks, taken over HTTP, was accepted; the scheduler then placed it on no VM and failed on the first of them, which ends the process of the owner, and of each owner after it. Found by submitting odd shapes to the decisions by hand. Change: the structure of a job has limits that are checked where it is decoded, and the decisions refuse such a shape themselves. Conclusion: what callers send is checked at the door and once more where it is used.

--- a/packages/core/briardeal_core/jobs/_model.py
+++ b/packages/core/briardeal_core/jobs/_model.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from typing import Annotated
 
 import msgspec
 
@@ -51,10 +52,10 @@
     job_id: str
     customer: str
     job_class: str
-    tasks: int
-    accelerators_per_task: int
+    tasks: Annotated[int, msgspec.Meta(ge=1)]
+    accelerators_per_task: Annotated[int, msgspec.Meta(ge=0)]
     adjacency: Adjacency = Adjacency.REGION
-    declared_run_s: float = 3600.0
+    declared_run_s: Annotated[float, msgspec.Meta(gt=0)] = 3600.0
     checkpointable: bool = False
     idempotent: bool = True
     command: str = ""
--- a/packages/scheduling/briardeal_scheduling/decisions/_causes.py
+++ b/packages/scheduling/briardeal_scheduling/decisions/_causes.py
@@ -46,6 +46,9 @@
     REFUSED_QUOTA = "It needs {needed} accelerators, and the quota of {customer} is {quota}."
     REFUSED_UNKNOWN_CUSTOMER = "No customer {customer} is configured."
     REFUSED_UNKNOWN_CLASS = "No class {job_class} is configured."
+    REFUSED_SHAPE = (
+        "A job needs one task or more, accelerators of zero or more, and a run time above zero."
+    )
     GUARANTEE_SHORT = (
         "{customer} can have {held} of its {wanted} guaranteed VMs for {job_class}: too few VMs of "
         "that shape are up. What is left is shared so that the customer with the smallest part of "
--- a/packages/scheduling/briardeal_scheduling/rounds/_admission.py
+++ b/packages/scheduling/briardeal_scheduling/rounds/_admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from briardeal_core.configuration import Guarantee
@@ -20,10 +21,20 @@
 def check_request(state: State, request: JobRequest) -> Refusal | None:
     """Return why a job can never run, or `None` where it can."""
     return (
-        _check_names(state, request) or _check_quota(state, request) or _check_room(state, request)
+        _check_shape(request)
+        or _check_names(state, request)
+        or _check_quota(state, request)
+        or _check_room(state, request)
     )
 
 
+def _check_shape(request: JobRequest) -> Refusal | None:
+    counts = request.tasks >= 1 and request.accelerators_per_task >= 0
+    if counts and 0 < request.declared_run_s < math.inf:
+        return None
+    return _refuse(Reason.REQUEST_INVALID, Cause.REFUSED_SHAPE.say())
+
+
 def _check_names(state: State, request: JobRequest) -> Refusal | None:
     if request.customer not in state.customers:
         detail = Cause.REFUSED_UNKNOWN_CUSTOMER.say(customer=request.customer)
--- a/tests/entry/api/test_failures.py
+++ b/tests/entry/api/test_failures.py
@@ -37,3 +37,13 @@
     refusal = await response.json()
     assert (response.status, refusal["reason"]) == (500, "internal_error")
     assert refusal["run_state"] == "unknown"
+
+
+@pytest.mark.parametrize(
+    "wrong", [{"tasks": 0}, {"accelerators_per_task": -1}, {"declared_run_s": 0}]
+)
+async def test_a_job_of_no_possible_shape_never_reaches_the_log(client, entry, wrong):
+    job = {"customer": "a", "job_class": "c", "tasks": 1, "accelerators_per_task": 1, **wrong}
+    response = await client.post("/v1/jobs", json=job)
+    assert (response.status, (await response.json())["reason"]) == (400, "request_invalid")
+    assert entry.board.jobs == {}
--- a/tests/scheduling/rounds/test_admission.py
+++ b/tests/scheduling/rounds/test_admission.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
 
 from briardeal_core.configuration import Adjacency
@@ -18,6 +20,12 @@
         ({"tasks": 4, "checkpointable": False}, Reason.JOB_NEVER_FITS, "guarantees leave no room"),
         ({"customer": "nobody"}, Reason.REQUEST_INVALID, "No customer nobody"),
         ({"job_class": "yearly"}, Reason.REQUEST_INVALID, "No class yearly"),
+        ({"tasks": 0}, Reason.REQUEST_INVALID, "one task or more"),
+        ({"tasks": -1}, Reason.REQUEST_INVALID, "one task or more"),
+        ({"accelerators": -2}, Reason.REQUEST_INVALID, "zero or more"),
+        ({"declared_run_s": 0.0}, Reason.REQUEST_INVALID, "run time above zero"),
+        ({"declared_run_s": math.nan}, Reason.REQUEST_INVALID, "run time above zero"),
+        ({"declared_run_s": math.inf}, Reason.REQUEST_INVALID, "run time above zero"),
     ],
 )
 def test_job_that_can_never_run_is_refused(job, reason, words) -> None:
@@ -26,6 +34,8 @@
     assert refusal.reason is reason
     assert refusal.run_state is RunState.NOT_RUN
     assert words in refusal.sentence
+    submit(scheduler, "other")
+    assert run_all(scheduler).keys() == {"other"}
 
 
 def test_job_waits_for_a_vm_that_is_down_rather_than_being_refused() -> None:
