Split the gates of processes from the cluster of the jobs' tests

Change: what closes when a process is paused or dead is a module of its own; no test changed but in its imports.

--- a/tests/entry/jobs/test_ownership.py
+++ b/tests/entry/jobs/test_ownership.py
@@ -17,7 +17,8 @@
 from briardeal_core.clock import WallClock, loop_time
 from briardeal_core.log import AppendBudget
 from briardeal_standins.log import LogStore
-from tests.entry.jobs.cluster import REGION, Gate, GatedLog, PeerWord
+from tests.entry.jobs.cluster import REGION, PeerWord
+from tests.entry.jobs.gates import Gate, GatedLog
 
 STEP_S = 5.0
 SAMPLE_S = 0.5
