Run the whole path on the users' platform for the first time

Adds jobs of several steps to the product (packages/workflow: model, book, planning, leadership, owner, worker, gateway), a thin adapter in platform/ and the deploy file. The small HTTP client and server move from the agent to the core and keep connections open.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 VENV ?= .venv
 PYTHON = $(VENV)/bin/python
-PACKAGES = core protocol scheduling entry agent standins
+PACKAGES = core protocol scheduling workflow entry agent standins
 export PYTHONPATH = $(CURDIR):$(subst $() ,:,$(addprefix $(CURDIR)/packages/,$(PACKAGES)))
 
 .PHONY: setup format lint test bench capacity pages demo
--- a/packages/agent/briardeal_agent/announcements/_routes.py
+++ b/packages/agent/briardeal_agent/announcements/_routes.py
@@ -7,11 +7,11 @@
 import msgspec
 
 from briardeal_agent.announcements._announcements import Announcement
-from briardeal_agent.http import Reply
+from briardeal_core.http import Reply
 
 if TYPE_CHECKING:
-    from briardeal_agent.http import Request
     from briardeal_agent.structure import Agent
+    from briardeal_core.http import Request
 
 
 class Routes:
--- a/packages/agent/briardeal_agent/commands/run.py
+++ b/packages/agent/briardeal_agent/commands/run.py
@@ -7,10 +7,10 @@
 from typing import TYPE_CHECKING
 
 from briardeal_agent.announcements import Routes
-from briardeal_agent.http import HttpServer
 from briardeal_agent.structure import Agent
 from briardeal_agent.workers import HttpWorker
 from briardeal_core.events import log_to_file
+from briardeal_core.http import HttpServer
 from briardeal_core.processes import wait_for_end
 from briardeal_protocol.connections import TcpNetwork
 
--- a/packages/agent/briardeal_agent/workers/_http.py
+++ b/packages/agent/briardeal_agent/workers/_http.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from briardeal_agent.http import HttpFailure, fetch
 from briardeal_agent.workers._worker import PlatformTask, WorkerDown
+from briardeal_core.http import HttpFailure, fetch
 
 if TYPE_CHECKING:
     from briardeal_protocol.messages import StopMode
--- a/packages/protocol/briardeal_protocol/connections/__init__.py
+++ b/packages/protocol/briardeal_protocol/connections/__init__.py
@@ -1,5 +1,6 @@
 """Connections that carry messages, over TCP or in memory."""
 
+from briardeal_protocol.connections._codec import Codec
 from briardeal_protocol.connections._connection import Closed, Connection, Listener, Network
 from briardeal_protocol.connections._link import Call, Link, TimedOut
 from briardeal_protocol.connections._memory import MemoryNetwork
@@ -8,6 +9,7 @@
 __all__ = [
     "Call",
     "Closed",
+    "Codec",
     "Connection",
     "Link",
     "Listener",
--- a/packages/protocol/briardeal_protocol/connections/_memory.py
+++ b/packages/protocol/briardeal_protocol/connections/_memory.py
@@ -5,12 +5,13 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from briardeal_protocol.connections._codec import JSON_LINES
 from briardeal_protocol.connections._connection import Closed
-from briardeal_protocol.messages import decode, encode
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from briardeal_protocol.connections._codec import Codec
     from briardeal_protocol.connections._connection import Connection
     from briardeal_protocol.messages import Message
 
@@ -40,7 +41,7 @@
         """Send one message; it arrives after the latency of the network."""
         if self.closed:
             return Closed("closed")
-        line = encode(message)
+        line = self.network.codec.encode(message)
         self.bytes_sent += len(line)
         if not self.silent:
             loop = asyncio.get_running_loop()
@@ -54,7 +55,7 @@
             if line is None:
                 break
             self.bytes_received += len(line)
-            message = decode(line)
+            message = self.network.codec.decode(line)
             if message is not None:
                 return message
         return Closed("closed")
@@ -91,6 +92,8 @@
     ----------
     latency_s
         One-way latency of every message, in seconds.
+    codec
+        How messages are written as lines.
 
     Attributes
     ----------
@@ -100,8 +103,9 @@
         Both ends of every connection opened so far.
     """
 
-    def __init__(self, latency_s: float = 0.0005) -> None:
+    def __init__(self, latency_s: float = 0.0005, codec: Codec = JSON_LINES) -> None:
         self.latency_s = latency_s
+        self.codec = codec
         self.listeners: dict[str, Callable[[Connection], Awaitable[None]]] = {}
         self.unreachable: set[str] = set()
         self.connections: list[MemoryConnection] = []
--- a/packages/protocol/briardeal_protocol/connections/_tcp.py
+++ b/packages/protocol/briardeal_protocol/connections/_tcp.py
@@ -6,12 +6,13 @@
 import contextlib
 from typing import TYPE_CHECKING
 
+from briardeal_protocol.connections._codec import JSON_LINES
 from briardeal_protocol.connections._connection import Closed
-from briardeal_protocol.messages import decode, encode
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from briardeal_protocol.connections._codec import Codec
     from briardeal_protocol.connections._connection import Connection, Listener
     from briardeal_protocol.messages import Message
 
@@ -28,15 +29,18 @@
         Bytes of messages so far.
     """
 
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, codec: Codec
+    ) -> None:
         self.reader = reader
+        self.codec = codec
         self.writer = writer
         self.bytes_sent = 0
         self.bytes_received = 0
 
     async def send(self, message: Message) -> Closed | None:
         """Send one message."""
-        line = encode(message)
+        line = self.codec.encode(message)
         try:
             self.writer.write(line)
             await self.writer.drain()
@@ -53,7 +57,7 @@
             except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError) as error:
                 return Closed(str(error))
             self.bytes_received += len(line)
-            message = decode(line)
+            message = self.codec.decode(line)
             if message is not None:
                 return message
 
@@ -76,7 +80,16 @@
 
 
 class TcpNetwork:
-    """Connections over TCP."""
+    """Connections over TCP.
+
+    Parameters
+    ----------
+    codec
+        How messages are written as lines.
+    """
+
+    def __init__(self, codec: Codec = JSON_LINES) -> None:
+        self.codec = codec
 
     async def connect(self, address: str) -> Connection | Closed:
         """Open a connection to an address."""
@@ -86,7 +99,7 @@
                 opened = await asyncio.open_connection(host, int(port), limit=LINE_LIMIT_BYTES)
         except OSError as error:
             return Closed(str(error))
-        return TcpConnection(*opened)
+        return TcpConnection(*opened, self.codec)
 
     async def listen(
         self, address: str, serve: Callable[[Connection], Awaitable[None]]
@@ -97,7 +110,7 @@
         async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             # The stream's own callback would report a cancelled task as an error.
             with contextlib.suppress(asyncio.CancelledError):
-                await serve(TcpConnection(reader, writer))
+                await serve(TcpConnection(reader, writer, self.codec))
 
         server = await asyncio.start_server(accept, host, int(port), limit=LINE_LIMIT_BYTES)
         return TcpListener(server)
--- /dev/null
+++ b/packages/workflow/briardeal_workflow/control/__init__.py
@@ -0,0 +1,40 @@
+"""Messages between entries and the agents of their VMs, and between entries."""
+
+from briardeal_workflow.control._codec import CONTROL_LINES, ControlMessage
+from briardeal_workflow.control._messages import (
+    Acknowledge,
+    AgentHello,
+    Beat,
+    EndedTask,
+    EntryHello,
+    EntryJoin,
+    Lead,
+    ListedTask,
+    OwnerBeat,
+    Report,
+    Settled,
+    SettledAs,
+    StartOrder,
+    StopOrder,
+    VmState,
+)
+
+__all__ = [
+    "CONTROL_LINES",
+    "Acknowledge",
+    "AgentHello",
+    "Beat",
+    "ControlMessage",
+    "EndedTask",
+    "EntryHello",
+    "EntryJoin",
+    "Lead",
+    "ListedTask",
+    "OwnerBeat",
+    "Report",
+    "Settled",
+    "SettledAs",
+    "StartOrder",
+    "StopOrder",
+    "VmState",
+]
--- /dev/null
+++ b/packages/workflow/briardeal_workflow/control/_codec.py
@@ -0,0 +1,45 @@
+"""Encoding of control messages as lines of JSON."""
+
+from __future__ import annotations
+
+import msgspec
+
+from briardeal_workflow.control import _messages as messages
+
+ControlMessage = (
+    messages.AgentHello
+    | messages.Beat
+    | messages.Report
+    | messages.Settled
+    | messages.EntryHello
+    | messages.Lead
+    | messages.Acknowledge
+    | messages.StartOrder
+    | messages.StopOrder
+    | messages.EntryJoin
+    | messages.OwnerBeat
+)
+"""Any control message."""
+
+
+class ControlLines:
+    """Control messages, one line of JSON each."""
+
+    def __init__(self) -> None:
+        self._encoder = msgspec.json.Encoder()
+        self._decoder = msgspec.json.Decoder(ControlMessage)
+
+    def encode(self, message: ControlMessage) -> bytes:
+        """Return a message as one line."""
+        return self._encoder.encode(message) + b"\n"
+
+    def decode(self, line: bytes) -> ControlMessage | None:
+        """Return the message on a line, or `None` for one that this version does not know."""
+        try:
+            return self._decoder.decode(line)
+        except msgspec.DecodeError:
+            return None
+
+
+CONTROL_LINES = ControlLines()
+"""The codec of all control connections."""
--- /dev/null
+++ b/packages/workflow/briardeal_workflow/gateway/_gateway.py
@@ -0,0 +1,160 @@
+"""Decisions on the calls of callers."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from briardeal_core.clock import loop_time
+from briardeal_core.events import Event, log_event
+from briardeal_core.reasons import Reason, Refusal, RunState
+from briardeal_workflow.book import cancel_key, encode_record, job_key
+from briardeal_workflow.model import find_mistake
+from briardeal_workflow.store import Appended, NotStored, Record
+
+if TYPE_CHECKING:
+    from briardeal_workflow.book import Entry, JobBook
+    from briardeal_workflow.model import Job
+    from briardeal_workflow.store import Follower, Store
+
+TRY_TIMEOUT_S = 0.7
+"""Time for one append; a store in order answers within 10 ms, a silent connection never."""
+
+RETRY_S = 0.1
+"""Pause before an append without an answer is repeated."""
+
+STALE_S = 2.0
+"""Age of what was read from which this entry no longer says that a job is unknown."""
+
+RETRY_AFTER_S = 1.0
+"""When to ask again while the store does not answer; its outages last some seconds."""
+
+CANCELLED = b"\x01"
+
+
+@dataclass(frozen=True)
+class Submitted:
+    """The job is kept; `known` says whether it was before."""
+
+    known: bool
+
+
+class Gateway:
+    """Takes jobs and tells their states.
+
+    Parameters
+    ----------
+    store, topic
+        Where jobs are kept.
+    book, follower
+        What is kept of jobs, and how new that is.
+
+    Attributes
+    ----------
+    uncertain
+        Jobs of which an append has not been answered; it is not known whether they are kept.
+    """
+
+    def __init__(self, store: Store, topic: str, book: JobBook, follower: Follower) -> None:
+        self.store = store
+        self.topic = topic
+        self.book = book
+        self.follower = follower
+        self.uncertain: set[str] = set()
+
+    @property
+    def informed(self) -> bool:
+        """Whether what was read is new enough to say that a job is unknown."""
+        return self.follower.caught_up.is_set() and self.follower.age_s < STALE_S
+
+    async def submit(self, job: Job, deadline_s: float) -> Submitted | Refusal:
+        """Keep a job and answer; the same job again changes nothing.
+
+        Parameters
+        ----------
+        job
+            The job.
+        deadline_s
+            When its caller stops waiting, on the loop's clock.
+        """
+        if self.book.get(job.job_id) is not None:
+            return Submitted(known=True)
+        mistake = find_mistake(job)
+        if mistake:
+            return Refusal(Reason.REQUEST_INVALID, RunState.NOT_RUN, detail=mistake)
+        record = Record(job_key(job.job_id), encode_record(job))
+        refusal = await self._keep(job.job_id, record, deadline_s)
+        self._log_submission(job, refusal)
+        return Submitted(known=False) if refusal is None else refusal
+
+    async def cancel(self, job_id: str, deadline_s: float) -> bool | Refusal:
+        """Cancel a job and return whether it is known."""
+        entry = self.book.get(job_id)
+        if entry is None:
+            return False if self.informed and job_id not in self.uncertain else self._uninformed()
+        if entry.over:
+            return True
+        record = Record(cancel_key(job_id), CANCELLED)
+        refusal = await self._keep(job_id, record, deadline_s)
+        if refusal is not None:
+            return refusal
+        log_event(Event.JOB_CANCELLED, job_id=job_id)
+        return True
+
+    def find(self, job_id: str) -> Entry | None | Refusal:
+        """Return a job, or `None` for one that certainly was not accepted."""
+        entry = self.book.get(job_id)
+        if entry is not None:
+            return entry
+        if not self.informed or job_id in self.uncertain:
+            return self._uninformed()
+        return None
+
+    async def _keep(self, job_id: str, record: Record, deadline_s: float) -> Refusal | None:
+        """Append a record until it is certain that it is kept or that it is not."""
+        if not self.follower.in_reach and job_id not in self.uncertain:
+            return _refuse("The store was not in reach a moment ago.")
+        while True:
+            left_s = deadline_s - loop_time()
+            if left_s <= 0:
+                return Refusal(Reason.LOG_ANSWER_LOST, RunState.UNKNOWN, RETRY_AFTER_S)
+            outcome = await self.store.append(
+                self.topic, [record], timeout_s=min(TRY_TIMEOUT_S, left_s)
+            )
+            if isinstance(outcome, Appended):
+                self.uncertain.discard(job_id)
+                self.book.apply(record.key, record.value, outcome.end - 1, loop_time())
+                return None
+            if isinstance(outcome, NotStored) and job_id not in self.uncertain:
+                return _refuse(outcome.detail)
+            self.uncertain.add(job_id)
+            log_event(Event.APPEND_UNCERTAIN, job_id=job_id, detail=str(outcome))
+            await asyncio.sleep(RETRY_S)
+
+    def _log_submission(self, job: Job, refusal: Refusal | None) -> None:
+        if refusal is None:
+            log_event(
+                Event.JOB_ACCEPTED,
+                job_id=job.job_id,
+                queue=job.queue,
+                customer=job.customer,
+                tasks=sum(step.tasks for step in job.steps),
+            )
+        else:
+            log_event(
+                Event.JOB_REFUSED,
+                job_id=job.job_id,
+                queue=job.queue,
+                reason=refusal.reason.code,
+                run_state=refusal.run_state,
+                detail=refusal.detail,
+            )
+
+    def _uninformed(self) -> Refusal:
+        detail = f"What was read is {self.follower.age_s:.1f} s old."
+        return Refusal(Reason.LOG_UNAVAILABLE, RunState.UNKNOWN, RETRY_AFTER_S, detail)
+
+
+def _refuse(detail: str) -> Refusal:
+    return Refusal(Reason.LOG_UNAVAILABLE, RunState.NOT_RUN, RETRY_AFTER_S, detail)
--- /dev/null
+++ b/packages/workflow/briardeal_workflow/leadership/__init__.py
@@ -0,0 +1,19 @@
+"""Which entry owns the jobs."""
+
+from briardeal_workflow.leadership._election import Election
+from briardeal_workflow.leadership._records import (
+    CONTROL_TOPIC,
+    EntryRecord,
+    OwnerRecord,
+    entry_key,
+)
+from briardeal_workflow.leadership._watch import OwnerWatch
+
+__all__ = [
+    "CONTROL_TOPIC",
+    "Election",
+    "EntryRecord",
+    "OwnerRecord",
+    "OwnerWatch",
+    "entry_key",
+]
--- /dev/null
+++ b/packages/workflow/briardeal_workflow/owner/_hub.py
@@ -0,0 +1,192 @@
+"""Connections that agents and other entries have opened to this entry."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Protocol
+
+import attrs
+
+from briardeal_core.clock import loop_time
+from briardeal_core.events import Event, log_event
+from briardeal_protocol.connections import Closed
+from briardeal_workflow.control import (
+    Acknowledge,
+    AgentHello,
+    Beat,
+    EntryHello,
+    EntryJoin,
+    Lead,
+    OwnerBeat,
+    Report,
+    Settled,
+)
+
+if TYPE_CHECKING:
+    from briardeal_protocol.connections import Connection, Listener, Network
+    from briardeal_workflow.leadership import Election
+
+AGENT_SILENCE_S = 3.0
+"""Silence after which the connection of an agent is closed; agents send a beat each 0.4 s."""
+
+OWNER_BEAT_S = 0.3
+"""Time between two words of the owner to each entry."""
+
+
+class Leader(Protocol):
+    """What the hub needs of the owner while this entry is the owner."""
+
+    epoch: int
+
+    def take_report(self, agent_id: str, report: Report) -> None:
+        """Take what a VM runs."""
+
+    def take_settled(self, agent_id: str, settled: Settled) -> None:
+        """Take what became of an order."""
+
+    def note_heard(self, agent_id: str) -> Acknowledge | None:
+        """Return what extends the hold of an agent; `None` where this entry may not."""
+
+    def note_lost(self, agent_id: str) -> None:
+        """Note that the connection of an agent has ended."""
+
+    def store_failing_s(self) -> float:
+        """Return for how long the store has not taken appends."""
+
+
+@attrs.define(eq=False)
+class AgentLink:
+    """An agent that is connected.
+
+    Attributes
+    ----------
+    agent_id, connection
+        Who, and over what.
+    heard_s
+        When it was last heard, on the loop's clock.
+    entries
+        Addresses of entries that it was told.
+    """
+
+    agent_id: str
+    connection: Connection
+    heard_s: float
+    entries: tuple[str, ...] = ()
+
+
+class Hub:
+    """Serves control connections.
+
+    Parameters
+    ----------
+    network, election
+        How to listen, and who owns the jobs.
+
+    Attributes
+    ----------
+    agents
+        Connected agents by name.
+    leader
+        The owner, while it is this entry.
+    """
+
+    def __init__(self, network: Network, election: Election) -> None:
+        self.network = network
+        self.election = election
+        self.agents: dict[str, AgentLink] = {}
+        self.leader: Leader | None = None
+        self.listener: Listener | None = None
+
+    async def start(self, address: str) -> None:
+        """Listen for agents and entries."""
+        self.listener = await self.network.listen(address, self._serve)
+
+    async def lead(self, leader: Leader) -> None:
+        """Tell all agents that this entry is the owner."""
+        self.leader = leader
+        for link in list(self.agents.values()):
+            await link.connection.send(Lead(leader.epoch))
+
+    def stop_leading(self) -> None:
+        """Note that this entry is the owner no more."""
+        self.leader = None
+
+    async def send(self, agent_id: str, message: object) -> bool:
+        """Send a message to an agent and return whether it is connected."""
+        link = self.agents.get(agent_id)
+        return link is not None and await link.connection.send(message) is None
+
+    async def _serve(self, connection: Connection) -> None:
+        first = await connection.receive()
+        try:
+            if isinstance(first, AgentHello):
+                await self._serve_agent(first.agent_id, connection)
+            elif isinstance(first, EntryJoin):
+                await self._serve_entry(connection)
+        finally:
+            await connection.close()
+
+    async def _serve_entry(self, connection: Connection) -> None:
+        while True:
+            beat = OwnerBeat(0)
+            if self.leader is not None:
+                beat = OwnerBeat(self.leader.epoch, self.leader.store_failing_s())
+            if isinstance(await connection.send(beat), Closed):
+                return
+            await asyncio.sleep(OWNER_BEAT_S)
+
+    async def _serve_agent(self, agent_id: str, connection: Connection) -> None:
+        link = AgentLink(agent_id, connection, loop_time(), self._addresses())
+        replaced = self.agents.get(agent_id)
+        self.agents[agent_id] = link
+        if replaced is not None:
+            await replaced.connection.close()
+        log_event(Event.AGENT_JOINED, agent=agent_id)
+        await connection.send(EntryHello(self.election.entry_id, link.entries))
+        if self.leader is not None:
+            await connection.send(Lead(self.leader.epoch))
+        detail = await self._hear(link)
+        if self.agents.get(agent_id) is link:
+            del self.agents[agent_id]
+            log_event(Event.LINK_LOST, agent=agent_id, detail=detail)
+            if self.leader is not None:
+                self.leader.note_lost(agent_id)
+
+    async def _hear(self, link: AgentLink) -> str:
+        while True:
+            try:
+                async with asyncio.timeout(AGENT_SILENCE_S):
+                    message = await link.connection.receive()
+            except TimeoutError:
+                return "silent"
+            if isinstance(message, Closed):
+                return message.detail
+            link.heard_s = loop_time()
+            await self._take(link, message)
+
+    async def _take(self, link: AgentLink, message: object) -> None:
+        leader = self.leader
+        if isinstance(message, Settled):
+            if leader is not None and message.epoch == leader.epoch:
+                leader.take_settled(link.agent_id, message)
+        elif isinstance(message, Report | Beat):
+            await self._answer(link, message)
+
+    async def _answer(self, link: AgentLink, message: Report | Beat) -> None:
+        leader = self.leader
+        answer: Acknowledge | None = None
+        if leader is not None and message.epoch == leader.epoch:
+            if isinstance(message, Report):
+                leader.take_report(link.agent_id, message)
+            answer = leader.note_heard(link.agent_id)
+        if answer is None:
+            answer = Acknowledge(0)
+        entries = self._addresses()
+        told = () if entries == link.entries else entries
+        link.entries = entries
+        await link.connection.send(
+            Acknowledge(message.sequence, answer.epoch, answer.incarnation, answer.ends_kept, told)
+        )
+
+    def _addresses(self) -> tuple[str, ...]:
+        return tuple(sorted(self.election.entries.values()))
--- /dev/null
+++ b/packages/workflow/briardeal_workflow/owner/_owner.py
@@ -0,0 +1,408 @@
+"""The owner of jobs: takes reports, lets the planner decide, gives orders, keeps progress."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import attrs
+
+from briardeal_core.clock import awake_time, loop_time
+from briardeal_core.events import Event, log_event
+from briardeal_workflow.book import encode_record, progress_key
+from briardeal_workflow.control import Acknowledge, Lead, SettledAs, StartOrder, StopOrder
+from briardeal_workflow.planning import (
+    End,
+    Need,
+    Phase,
+    Planner,
+    RunningTask,
+    Shape,
+    StartTask,
+    StopTask,
+)
+from briardeal_workflow.store import Fenced, FencedWriter, Record
+
+if TYPE_CHECKING:
+    from briardeal_core.clock import Clock
+    from briardeal_workflow.book import JobBook
+    from briardeal_workflow.control import Report, Settled, VmState
+    from briardeal_workflow.leadership import Election
+    from briardeal_workflow.model import Directory
+    from briardeal_workflow.owner._hub import Hub
+    from briardeal_workflow.planning import Attempt, Order
+    from briardeal_workflow.store import Follower, Store
+
+JOBS_TOPIC = "jobs"
+ROLE = "owner"
+
+HOLD_S = 5.0
+"""Time for which the work of a VM goes on unheard: agents that are restarted are back sooner."""
+
+CLOCK_RATE_LIMIT = 1.02
+"""Most that the clock of a worker may be slow, by the contract of the platform."""
+
+HOLD_MARGIN_S = 0.5
+"""Time that a worker may take to end what its hold no longer covers."""
+
+RIGHT_S = 6.0
+"""Time for which the right to give orders lasts after the store last confirmed it."""
+
+RENEW_INTERVAL_S = 1.0
+"""Time between confirmations of the right; several are missed before it lapses."""
+
+AGENT_SILENCE_S = 1.5
+"""Silence after which a VM gets no new work; agents send a beat each 0.4 s."""
+
+IDLE_INTERVAL_S = 0.25
+"""Longest time between two rounds of decisions; due times and lapses are found by it."""
+
+GATHER_S = 0.01
+"""Pause before a round, in which what happens at the same time is gathered."""
+
+RESEND_S = 1.5
+"""Time after which an order without an effect is given again."""
+
+
+@attrs.define(eq=False)
+class Member:
+    """What the owner knows of an agent.
+
+    Attributes
+    ----------
+    incarnation
+        That of its worker.
+    ends_taken, ends_kept
+        Newest end of this incarnation that was taken over, and the newest that is kept.
+    heard_s
+        When it was last heard, on the loop's clock.
+    reported
+        Whether it has told its lists under this epoch.
+    sent_s
+        When an order was last given, by task and number of the start.
+    """
+
+    incarnation: str = ""
+    ends_taken: int = 0
+    ends_kept: int = 0
+    heard_s: float = 0.0
+    reported: bool = False
+    sent_s: dict[tuple[object, int], float] = attrs.field(factory=dict)
+
+
+class Owner:
+    """Decides on all jobs under one fencing token.
+
+    Parameters
+    ----------
+    election, hub, store, book, follower
+        What confirms the right, reaches the agents, and keeps the jobs.
+    clock
+        Wall time, for jobs that are due at a time.
+    """
+
+    def __init__(
+        self,
+        election: Election,
+        hub: Hub,
+        store: Store,
+        book: JobBook,
+        follower: Follower,
+        clock: Clock,
+    ) -> None:
+        self.election = election
+        self.hub = hub
+        self.book = book
+        self.follower = follower
+        self.clock = clock
+        self.epoch = election.epoch
+        self.planner = Planner(self.epoch)
+        self.writer = FencedWriter(store, JOBS_TOPIC, ROLE, self.epoch)
+        self.members: dict[str, Member] = {}
+        self.awaited: set[str] = set(election.owner.agents if election.owner else ())
+        self.admitted: set[str] = set(self.awaited)
+        self.began_s = awake_time()
+        self.wake = asyncio.Event()
+        self.flush = asyncio.Event()
+
+    @property
+    def right_left_s(self) -> float:
+        """For how long orders may still be given, in seconds."""
+        return self.writer.confirmed_s + RIGHT_S - awake_time()
+
+    async def run(self, directory: Directory) -> None:
+        """Own the jobs until another entry has taken over."""
+        outcome = await self.writer.append([])
+        if isinstance(outcome, Fenced):
+            return
+        await self.follower.wait_for(outcome.end)
+        self._load(directory)
+        log_event(Event.OWNER_STARTED, epoch=self.epoch, jobs=len(self.planner.works))
+        await self.hub.lead(self)
+        try:
+            async with asyncio.TaskGroup() as tasks:
+                for part in (self._renew(), self._keep(), self._admit()):
+                    tasks.create_task(part)
+                await self._decide_until_fenced()
+                raise _Over
+        except* _Over:
+            pass
+        finally:
+            self.hub.stop_leading()
+            log_event(Event.OWNER_REPLACED, epoch=self.epoch, newer=self.election.epoch)
+
+    def configure(self, directory: Directory) -> None:
+        """Take over a new configuration."""
+        self.planner.configure(directory)
+        self.wake.set()
+
+    def note_job(self, job_id: str) -> None:
+        """Note that the record of a job has changed."""
+        entry = self.book.get(job_id)
+        if entry is None:
+            return
+        if entry.cancelled:
+            self.planner.cancel(job_id)
+        elif not entry.over:
+            self.planner.add(entry.job, entry.progress, loop_time())
+        self.wake.set()
+
+    def take_report(self, agent_id: str, report: Report) -> None:
+        """Take what a VM runs."""
+        member = self.members.setdefault(agent_id, Member())
+        now_s = loop_time()
+        member.heard_s = now_s
+        if report.vm is None:
+            self.planner.lose_reach(agent_id)
+            return
+        if agent_id not in self.admitted:
+            return
+        if member.incarnation != report.vm.incarnation:
+            member.incarnation = report.vm.incarnation
+            member.ends_taken = member.ends_kept = 0
+        self.planner.update_vm(_shape_of(agent_id, report.vm), self._hold_end_s(), now_s)
+        self._take_lists(agent_id, member, report, now_s)
+        if not member.reported:
+            member.reported = True
+            self._note_reported()
+        self._repeat_orders(agent_id, member, report, now_s)
+        self.wake.set()
+
+    def take_settled(self, agent_id: str, settled: Settled) -> None:
+        """Take what became of an order."""
+        now_s = loop_time()
+        log_event(
+            Event.START_SETTLED,
+            task=str(settled.task),
+            number=settled.number,
+            vm=agent_id,
+            outcome=settled.outcome,
+            reason=settled.reason,
+        )
+        if settled.outcome is SettledAs.STARTED:
+            self.planner.note_started(agent_id, settled.task, settled.number, now_s)
+        else:
+            self.planner.note_ended(agent_id, settled.task, settled.number, End.REFUSED, "", now_s)
+        self.wake.set()
+        self.flush.set()
+
+    def note_heard(self, agent_id: str) -> Acknowledge | None:
+        """Return what extends the hold of an agent."""
+        member = self.members.get(agent_id)
+        if member is None or self.right_left_s <= 0 or self.writer.fenced:
+            return None
+        member.heard_s = loop_time()
+        self.planner.extend_hold(agent_id, self._hold_end_s())
+        return Acknowledge(0, self.epoch, member.incarnation, member.ends_kept)
+
+    def note_lost(self, agent_id: str) -> None:
+        """Note that the connection of an agent has ended."""
+        self.planner.lose_reach(agent_id)
+
+    def store_failing_s(self) -> float:
+        """Return for how long the store has not taken appends."""
+        since_s = self.writer.failing_since_s
+        return 0.0 if since_s is None else awake_time() - since_s
+
+    def _load(self, directory: Directory) -> None:
+        self.planner.configure(directory)
+        now_s = loop_time()
+        for entry in self.book.entries.values():
+            if entry.job is not None and not entry.over:
+                self.planner.add(entry.job, entry.progress, now_s, unsettled=True)
+        if self.epoch == 1 or not self.awaited:
+            self.planner.settle()
+
+    def _take_lists(self, agent_id: str, member: Member, report: Report, now_s: float) -> None:
+        for ended in report.ended:
+            if ended.position <= member.ends_taken:
+                continue
+            member.ends_taken = ended.position
+            log_event(
+                Event.TASK_ENDED,
+                task=str(ended.task),
+                number=ended.number,
+                vm=agent_id,
+                end=ended.end,
+            )
+            end = End(ended.end)
+            self.planner.note_ended(
+                agent_id, ended.task, ended.number, end, ended.checkpoint, now_s
+            )
+            self.flush.set()
+        rows = [
+            RunningTask(row.task, row.number, row.checkpoint, row.percent, row.load)
+            for row in report.running
+        ]
+        rows += [RunningTask(task, number) for task, number in report.unsettled]
+        self.planner.note_running(agent_id, rows, now_s)
+
+    def _note_reported(self) -> None:
+        if self.planner.settled:
+            return
+        missing = [each for each in self.awaited if not self._has_reported(each)]
+        if not missing:
+            log_event(Event.STARTS_SETTLED, epoch=self.epoch, waited_s=self._age_s())
+            self.planner.settle()
+
+    def _has_reported(self, agent_id: str) -> bool:
+        member = self.members.get(agent_id)
+        return member is not None and member.reported
+
+    def _age_s(self) -> float:
+        return awake_time() - self.began_s
+
+    def _hold_end_s(self) -> float:
+        return loop_time() + HOLD_S * CLOCK_RATE_LIMIT + HOLD_MARGIN_S
+
+    def _repeat_orders(self, agent_id: str, member: Member, report: Report, now_s: float) -> None:
+        """Give orders again that show no effect in the lists; they may have been lost."""
+        listed = {(row.task, row.number) for row in report.running}
+        listed |= set(report.unsettled)
+        vm = self.planner.vms[agent_id]
+        for key, attempt in vm.attempts.items():
+            waits = attempt.phase is Phase.STOPPING or (
+                attempt.phase is Phase.ORDERED and key not in listed
+            )
+            if waits and now_s - member.sent_s.get(key, now_s) > RESEND_S:
+                self.planner.orders.append(self._order_again(attempt))
+
+    def _order_again(self, attempt: Attempt) -> Order:
+        if attempt.phase is Phase.STOPPING:
+            return StopTask(attempt.vm_id, attempt.task, attempt.number, "given again")
+        command = self.planner.works[attempt.task.job_id].job.command
+        return StartTask(
+            attempt.vm_id, attempt.task, attempt.number, command, attempt.checkpoint, "given again"
+        )
+
+    async def _decide_until_fenced(self) -> None:
+        while self.election.owns and self.election.epoch == self.epoch and not self.writer.fenced:
+            try:
+                async with asyncio.timeout(IDLE_INTERVAL_S):
+                    await self.wake.wait()
+                await asyncio.sleep(GATHER_S)
+            except TimeoutError:
+                pass
+            self.wake.clear()
+            self._note_silent()
+            if self.right_left_s <= 0:
+                continue
+            for order in self.planner.decide(loop_time(), self.clock.now_s()):
+                await self._give(order)
+            if self.planner.changed:
+                self.flush.set()
+
+    def _note_silent(self) -> None:
+        now_s = loop_time()
+        for agent_id, member in self.members.items():
+            if now_s - member.heard_s > AGENT_SILENCE_S:
+                self.planner.lose_reach(agent_id)
+        lapse_s = RIGHT_S + HOLD_S * CLOCK_RATE_LIMIT + HOLD_MARGIN_S
+        if not self.planner.settled and self._age_s() > lapse_s:
+            missing = [each for each in self.awaited if not self._has_reported(each)]
+            log_event(Event.STARTS_SETTLED, epoch=self.epoch, waited_s=lapse_s, missing=missing)
+            self.planner.settle()
+
+    async def _give(self, order: Order) -> None:
+        member = self.members[order.vm_id]
+        member.sent_s[order.task, order.number] = loop_time()
+        event = Event.TASK_ORDERED if isinstance(order, StartTask) else Event.TASK_STOPPED
+        log_event(
+            event,
+            job_id=order.task.job_id,
+            task=str(order.task),
+            number=order.number,
+            vm=order.vm_id,
+            cause=order.cause,
+            epoch=self.epoch,
+        )
+        if isinstance(order, StartTask):
+            message = StartOrder(
+                self.epoch, order.task, order.number, order.command, order.checkpoint
+            )
+        else:
+            message = StopOrder(self.epoch, order.task, order.number)
+        await self.hub.send(order.vm_id, message)
+
+    async def _renew(self) -> None:
+        while True:
+            await asyncio.sleep(RENEW_INTERVAL_S)
+            if awake_time() - self.writer.confirmed_s >= RENEW_INTERVAL_S:
+                await self.writer.append([])
+
+    async def _keep(self) -> None:
+        """Keep the progress of jobs, and with it the ends that it follows from."""
+        while True:
+            await self.flush.wait()
+            self.flush.clear()
+            taken = {
+                agent_id: (member.incarnation, member.ends_taken)
+                for agent_id, member in self.members.items()
+            }
+            records = self._take_changes()
+            if records and isinstance(await self.writer.append(records), Fenced):
+                return
+            for agent_id, (incarnation, ends_taken) in taken.items():
+                member = self.members[agent_id]
+                if member.incarnation == incarnation:
+                    member.ends_kept = max(member.ends_kept, ends_taken)
+
+    def _take_changes(self) -> list[Record]:
+        changed, self.planner.changed = self.planner.changed, set()
+        records = []
+        for job_id in sorted(changed):
+            work = self.planner.works.get(job_id)
+            if work is not None:
+                value = encode_record(work.progress())
+                records.append(Record(progress_key(job_id), value))
+        return records
+
+    async def _admit(self) -> None:
+        """Keep which agents may get orders before they get any."""
+        while True:
+            keep = set(self.planner.vms) | (self.members.keys() & self.hub.agents.keys())
+            if not self.planner.settled:
+                keep |= self.awaited
+            if keep != self.admitted:
+                if await self.election.keep_agents(tuple(sorted(keep))):
+                    added, self.admitted = keep - self.admitted, keep
+                    for agent_id in added:
+                        await self.hub.send(agent_id, Lead(self.epoch))
+            await asyncio.sleep(GATHER_S * 5)
+
+
+class _Over(Exception):
+    """The right to decide has ended."""
+
+
+def _shape_of(agent_id: str, vm: VmState) -> Shape:
+    return Shape(
+        agent_id,
+        vm.incarnation,
+        vm.service,
+        Need(vm.cpu_millis, vm.memory_mb, vm.accelerators),
+        frozenset(vm.labels),
+        vm.rack,
+        vm.failure_domain,
+        vm.leaving,
+    )
--- /dev/null
+++ b/packages/workflow/briardeal_workflow/planning/__init__.py
@@ -0,0 +1,20 @@
+"""Decisions on which task runs where and when, without any I/O."""
+
+from briardeal_workflow.planning._attempts import Attempt, End, Phase
+from briardeal_workflow.planning._orders import Order, StartTask, StopTask
+from briardeal_workflow.planning._planner import Planner, RunningTask
+from briardeal_workflow.planning._vms import Need, Shape, Vm
+
+__all__ = [
+    "Attempt",
+    "End",
+    "Need",
+    "Order",
+    "Phase",
+    "Planner",
+    "RunningTask",
+    "Shape",
+    "StartTask",
+    "StopTask",
+    "Vm",
+]
--- /dev/null
+++ b/packages/workflow/briardeal_workflow/planning/_attempts.py
@@ -0,0 +1,85 @@
+"""Starts of tasks."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from briardeal_workflow.model import TaskId
+    from briardeal_workflow.planning._vms import Need
+
+
+class Phase(enum.Enum):
+    """Where a start stands."""
+
+    ORDERED = "ordered"
+    """Its agent was told; whether it has begun is not known yet."""
+    RUNNING = "running"
+    STOPPING = "stopping"
+    """It was told to stop and still takes its room."""
+
+
+class End(enum.StrEnum):
+    """How a start ended."""
+
+    DONE = "done"
+    FAILED = "failed"
+    """Through a fault of the task or of its VM."""
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    """Its lease ran out."""
+    BROKEN = "broken"
+    """Another member of its gang ended."""
+    ALONE = "alone"
+    """The other members of its gang did not come in time."""
+    REFUSED = "refused"
+    """It never began."""
+    LOST = "lost"
+    """Its VM is gone, or runs nothing of it any more."""
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """One start of a task.
+
+    Attributes
+    ----------
+    task, number, vm_id, need
+        What was started, the number of the start, where, and what it takes.
+    priority, customer
+        Those of its job.
+    phase
+        Where it stands.
+    ordered_s
+        When it was ordered, on the loop's clock.
+    percent
+        Part of its work that is done.
+    advanced_s
+        When that last grew.
+    checkpoint
+        Newest checkpoint that its VM has told.
+    saved_s
+        When that checkpoint was first told; when it was ordered before the first.
+    """
+
+    task: TaskId
+    number: int
+    vm_id: str
+    need: Need
+    priority: int
+    customer: str
+    checkpoints: bool = False
+    phase: Phase = Phase.ORDERED
+    ordered_s: float = 0.0
+    percent: int = 0
+    advanced_s: float = 0.0
+    checkpoint: str = ""
+    saved_s: float = 0.0
+
+    def unsaved_work(self, now_s: float) -> float:
+        """Return what a stop would lose, in seconds times cores, an accelerator as eight cores."""
+        kept_s = self.saved_s if self.checkpoints else self.ordered_s
+        return max(0.0, now_s - kept_s) * self.need.weight
--- /dev/null
+++ b/packages/workflow/briardeal_workflow/planning/_vms.py
@@ -0,0 +1,188 @@
+"""VMs of a service and the room that they have."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from briardeal_workflow.planning._attempts import Phase
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from briardeal_workflow.model import Step, TaskId
+    from briardeal_workflow.planning._attempts import Attempt
+
+ACCELERATOR_CORES = 8
+"""Cores that an accelerator counts as where work is compared, by the users' price list."""
+
+DISTRUST_S = 6.0
+"""Time for which a VM that failed several tasks is the last choice; trouble lasts 5 to 10 s."""
+
+FAILURES_DISTRUSTED = 2
+"""Failed tasks in a row after which a VM is distrusted; single ones are often the task's fault."""
+
+
+@attrs.frozen
+class Need:
+    """What one task takes of a VM.
+
+    Parameters
+    ----------
+    cpu_millis, memory_mb, accelerators
+        In thousandths of a core, megabytes and accelerators.
+    """
+
+    cpu_millis: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    @classmethod
+    def of(cls, step: Step) -> Need:
+        """Return what a task of a step takes; one that fills takes no processor time of its own."""
+        return cls(0 if step.fills else step.cpu_millis, step.memory_mb, step.accelerators)
+
+    @property
+    def weight(self) -> float:
+        """Its size in cores."""
+        return self.cpu_millis / 1000 + ACCELERATOR_CORES * self.accelerators
+
+    def plus(self, other: Need) -> Need:
+        """Return what both take."""
+        return Need(
+            self.cpu_millis + other.cpu_millis,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def minus(self, other: Need) -> Need:
+        """Return what is left without another."""
+        return Need(
+            self.cpu_millis - other.cpu_millis,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
+    def within(self, room: Need) -> bool:
+        """Return whether it fits in a room."""
+        return (
+            self.cpu_millis <= room.cpu_millis
+            and self.memory_mb <= room.memory_mb
+            and self.accelerators <= room.accelerators
+        )
+
+
+NOTHING = Need()
+
+
+@attrs.frozen
+class Shape:
+    """A VM as its agent describes it.
+
+    Parameters
+    ----------
+    vm_id, incarnation
+        Its name, and one that is different after every restart of its worker.
+    service
+        Service that it works for.
+    capacity
+        What it has.
+    labels
+        Its labels, the name of its rack among them.
+    rack, failure_domain
+        Where it stands.
+    leaving
+        Whether it takes no new work.
+    """
+
+    vm_id: str
+    incarnation: str
+    service: str
+    capacity: Need
+    labels: frozenset[str] = frozenset()
+    rack: str = ""
+    failure_domain: str = ""
+    leaving: bool = False
+
+
+@attrs.define(eq=False)
+class Vm:
+    """A VM and what runs on it.
+
+    Attributes
+    ----------
+    shape
+        What it is.
+    attempts
+        Starts that take its room, by task and number.
+    claims
+        Room that tasks will take once others have left.
+    in_reach
+        Whether its agent is heard.
+    held_until_s
+        Until when its work may go on unheard, on the loop's clock.
+    failures
+        Tasks that failed on it in a row.
+    distrusted_until_s
+        Until when it is the last choice.
+    """
+
+    shape: Shape
+    attempts: dict[tuple[TaskId, int], Attempt] = attrs.field(factory=dict)
+    claims: dict[TaskId, Need] = attrs.field(factory=dict)
+    in_reach: bool = True
+    held_until_s: float = 0.0
+    failures: int = 0
+    distrusted_until_s: float = float("-inf")
+
+    @property
+    def vm_id(self) -> str:
+        """Name of the VM."""
+        return self.shape.vm_id
+
+    @property
+    def open(self) -> bool:
+        """Whether it takes new work."""
+        return self.in_reach and not self.shape.leaving
+
+    def room(self) -> Need:
+        """Return what nothing takes and nothing has claimed."""
+        return self._without(self.attempts.values()).minus(_total(self.claims.values()))
+
+    def free_now(self) -> Need:
+        """Return what nothing takes, claimed or not."""
+        return self._without(self.attempts.values())
+
+    def room_to_come(self) -> Need:
+        """Return what is left once all that was told to stop has stopped."""
+        staying = (each for each in self.attempts.values() if each.phase is not Phase.STOPPING)
+        return self._without(staying).minus(_total(self.claims.values()))
+
+    def count_of(self, group: tuple[str, int, int]) -> int:
+        """Return how many tasks of a group it runs or will run."""
+        running = {task for task, _ in self.attempts if task[:3] == group}
+        return len(running | {task for task in self.claims if task[:3] == group})
+
+    def note_success(self) -> None:
+        """Note that a task was done on it."""
+        self.failures = 0
+        self.distrusted_until_s = float("-inf")
+
+    def note_failure(self, now_s: float) -> bool:
+        """Note that a task failed on it and return whether it is distrusted from now on."""
+        self.failures += 1
+        if self.failures < FAILURES_DISTRUSTED:
+            return False
+        self.distrusted_until_s = now_s + DISTRUST_S
+        return True
+
+    def _without(self, attempts: Iterable[Attempt]) -> Need:
+        return self.shape.capacity.minus(_total(each.need for each in attempts))
+
+
+def _total(needs: Iterable[Need]) -> Need:
+    total = NOTHING
+    for need in needs:
+        total = total.plus(need)
+    return total
--- a/tests/agent/announcements/test_routes.py
+++ b/tests/agent/announcements/test_routes.py
@@ -6,7 +6,7 @@
 import pytest
 
 from briardeal_agent.announcements import Announcement, Announcements, Routes
-from briardeal_agent.http import Request
+from briardeal_core.http import Request
 from briardeal_agent.permits import Permits
 
 
