Tell the owner of jobs that its own entry has accepted

Cause: the gateway put a record that it had appended straight into the book; when the reader met it again, its offset was known and the owner was not told. Change: the gateway passes the record on the way of all records that are read.

--- a/packages/workflow/briardeal_workflow/gateway/_gateway.py
+++ b/packages/workflow/briardeal_workflow/gateway/_gateway.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import attrs
+
 from briardeal_core.clock import loop_time
 from briardeal_core.events import Event, log_event
 from briardeal_core.reasons import Reason, Refusal, RunState
@@ -14,6 +16,8 @@
 from briardeal_workflow.store import Appended, NotStored, Record
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from briardeal_workflow.book import Entry, JobBook
     from briardeal_workflow.model import Job
     from briardeal_workflow.store import Follower, Store
@@ -49,6 +53,8 @@
         Where jobs are kept.
     book, follower
         What is kept of jobs, and how new that is.
+    apply
+        Takes over a record that this entry has appended, as if it had been read.
 
     Attributes
     ----------
@@ -56,11 +62,19 @@
         Jobs of which an append has not been answered; it is not known whether they are kept.
     """
 
-    def __init__(self, store: Store, topic: str, book: JobBook, follower: Follower) -> None:
+    def __init__(
+        self,
+        store: Store,
+        topic: str,
+        book: JobBook,
+        follower: Follower,
+        apply: Callable[[Record], None],
+    ) -> None:
         self.store = store
         self.topic = topic
         self.book = book
         self.follower = follower
+        self.apply = apply
         self.uncertain: set[str] = set()
 
     @property
@@ -124,7 +138,7 @@
             )
             if isinstance(outcome, Appended):
                 self.uncertain.discard(job_id)
-                self.book.apply(record.key, record.value, outcome.end - 1, loop_time())
+                self.apply(attrs.evolve(record, offset=outcome.end - 1))
                 return None
             if isinstance(outcome, NotStored) and job_id not in self.uncertain:
                 return _refuse(outcome.detail)
