Add an emulator on virtual time and tests of the whole path past failures

The part of an entry that is the same wherever it runs moves out of platform/ into briardeal_workflow.structure, so that the emulator runs the real entries, agents and planner over stand-ins of the store and the workers, with an independent checker of the promises. Found by it: an agent told nothing to an owner that asked a second time under the same token, which held up first starts by 1 s; an owner that is stopped now hands over at once. make bench runs its groups side by side on half of the processors and prints each as it ends.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,10 +1,13 @@
-"""Runs every measurement, prints one table and fails past a bound."""
+"""Runs every measurement side by side, prints figures as they come, and fails past a bound."""
 
 from __future__ import annotations
 
 import importlib
+import os
 import sys
-from typing import TYPE_CHECKING
+import time
+from concurrent.futures import ProcessPoolExecutor, as_completed
+from typing import TYPE_CHECKING, Any
 
 import click
 
@@ -12,9 +15,14 @@
 from bench.known_red import load_known_red
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+    from concurrent.futures import Future
+
     from bench.figures import Figure
 
 GROUPS = [
+    "jobs",
+    "recovery",
     "agent_process",
     "entry_process",
     "log",
@@ -22,23 +30,52 @@
     "peers",
     "ownership",
     "owner_state",
-    "recovery",
-    "jobs",
 ]
-"""Modules of this package with a `measure() -> list[Figure]`, in the order of the table."""
+"""Modules of this package, the longest first.
+
+A module has `measure() -> list[Figure]`, or `parts()` that returns functions which can run side by
+side, and `combine(results) -> list[Figure]`.
+"""
 
 
 @click.command()
 @click.argument("groups", nargs=-1)
 def main(groups: tuple[str, ...]) -> None:
-    """Measure the named groups, or all of them."""
+    """Measure the named groups, or all of them, on half of the processors."""
     figures = []
-    for group in groups or GROUPS:
-        figures.extend(importlib.import_module(f"bench.{group}").measure())
-    click.echo(render_table(figures))
+    with ProcessPoolExecutor(max(1, (os.cpu_count() or 2) // 2)) as pool:
+        started = {group: _submit(pool, group) for group in groups or GROUPS}
+        ends = {future: group for group, futures in started.items() for future in futures}
+        for _ in as_completed(ends):
+            for group, futures in list(started.items()):
+                if all(future.done() for future in futures):
+                    del started[group]
+                    figures.extend(_print_group(group, futures))
     sys.exit(0 if _report(figures, complete=not groups) else 1)
 
 
+def run_timed(part: Callable[[], Any]) -> tuple[Any, float]:
+    """Run a part of a measurement and return its result and the time that it took, in seconds."""
+    began_s = time.perf_counter()
+    return part(), time.perf_counter() - began_s
+
+
+def _submit(pool: ProcessPoolExecutor, group: str) -> list[Future[tuple[Any, float]]]:
+    module = importlib.import_module(f"bench.{group}")
+    parts = module.parts() if hasattr(module, "parts") else [module.measure]
+    return [pool.submit(run_timed, part) for part in parts]
+
+
+def _print_group(group: str, futures: list[Future[tuple[Any, float]]]) -> list[Figure]:
+    module = importlib.import_module(f"bench.{group}")
+    results = [future.result() for future in futures]
+    values = [result for result, _ in results]
+    figures = module.combine(values) if hasattr(module, "combine") else values[0]
+    click.echo(render_table(figures))
+    click.echo(f"bench: {group} took {sum(took_s for _, took_s in results):.0f} s", nl=True)
+    return figures
+
+
 def _report(figures: list[Figure], complete: bool) -> bool:
     known_red = {check for check in load_known_red() if check.startswith("bench: ")}
     by_check = {f"bench: {figure.group}: {figure.name}": figure for figure in figures}
--- a/bench/agent_process.py
+++ b/bench/agent_process.py
@@ -8,8 +8,8 @@
 import attrs
 
 from bench.figures import Bound, Figure
-from briardeal_core.http import HttpReply, fetch
 from briardeal_agent.permits import QUARANTINE_S
+from briardeal_core.http import HttpReply, fetch
 from briardeal_protocol.connections import Link, TcpNetwork
 from briardeal_protocol.messages import (
     Admit,
--- a/bench/jobs.py
+++ b/bench/jobs.py
@@ -4,6 +4,7 @@
 
 import math
 import statistics
+from functools import partial
 from typing import TYPE_CHECKING
 
 import attrs
@@ -25,7 +26,8 @@
 from briardeal_scheduling import Finished, Scheduler
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
+    from typing import Any
 
     from bench.job_loads import Account, Load, LoadJob
 
@@ -42,12 +44,26 @@
 LOADS = ((vzorec, (1, 2, 3)), (cooperative, (1, 2, 3)), (target, (1, 2)))
 
 
-def measure() -> list[Figure]:
-    """Return the figures of all three loads and of the cost of a round."""
+def parts() -> list[Callable[[], Any]]:
+    """Return the runs of each load and seed, the longest first, and the cost of a round."""
+    runs = [partial(run_comparison, make, seed) for make, seeds in LOADS for seed in seeds]
+    return [*reversed(runs), _measure_cost, _measure_burst]
+
+
+def combine(results: list[Any]) -> list[Figure]:
+    """Return the figures of all three loads, with their seeds pooled, and the cost of a round."""
+    *reversed_runs, cost, burst_cost = results
+    runs = list(reversed(reversed_runs))
     figures = []
-    for make, seeds in LOADS:
-        figures.extend(_measure_load([make(seed) for seed in seeds]))
-    return figures + _measure_cost() + _measure_burst()
+    for _, seeds in LOADS:
+        figures.extend(_measure_load(runs[: len(seeds)]))
+        del runs[: len(seeds)]
+    return [*figures, *cost, *burst_cost]
+
+
+def run_comparison(make: Callable[[int], Load], seed: int) -> Comparison:
+    """Run one load with one seed."""
+    return Comparison.run(make(seed))
 
 
 @attrs.frozen
@@ -87,9 +103,8 @@
         ]
 
 
-def _measure_load(loads: list[Load]) -> list[Figure]:
-    runs = [Comparison.run(load) for load in loads]
-    name = loads[0].name
+def _measure_load(runs: list[Comparison]) -> list[Figure]:
+    name = runs[0].load.name
     figures = [*_completion(runs), *_classes(runs), *_fragmentation(runs)]
     figures += [*_guarantees(runs), *_rounds(runs)]
     return [Figure(name, *figure) for figure in figures]
--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+from functools import partial
 from typing import TYPE_CHECKING
 
 import attrs
@@ -44,9 +45,26 @@
     refused: int = 0
 
 
-def measure() -> list[Figure]:
-    """Return the figures."""
-    found = [run_virtual(lambda jobs=jobs: _measure_outage(jobs)) for jobs in HISTORY_JOBS]
+def parts() -> list[Callable[[], list[Figure]]]:
+    """Return the outages, the longest first, and the region that is cut off."""
+    outages = [partial(measure_outage, jobs) for jobs in reversed(HISTORY_JOBS)]
+    return [*outages, measure_region]
+
+
+def measure_outage(jobs: int) -> list[Figure]:
+    """Return the figures of an outage with a number of jobs behind it."""
+    return run_virtual(lambda: _measure_outage(jobs))
+
+
+def measure_region() -> list[Figure]:
+    """Return the figures of a region that is cut off."""
+    return run_virtual(_measure_region)
+
+
+def combine(results: list[list[Figure]]) -> list[Figure]:
+    """Return all figures and how the time to recover grows with the jobs."""
+    *outages, region = results
+    found = list(reversed(outages))
     times = [figures[-1].value for figures in found]
     growth = HISTORY_JOBS[-1] / HISTORY_JOBS[0]
     ratio = Figure(
@@ -57,7 +75,7 @@
         Bound("<=", growth),
     )
     flat = [figure for figures in found for figure in figures]
-    return [*flat, ratio, *run_virtual(_measure_region)]
+    return [*flat, ratio, *region]
 
 
 async def _measure_outage(jobs: int) -> list[Figure]:
--- /dev/null
+++ b/packages/standins/briardeal_standins/emulator/_emulator.py
@@ -0,0 +1,227 @@
+"""A whole deployment in one event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+import attrs
+
+from briardeal_core.clock import WallClock, loop_time
+from briardeal_core.reasons import Refusal, RunState
+from briardeal_protocol.connections import MemoryNetwork
+from briardeal_standins.emulator._checker import Checker
+from briardeal_standins.emulator._store import MemoryStore, StoreClient
+from briardeal_standins.emulator._worker import Plan, StandinVm
+from briardeal_workflow.control import CONTROL_LINES, VmState
+from briardeal_workflow.model import Customer, Directory, Queue, Service
+from briardeal_workflow.structure import Entry
+from briardeal_workflow.worker import WorkerAgent
+
+if TYPE_CHECKING:
+    from briardeal_workflow.model import Job, TaskId
+
+SERVICE = "sampling"
+VMS_PER_RACK = 3
+CALL_S = 3.0
+"""Time that a caller waits for an answer."""
+
+DIRECTORY = Directory(
+    1,
+    queues=(
+        Queue("urgent", "a.example", "/urgent/", SERVICE, 0, 4, 1.5, 0.4),
+        Queue("batch", "a.example", "/batch/", SERVICE, 1, 3, 3.0, 1.2),
+        Queue("bulk", "a.example", "/bulk/", SERVICE, 2, 3, 3.0, 3.0),
+    ),
+    services=(Service(SERVICE),),
+    customers=(
+        Customer("north", frozenset({"key-north"}), 24),
+        Customer("south", frozenset({"key-south"}), 24),
+    ),
+)
+
+
+@attrs.define(eq=False)
+class _Process:
+    """A program that runs, with the task that runs it."""
+
+    program: Entry | WorkerAgent
+    task: asyncio.Task[None]
+
+
+class Emulator:
+    """Entries, agents, workers and a store on virtual time.
+
+    Parameters
+    ----------
+    entries, vms
+        How many.
+    seed
+        Of all random choices.
+    directory
+        What operators have configured.
+    """
+
+    def __init__(
+        self, entries: int = 3, vms: int = 6, seed: int = 1, directory: Directory = DIRECTORY
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.directory = directory
+        self.store = MemoryStore()
+        self.network = MemoryNetwork(codec=CONTROL_LINES)
+        self.clock = WallClock(1_000_000.0)
+        self.checker = Checker()
+        self.plans: dict[str, Plan] = {}
+        self.board: dict[tuple[TaskId, int], StandinVm] = {}
+        self.entry_names = [f"entry-{number}" for number in range(entries)]
+        self.vms = {
+            name: self._make_vm(name, number)
+            for number, name in enumerate(f"vm-{number}" for number in range(vms))
+        }
+        self.processes: dict[str, _Process] = {}
+        self._works: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Start all processes and workers."""
+        self._works = [self._spawn(vm.run()) for vm in self.vms.values()]
+        for name in (*self.entry_names, *self.vms):
+            self.start_process(name)
+
+    async def stop(self) -> None:
+        """End all processes and workers."""
+        for name in list(self.processes):
+            await self.kill(name)
+        for task in self._works:
+            task.cancel()
+        await asyncio.gather(*self._works, return_exceptions=True)
+
+    def start_process(self, name: str) -> None:
+        """Start an entry or an agent, knowing nothing of before."""
+        self.network.unreachable.discard(self.address_of(name))
+        if name in self.vms:
+            vm = self.vms[name]
+            seeds = tuple(self.address_of(entry) for entry in self.entry_names)
+            program: Entry | WorkerAgent = WorkerAgent(
+                name, vm, vm.registration, self.network, seeds
+            )
+            vm.registration.changed.set()
+        else:
+            client = StoreClient(self.store, name)
+            program = Entry(name, self.address_of(name), client, self.network, self.clock)
+            program.configure(self.directory)
+        self.processes[name] = _Process(program, self._spawn(program.run()))
+
+    async def kill(self, name: str) -> None:
+        """End a process at once; its connections are reset."""
+        process = self.processes.pop(name)
+        process.task.cancel()
+        self.network.listeners.pop(self.address_of(name), None)
+        self.network.cut(self.address_of(name))
+        if isinstance(process.program, WorkerAgent):
+            process.program.orders.forget()
+            for link in list(process.program.links.values()):
+                await link.connection.close()
+        await asyncio.gather(process.task, return_exceptions=True)
+
+    def address_of(self, name: str) -> str:
+        """Return the address of a process."""
+        return f"{name}:7000"
+
+    def entry(self, name: str) -> Entry:
+        """Return a running entry."""
+        return self.processes[name].program
+
+    def owner_name(self) -> str | None:
+        """Return the entry that owns the jobs and gives orders."""
+        for name in self.entry_names:
+            process = self.processes.get(name)
+            if process is not None and process.program.hub.leader is not None:
+                return name
+        return None
+
+    async def wait_for_owner(self, limit_s: float = 30.0) -> str:
+        """Wait until an entry owns the jobs and return its name."""
+        async with asyncio.timeout(limit_s):
+            while (name := self.owner_name()) is None:
+                await asyncio.sleep(0.02)
+        return name
+
+    async def submit(self, job: Job, plan: Plan, entry: str | None = None) -> bool | None:
+        """Send a job; return whether it was accepted, or `None` where nobody knows."""
+        self.plans[job.command] = plan
+        self.checker.jobs[job.job_id] = job
+        name = entry or self.rng.choice(
+            [each for each in self.entry_names if each in self.processes]
+        )
+        outcome = await self.entry(name).gateway.submit(job, loop_time() + CALL_S)
+        if not isinstance(outcome, Refusal):
+            self.checker.accepted.setdefault(job.job_id, loop_time())
+            self.checker.refused.discard(job.job_id)
+            return True
+        if outcome.run_state is RunState.NOT_RUN:
+            if job.job_id not in self.checker.accepted:
+                self.checker.refused.add(job.job_id)
+            return False
+        self.checker.refused.discard(job.job_id)
+        return None
+
+    async def cancel(self, job_id: str, entry: str) -> bool:
+        """Cancel a job and return whether that was answered."""
+        outcome = await self.entry(entry).gateway.cancel(job_id, loop_time() + CALL_S)
+        if isinstance(outcome, Refusal):
+            return False
+        if not outcome:
+            self.checker.note_unknown(job_id)
+        self.checker.cancelled_s.setdefault(job_id, loop_time())
+        return True
+
+    def state(self, job_id: str, entry: str) -> str | None:
+        """Return the state of a job that an entry tells; `None` where it doesn't know."""
+        found = self.entry(entry).gateway.find(job_id)
+        if isinstance(found, Refusal):
+            return None
+        if found is None:
+            self.checker.note_unknown(job_id)
+            return None
+        self.checker.note_state(job_id, found.state)
+        return found.state.value
+
+    async def wait_for_state(self, job_id: str, state: str, limit_s: float) -> float:
+        """Wait until all running entries tell a state; return how long it took, in seconds."""
+        began_s = loop_time()
+        async with asyncio.timeout(limit_s):
+            while True:
+                running = [each for each in self.entry_names if each in self.processes]
+                if all(self.state(job_id, each) == state for each in running):
+                    return loop_time() - began_s
+                await asyncio.sleep(0.02)
+
+    def _make_vm(self, name: str, number: int) -> StandinVm:
+        rack = f"rack-{number // VMS_PER_RACK}"
+        state = VmState(
+            f"{name}@1",
+            SERVICE,
+            f"domain-{number % 3}",
+            rack,
+            32_000,
+            65_536,
+            8,
+            ("a", rack),
+            False,
+        )
+        return StandinVm(
+            name,
+            state,
+            lambda command: self.plans[command],
+            self._gang_size,
+            self.board,
+            self.checker,
+        )
+
+    def _gang_size(self, task: TaskId) -> int:
+        step = self.checker.jobs[task.job_id].steps[task.step]
+        return step.tasks if step.gang else 1
+
+    def _spawn(self, coroutine: object) -> asyncio.Task[None]:
+        return asyncio.get_running_loop().create_task(coroutine)
--- a/packages/workflow/briardeal_workflow/owner/_owner.py
+++ b/packages/workflow/briardeal_workflow/owner/_owner.py
@@ -60,6 +60,9 @@
 GATHER_S = 0.01
 """Pause before a round, in which what happens at the same time is gathered."""
 
+ADMIT_INTERVAL_S = 0.05
+"""Time between two looks for agents that are new; those that come together are kept together."""
+
 RESEND_S = 1.5
 """Time after which an order without an effect is given again."""
 
@@ -141,12 +144,11 @@
         await self.hub.lead(self)
         try:
             async with asyncio.TaskGroup() as tasks:
-                for part in (self._renew(), self._keep(), self._admit()):
-                    tasks.create_task(part)
+                parts = (self._renew(), self._keep(), self._admit())
+                running = [tasks.create_task(part) for part in parts]
                 await self._decide_until_fenced()
-                raise _Over
-        except* _Over:
-            pass
+                for task in running:
+                    task.cancel()
         finally:
             self.hub.stop_leading()
             log_event(Event.OWNER_REPLACED, epoch=self.epoch, newer=self.election.epoch)
@@ -296,7 +298,7 @@
         )
 
     async def _decide_until_fenced(self) -> None:
-        while self.election.owns and self.election.epoch == self.epoch and not self.writer.fenced:
+        while self._leads():
             try:
                 async with asyncio.timeout(IDLE_INTERVAL_S):
                     await self.wake.wait()
@@ -312,6 +314,12 @@
             if self.planner.changed:
                 self.flush.set()
 
+    def _leads(self) -> bool:
+        """Return whether this entry goes on as the owner; one that is leaving hands over."""
+        election = self.election
+        newest = election.owns and election.epoch == self.epoch
+        return newest and not election.leaving and not self.writer.fenced
+
     def _note_silent(self) -> None:
         now_s = loop_time()
         for agent_id, member in self.members.items():
@@ -383,16 +391,11 @@
             keep = set(self.planner.vms) | (self.members.keys() & self.hub.agents.keys())
             if not self.planner.settled:
                 keep |= self.awaited
-            if keep != self.admitted:
-                if await self.election.keep_agents(tuple(sorted(keep))):
-                    added, self.admitted = keep - self.admitted, keep
-                    for agent_id in added:
-                        await self.hub.send(agent_id, Lead(self.epoch))
-            await asyncio.sleep(GATHER_S * 5)
-
-
-class _Over(Exception):
-    """The right to decide has ended."""
+            if keep != self.admitted and await self.election.keep_agents(tuple(sorted(keep))):
+                added, self.admitted = keep - self.admitted, keep
+                for agent_id in added:
+                    await self.hub.send(agent_id, Lead(self.epoch))
+            await asyncio.sleep(ADMIT_INTERVAL_S)
 
 
 def _shape_of(agent_id: str, vm: VmState) -> Shape:
--- /dev/null
+++ b/packages/workflow/briardeal_workflow/structure/_entry.py
@@ -0,0 +1,98 @@
+"""The part of an entry that is the same wherever it runs."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+from typing import TYPE_CHECKING
+
+from briardeal_core.clock import loop_time
+from briardeal_workflow.book import JobBook
+from briardeal_workflow.gateway import Gateway
+from briardeal_workflow.leadership import Election, OwnerWatch
+from briardeal_workflow.owner import JOBS_TOPIC, Hub, Owner
+from briardeal_workflow.store import Follower
+
+if TYPE_CHECKING:
+    from briardeal_core.clock import Clock
+    from briardeal_protocol.connections import Network
+    from briardeal_workflow.model import Directory
+    from briardeal_workflow.store import Record, Store
+
+JOBS_WAIT_S = 1.0
+"""Longest wait of one read of the jobs, and so their age at rest."""
+
+ELECTION_PAUSE_S = 0.1
+"""Pause before an entry that lost the ownership may take it again."""
+
+
+class Entry:
+    """Knows all jobs, answers for them, and owns them while it is elected.
+
+    Parameters
+    ----------
+    entry_id, address
+        Its name, and where agents and other entries reach it.
+    store, network, clock
+        What must last, how to connect, and wall time.
+
+    Attributes
+    ----------
+    gateway
+        Answers callers.
+    owner
+        The owner of jobs while it is this entry.
+    directory
+        The configuration in force; `None` before the first.
+    """
+
+    def __init__(
+        self, entry_id: str, address: str, store: Store, network: Network, clock: Clock
+    ) -> None:
+        self.address = address
+        self.store = store
+        self.clock = clock
+        self.incarnation = f"{entry_id}/{os.urandom(6).hex()}"
+        rng = random.Random(self.incarnation)
+        self.election = Election(store, entry_id, self.incarnation, address, rng)
+        self.watch = OwnerWatch(self.election, network)
+        self.hub = Hub(network, self.election)
+        self.book = JobBook()
+        self.jobs = Follower(store, JOBS_TOPIC, self._apply, JOBS_WAIT_S)
+        self.gateway = Gateway(store, JOBS_TOPIC, self.book, self.jobs, self._apply)
+        self.owner: Owner | None = None
+        self.directory: Directory | None = None
+        self.configured = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        await self.hub.start(self.address)
+        async with asyncio.TaskGroup() as tasks:
+            for part in (self.jobs, self.election, self.watch):
+                tasks.create_task(part.run())
+            await self._own_forever()
+
+    def configure(self, directory: Directory) -> None:
+        """Take over a new configuration."""
+        self.directory = directory
+        self.configured.set()
+        if self.owner is not None:
+            self.owner.configure(directory)
+
+    async def _own_forever(self) -> None:
+        await self.configured.wait()
+        while True:
+            await self.election.elected.wait()
+            await self.jobs.caught_up.wait()
+            self.owner = Owner(
+                self.election, self.hub, self.store, self.book, self.jobs, self.clock
+            )
+            await self.owner.run(self.directory)
+            self.owner = None
+            await asyncio.sleep(ELECTION_PAUSE_S)
+
+    def _apply(self, record: Record) -> None:
+        job_id = self.book.apply(record.key, record.value, record.offset, loop_time())
+        if job_id is not None and self.owner is not None:
+            self.owner.note_job(job_id)
--- a/packages/workflow/briardeal_workflow/worker/_agent.py
+++ b/packages/workflow/briardeal_workflow/worker/_agent.py
@@ -27,6 +27,9 @@
 from briardeal_workflow.worker._table import Table
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine
+    from typing import Any
+
     from briardeal_protocol.connections import Connection, Network
     from briardeal_workflow.worker._port import Worker
     from briardeal_workflow.worker._registration import Registration
@@ -112,6 +115,7 @@
         self.orders = Orders(worker, self._hold_clock, self._note_settled)
         self.news = asyncio.Event()
         self._sequence = 0
+        self._tasks: set[asyncio.Task[object]] = set()
 
     @property
     def held(self) -> bool:
@@ -186,7 +190,17 @@
             log_event(Event.HOLD_EXTENDED, epoch=epoch, entry=link.address)
         self.epoch = epoch
         self.owner = link
-        asyncio.get_running_loop().create_task(self._list_once(0.0))
+        self._spawn(self._list_for_owner())
+
+    async def _list_for_owner(self) -> None:
+        """Read the lists under the token of the owner, and tell it."""
+        await self._list_once(0.0)
+        self.news.set()
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, object]) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     def _note_acknowledged(self, link: EntryLink, message: Acknowledge) -> None:
         self.entries.update(message.entries)
@@ -215,7 +229,7 @@
         if settled.outcome is SettledAs.STARTED:
             self.table.note_started(settled.task, settled.number, clock_s)
         if self.owner is not None:
-            asyncio.get_running_loop().create_task(self.owner.connection.send(settled))
+            self._spawn(self.owner.connection.send(settled))
 
     async def _watch_registration(self) -> None:
         while True:
