Take the work of a worker that has ended or is silent off its VM

The agent went on to extend the hold of a worker that did not answer, and so the owner never took the task for lost. The same kept the VM on the list that a new owner waits for. Change: a worker that is silent for 2 s is held no longer; one whose address refuses connections for 1 s has ended. The agent tells the owner once nothing can run there. Repeated stops back off. Tests: two on the emulator that fail without it.

--- a/packages/core/briardeal_core/events/_catalogue.py
+++ b/packages/core/briardeal_core/events/_catalogue.py
@@ -53,6 +53,8 @@
     HOLD_LOST = (427, "No owner extends the hold of this agent; its work ends when that is over.")
     WORKER_REPLACED = (428, "A worker came back with a newer incarnation and runs nothing.")
     WORKER_SILENT = (429, "A worker does not answer its agent.")
+    WORKER_HEARD = (430, "A worker that was silent answers its agent again.")
+    WORKER_GONE = (431, "A worker has ended and runs nothing.")
     LOG_UNAVAILABLE = (500, "The log can't be reached or does not answer.")
     LOG_RECOVERED = (501, "The log answers again.")
     RECORD_UNKNOWN = (510, "A record of a newer version was left out; upgrade this process.")
--- a/packages/core/briardeal_core/http/_client.py
+++ b/packages/core/briardeal_core/http/_client.py
@@ -30,10 +30,13 @@
         What went wrong.
     sent
         Whether the request may have reached the server.
+    refused
+        Whether nobody listens there.
     """
 
     detail: str
     sent: bool = True
+    refused: bool = False
 
 
 class HttpClient:
@@ -76,7 +79,9 @@
         except (OSError, h11.ProtocolError) as error:
             if channel is not None:
                 channel.close()
-            return HttpFailure(f"{type(error).__name__}: {error}", sent=channel is not None)
+            refused = isinstance(error, ConnectionRefusedError)
+            detail = f"{type(error).__name__}: {error}"
+            return HttpFailure(detail, sent=channel is not None, refused=refused)
         except asyncio.CancelledError:
             if channel is not None:
                 channel.close()
--- a/packages/standins/briardeal_standins/emulator/_worker.py
+++ b/packages/standins/briardeal_standins/emulator/_worker.py
@@ -31,6 +31,7 @@
 LATENCY_S = 0.001
 STOP_S = 0.2
 GANG_WAIT_S = 3.0
+ANNOUNCE_S = 1.5
 CHECKPOINT_S = 0.5
 FAILURE_S = 0.5
 """Time after which a task fails on a worker that fails all."""
@@ -48,10 +49,15 @@
     """Every task fails soon after its start."""
     STANDS_STILL = "stands still"
     """Tasks make no progress."""
+    GONE = "gone"
+    """It has ended; nobody listens."""
     OBEYS_LATE = "obeys late"
     """Orders get no answer and are carried out later."""
 
 
+UNREACHABLE = (VmFault.SILENT, VmFault.GONE)
+
+
 @attrs.frozen
 class Plan:
     """What a task does.
@@ -131,12 +137,18 @@
         self._sequence = 0
         self._late: set[asyncio.Task[None]] = set()
 
+    def end(self) -> None:
+        """End at once, with all that it runs."""
+        self.fault = VmFault.GONE
+        for run in list(self.runs.values()):
+            self._end(run, "lost")
+
     async def run(self) -> None:
         """Work and announce itself until cancelled."""
         announced_s = float("-inf")
         while True:
             now_s = loop_time()
-            if now_s - announced_s >= 1.5:
+            if now_s - announced_s >= ANNOUNCE_S and self.fault is not VmFault.GONE:
                 announced_s = now_s
                 self.announce()
             for run in list(self.runs.values()):
@@ -167,7 +179,7 @@
     ) -> Started | Refused | Replaced | NoAnswer:
         """Start a task; the same start again changes nothing."""
         await asyncio.sleep(LATENCY_S)
-        if self.fault is VmFault.SILENT:
+        if self.fault in UNREACHABLE:
             return await self._no_answer()
         arguments = (task, number, command, checkpoint, epoch, hold_clock_s)
         if self.fault is VmFault.OBEYS_LATE:
@@ -180,7 +192,7 @@
     ) -> StopTaken | Replaced | NoAnswer:
         """End a start."""
         await asyncio.sleep(LATENCY_S)
-        if self.fault is VmFault.SILENT:
+        if self.fault in UNREACHABLE:
             return await self._no_answer()
         if self.fault is VmFault.OBEYS_LATE:
             self._later(self._stop, task, number, epoch)
@@ -199,7 +211,7 @@
     ) -> Listing | Replaced | NoAnswer:
         """Let the work go on until a time on the worker's clock, and list it."""
         await asyncio.sleep(LATENCY_S)
-        if self.fault is VmFault.SILENT:
+        if self.fault in UNREACHABLE:
             return await self._no_answer()
         if epoch >= self.token:
             self.token = epoch
@@ -307,6 +319,8 @@
         return ListedTask(run.task, run.number, self._checkpoint(run), percent, 0.0)
 
     async def _no_answer(self) -> NoAnswer:
+        if self.fault is VmFault.GONE:
+            return NoAnswer("connection refused", refused=True)
         await asyncio.sleep(0.5)
         return NoAnswer("no answer")
 
--- a/packages/workflow/briardeal_workflow/worker/_agent.py
+++ b/packages/workflow/briardeal_workflow/worker/_agent.py
@@ -23,7 +23,7 @@
     StopOrder,
 )
 from briardeal_workflow.worker._orders import Orders
-from briardeal_workflow.worker._port import Listing, Replaced
+from briardeal_workflow.worker._port import Listing, NoAnswer, Replaced
 from briardeal_workflow.worker._table import Table
 
 if TYPE_CHECKING:
@@ -53,6 +53,12 @@
 REPORT_S = 1.0
 """Time between two full reports where nothing has changed but percentages."""
 
+WORKER_SILENCE_S = 2.0
+"""Silence after which a worker is no longer held on; it answers within a second when in order."""
+
+REFUSED_LIMIT_S = 1.0
+"""Time of refused connections after which a worker has ended; its address is on this VM."""
+
 LIST_WAIT_S = 0.8
 """Longest time that the worker waits for an end before it lists what it runs."""
 
@@ -124,6 +130,8 @@
         self.clock_offset_s: float | None = None
         # Until then work may go on that an agent held that ran here before.
         self.idle_from_s = awake_time() + HOLD_LAPSE_S
+        self.silent_since_s: float | None = None
+        self.refused_since_s: float | None = None
         self.orders = Orders(worker, self._hold_clock, self._note_settled)
         self.news = asyncio.Event()
         self._sequence = 0
@@ -220,7 +228,6 @@
         if message.epoch != self.epoch or message.epoch == 0 or sent_s is None:
             return
         self.held_until_s = max(self.held_until_s, sent_s + HOLD_S)
-        self.idle_from_s = max(self.idle_from_s, sent_s + HOLD_LAPSE_S)
         if message.incarnation == self.incarnation:
             self.ends_kept = max(self.ends_kept, message.ends_kept)
 
@@ -249,6 +256,8 @@
             await self.registration.changed.wait()
             self.registration.changed.clear()
             vm = self.registration.vm
+            if vm is not None and not self.registration.alive:
+                self._note_gone(awake_time())
             if vm is not None and vm.incarnation != self.incarnation:
                 self.incarnation = vm.incarnation
                 self.table = Table()
@@ -279,10 +288,9 @@
         if incarnation != self.incarnation:
             return True
         if not isinstance(listing, Listing):
-            if not isinstance(listing, Replaced):
-                log_event(Event.WORKER_SILENT, detail=listing.detail)
-            self.listed_epoch = -1
+            self._note_silent(listing)
             return False
+        self._note_answer()
         self.clock_offset_s = listing.clock_s - awake_time()
         first = self.listed_epoch < epoch
         self.listed_epoch = max(self.listed_epoch, epoch)
@@ -290,10 +298,44 @@
             self.news.set()
         return True
 
+    def _note_answer(self) -> None:
+        if self.silent_since_s is not None:
+            log_event(Event.WORKER_HEARD, silent_s=awake_time() - self.silent_since_s)
+        self.silent_since_s = None
+        self.refused_since_s = None
+
+    def _note_silent(self, outcome: Replaced | NoAnswer) -> None:
+        """Note that the worker did not list what it runs."""
+        self.listed_epoch = -1
+        now_s = awake_time()
+        if self.silent_since_s is None:
+            self.silent_since_s = now_s
+            log_event(Event.WORKER_SILENT, detail=str(outcome))
+            self.news.set()
+        if isinstance(outcome, NoAnswer) and outcome.refused:
+            since_s = self.refused_since_s = self.refused_since_s or now_s
+            if now_s - since_s > REFUSED_LIMIT_S:
+                self._note_gone(now_s)
+        else:
+            self.refused_since_s = None
+
+    def _note_gone(self, now_s: float) -> None:
+        """Note that the worker has ended, so that it runs nothing."""
+        if self.idle_from_s > now_s:
+            log_event(Event.WORKER_GONE, incarnation=self.incarnation)
+            self.idle_from_s = now_s
+            self.orders.forget()
+            self.news.set()
+
     def _hold_clock(self) -> float | None:
-        """Return until when the work is held, on the worker's clock."""
-        if not self.held or self.clock_offset_s is None:
+        """Return until when the work is held, on the worker's clock.
+
+        A worker that is silent is not held on, so that its work is over some time later.
+        """
+        silent_s = 0.0 if self.silent_since_s is None else awake_time() - self.silent_since_s
+        if not self.held or self.clock_offset_s is None or silent_s > WORKER_SILENCE_S:
             return None
+        self.idle_from_s = max(self.idle_from_s, self.held_until_s + HOLD_LAPSE_S - HOLD_S)
         return self.held_until_s + self.clock_offset_s
 
     async def _report_forever(self) -> None:
--- a/packages/workflow/briardeal_workflow/worker/_orders.py
+++ b/packages/workflow/briardeal_workflow/worker/_orders.py
@@ -7,7 +7,7 @@
 
 from briardeal_core.events import Event, log_event
 from briardeal_workflow.control import Settled, SettledAs, StartOrder
-from briardeal_workflow.worker._port import NoAnswer, Refused, Replaced, Started, StopTaken
+from briardeal_workflow.worker._port import Refused, Replaced, Started, StopTaken
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -20,7 +20,10 @@
 """Calls after which a start without an answer is given up; each may be delayed on its own."""
 
 RETRY_S = 0.05
-"""Pause between two calls of the same order."""
+"""Pause before a call is repeated; doubles with each that goes without an answer."""
+
+LONGEST_RETRY_S = 1.0
+"""Longest such pause."""
 
 
 class Orders:
@@ -120,15 +123,16 @@
 
     async def _close(self, incarnation: str, order: StartOrder | StopOrder) -> bool:
         """Stop a start until the worker has taken it, and return whether it has."""
+        pause_s = RETRY_S
         while True:
             answer = await self.worker.stop(
                 incarnation, order.task, order.number, epoch=order.epoch
             )
             if isinstance(answer, StopTaken | Replaced):
                 return True
-            if isinstance(answer, NoAnswer):
-                log_event(Event.REQUEST_RETRIED, task=str(order.task), detail=answer.detail)
-            await asyncio.sleep(RETRY_S)
+            log_event(Event.REQUEST_RETRIED, task=str(order.task), detail=answer.detail)
+            await asyncio.sleep(pause_s)
+            pause_s = min(2 * pause_s, LONGEST_RETRY_S)
 
     def _settle(
         self, order: StartOrder, outcome: SettledAs, reason: str, clock_s: float = 0.0
--- a/packages/workflow/briardeal_workflow/worker/_port.py
+++ b/packages/workflow/briardeal_workflow/worker/_port.py
@@ -53,9 +53,18 @@
 
 @dataclass(frozen=True)
 class NoAnswer:
-    """No answer came; the call may take effect, also later."""
+    """No answer came; the call may take effect, also later.
+
+    Parameters
+    ----------
+    detail
+        What went wrong.
+    refused
+        Whether nobody listens where the worker should, so that the call has no effect.
+    """
 
     detail: str
+    refused: bool = False
 
 
 class Worker(Protocol):
--- a/packages/workflow/briardeal_workflow/worker/_registration.py
+++ b/packages/workflow/briardeal_workflow/worker/_registration.py
@@ -61,7 +61,7 @@
             self.changed.set()
 
     def withdraw(self, incarnation: str) -> None:
-        """Note that a worker has ended."""
+        """Note that a worker says that it ends."""
         if self.vm is not None and self.vm.incarnation == incarnation:
             self.heard_s = float("-inf")
             self.changed.set()
--- a/tests/workflow/structure/test_entry.py
+++ b/tests/workflow/structure/test_entry.py
@@ -288,3 +288,22 @@
         began_s = loop_time()
         await site.wait_for_state(job.job_id, "completed", 20.0)
         assert loop_time() - began_s < 10.0
+
+
+async def test_work_of_a_worker_that_has_ended_starts_elsewhere_before_its_hold_is_over():
+    async with run_site() as site:
+        job = make_job(whole_vm_step(1))
+        await site.submit(job, Plan(3.0))
+        await site.wait_for_state(job.job_id, "running", 5.0)
+        next(vm for vm in site.vms.values() if vm.runs).end()
+        assert await site.wait_for_state(job.job_id, "completed", 20.0) < 5.5
+
+
+async def test_work_of_a_worker_that_is_silent_starts_elsewhere_though_its_agent_is_heard():
+    async with run_site() as site:
+        job = make_job(whole_vm_step(1))
+        await site.submit(job, Plan(20.0))
+        await site.wait_for_state(job.job_id, "running", 5.0)
+        next(vm for vm in site.vms.values() if vm.runs).fault = VmFault.SILENT
+        await asyncio.sleep(10.0)
+        assert site.checker.starts == 2
