Reach the store through another entry while it turns one away

Change: appends and reads of an entry go through another entry for a while after its own have failed; what was read through it counts for readiness and keys as well. Retry-After grows with the time that the store has been away. Tests: an entry that is refused or met with silence by the store, on the emulator.

--- a/packages/standins/briardeal_standins/emulator/_emulator.py
+++ b/packages/standins/briardeal_standins/emulator/_emulator.py
@@ -108,7 +108,8 @@
             vm.registration.changed.set()
         else:
             client = StoreClient(self.store, name)
-            program = Entry(name, self.address_of(name), client, self.network, self.clock)
+            seeds = tuple(self.address_of(entry) for entry in self.entry_names)
+            program = Entry(name, self.address_of(name), client, self.network, self.clock, seeds)
             program.configure(self.directory)
         self.processes[name] = _Process(program, self._spawn(program.run()))
 
--- a/packages/workflow/briardeal_workflow/control/__init__.py
+++ b/packages/workflow/briardeal_workflow/control/__init__.py
@@ -18,6 +18,13 @@
     StopOrder,
     VmState,
 )
+from briardeal_workflow.control._relay import (
+    RelayAnswer,
+    RelayAppend,
+    RelayHello,
+    RelayList,
+    RelayRead,
+)
 
 __all__ = [
     "CONTROL_LINES",
@@ -31,6 +38,11 @@
     "Lead",
     "ListedTask",
     "OwnerBeat",
+    "RelayAnswer",
+    "RelayAppend",
+    "RelayHello",
+    "RelayList",
+    "RelayRead",
     "Report",
     "Settled",
     "SettledAs",
--- a/packages/workflow/briardeal_workflow/control/_codec.py
+++ b/packages/workflow/briardeal_workflow/control/_codec.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from briardeal_workflow.control import _messages as messages
+from briardeal_workflow.control import _relay as relay
 
 ControlMessage = (
     messages.AgentHello
@@ -18,6 +19,11 @@
     | messages.StopOrder
     | messages.EntryJoin
     | messages.OwnerBeat
+    | relay.RelayHello
+    | relay.RelayAppend
+    | relay.RelayRead
+    | relay.RelayList
+    | relay.RelayAnswer
 )
 """Any control message."""
 
--- a/packages/workflow/briardeal_workflow/gateway/_gateway.py
+++ b/packages/workflow/briardeal_workflow/gateway/_gateway.py
@@ -31,8 +31,9 @@
 STALE_S = 2.0
 """Age of what was read from which this entry no longer says that a job is unknown."""
 
-RETRY_AFTER_S = 1.0
-"""When to ask again while the store does not answer; its outages last some seconds."""
+RETRY_AFTER_S = (1.0, 5.0)
+"""Soonest and latest time to ask again. In between it is as long as the store has been away, since
+an outage that has lasted for a time will on average last as long again."""
 
 CANCELLED = b"\x01"
 
@@ -128,11 +129,11 @@
     async def _keep(self, job_id: str, record: Record, deadline_s: float) -> Refusal | None:
         """Append a record until it is certain that it is kept or that it is not."""
         if not self.follower.in_reach and job_id not in self.uncertain:
-            return _refuse("The store was not in reach a moment ago.")
+            return self._refuse("The store was not in reach a moment ago.")
         while True:
             left_s = deadline_s - loop_time()
             if left_s <= 0:
-                return Refusal(Reason.LOG_ANSWER_LOST, RunState.UNKNOWN, RETRY_AFTER_S)
+                return Refusal(Reason.LOG_ANSWER_LOST, RunState.UNKNOWN, self._retry_after_s())
             outcome = await self.store.append(
                 self.topic, [record], timeout_s=min(TRY_TIMEOUT_S, left_s)
             )
@@ -141,7 +142,7 @@
                 self.apply(attrs.evolve(record, offset=outcome.end - 1))
                 return None
             if isinstance(outcome, NotStored) and job_id not in self.uncertain:
-                return _refuse(outcome.detail)
+                return self._refuse(outcome.detail)
             self.uncertain.add(job_id)
             log_event(Event.APPEND_UNCERTAIN, job_id=job_id, detail=str(outcome))
             await asyncio.sleep(RETRY_S)
@@ -167,8 +168,12 @@
 
     def _uninformed(self) -> Refusal:
         detail = f"What was read is {self.follower.age_s:.1f} s old."
-        return Refusal(Reason.LOG_UNAVAILABLE, RunState.UNKNOWN, RETRY_AFTER_S, detail)
+        return Refusal(Reason.LOG_UNAVAILABLE, RunState.UNKNOWN, self._retry_after_s(), detail)
 
+    def _refuse(self, detail: str) -> Refusal:
+        retry_after_s = self._retry_after_s()
+        return Refusal(Reason.LOG_UNAVAILABLE, RunState.NOT_RUN, retry_after_s, detail)
 
-def _refuse(detail: str) -> Refusal:
-    return Refusal(Reason.LOG_UNAVAILABLE, RunState.NOT_RUN, RETRY_AFTER_S, detail)
+    def _retry_after_s(self) -> float:
+        soonest_s, latest_s = RETRY_AFTER_S
+        return min(latest_s, max(soonest_s, self.follower.age_s))
--- a/packages/workflow/briardeal_workflow/owner/_hub.py
+++ b/packages/workflow/briardeal_workflow/owner/_hub.py
@@ -18,13 +18,16 @@
     EntryJoin,
     Lead,
     OwnerBeat,
+    RelayHello,
     Report,
     Settled,
 )
+from briardeal_workflow.relay import RelayServer
 
 if TYPE_CHECKING:
     from briardeal_protocol.connections import Connection, Listener, Network
     from briardeal_workflow.leadership import Election
+    from briardeal_workflow.store import Store
 
 AGENT_SILENCE_S = 3.0
 """Silence after which the connection of an agent is closed; agents send a beat each 0.4 s."""
@@ -82,8 +85,8 @@
 
     Parameters
     ----------
-    network, election
-        How to listen, and who owns the jobs.
+    network, election, store
+        How to listen, who owns the jobs, and the store as this entry itself reaches it.
 
     Attributes
     ----------
@@ -93,9 +96,10 @@
         The owner, while it is this entry.
     """
 
-    def __init__(self, network: Network, election: Election) -> None:
+    def __init__(self, network: Network, election: Election, store: Store) -> None:
         self.network = network
         self.election = election
+        self.relay = RelayServer(store)
         self.agents: dict[str, AgentLink] = {}
         self.leader: Leader | None = None
         self.listener: Listener | None = None
@@ -126,6 +130,8 @@
                 await self._serve_agent(first.agent_id, connection)
             elif isinstance(first, EntryJoin):
                 await self._serve_entry(connection)
+            elif isinstance(first, RelayHello):
+                await self.relay.serve(connection)
         finally:
             await connection.close()
 
--- a/packages/workflow/briardeal_workflow/structure/_entry.py
+++ b/packages/workflow/briardeal_workflow/structure/_entry.py
@@ -12,6 +12,7 @@
 from briardeal_workflow.gateway import Gateway
 from briardeal_workflow.leadership import Election, OwnerWatch
 from briardeal_workflow.owner import JOBS_TOPIC, Hub, Owner
+from briardeal_workflow.relay import RelayedStore
 from briardeal_workflow.store import Follower
 
 if TYPE_CHECKING:
@@ -36,6 +37,8 @@
         Its name, and where agents and other entries reach it.
     store, network, clock
         What must last, how to connect, and wall time.
+    seeds
+        Addresses of other entries that are known before the store has been read.
 
     Attributes
     ----------
@@ -48,19 +51,26 @@
     """
 
     def __init__(
-        self, entry_id: str, address: str, store: Store, network: Network, clock: Clock
+        self,
+        entry_id: str,
+        address: str,
+        store: Store,
+        network: Network,
+        clock: Clock,
+        seeds: tuple[str, ...] = (),
     ) -> None:
         self.address = address
-        self.store = store
+        self.seeds = seeds
+        self.store = RelayedStore(entry_id, store, network, self._peers)
         self.clock = clock
         self.incarnation = f"{entry_id}/{os.urandom(6).hex()}"
         rng = random.Random(self.incarnation)
-        self.election = Election(store, entry_id, self.incarnation, address, rng)
+        self.election = Election(self.store, entry_id, self.incarnation, address, rng)
         self.watch = OwnerWatch(self.election, network)
-        self.hub = Hub(network, self.election)
+        self.hub = Hub(network, self.election, store)
         self.book = JobBook()
-        self.jobs = Follower(store, JOBS_TOPIC, self._apply, JOBS_WAIT_S)
-        self.gateway = Gateway(store, JOBS_TOPIC, self.book, self.jobs, self._apply)
+        self.jobs = Follower(self.store, JOBS_TOPIC, self._apply, JOBS_WAIT_S)
+        self.gateway = Gateway(self.store, JOBS_TOPIC, self.book, self.jobs, self._apply)
         self.owner: Owner | None = None
         self.directory: Directory | None = None
         self.configured = asyncio.Event()
@@ -80,6 +90,13 @@
         if self.owner is not None:
             self.owner.configure(directory)
 
+    def _peers(self) -> list[str]:
+        """Return the addresses of other entries, that of the owner first."""
+        owner = self.election.owner
+        known = [owner.address] if owner is not None else []
+        known += [*self.election.entries.values(), *self.seeds]
+        return [address for address in dict.fromkeys(known) if address != self.address]
+
     async def _own_forever(self) -> None:
         await self.configured.wait()
         while True:
--- a/tests/workflow/structure/test_entry.py
+++ b/tests/workflow/structure/test_entry.py
@@ -338,3 +338,17 @@
         site.start_process(held)
         await site.wait_for_state(job.job_id, "completed", 20.0)
         assert site.checker.starts == 3
+
+
+@pytest.mark.parametrize("fault", [StoreFault.REFUSES, StoreFault.SILENT])
+async def test_an_entry_that_the_store_turns_away_goes_through_another_one(fault):
+    async with run_site() as site:
+        owner = await site.wait_for_owner()
+        turned_away = next(name for name in site.entry_names if name != owner)
+        site.store.faults[turned_away] = fault
+        await asyncio.sleep(2.5)
+        job = make_job()
+        assert await site.submit(job, Plan(1.0), turned_away)
+        await site.wait_for_state(job.job_id, "completed", 5.0)
+        assert site.entry(turned_away).jobs.age_s < 2.0
+        assert site.owner_name() == owner
