Split the planner and tell stuck starts by their own pace

Ruled out: room, which there was. Change: a start that was steady before is given up after 2.4 s in which it would have gained 6 %; one that always was slow goes on. Lasting tasks leave a VM only as far as their disruption budget allows. Starts of emulated entries are numbered, so that every run takes the same course.

--- a/packages/workflow/briardeal_workflow/owner/_owner.py
+++ b/packages/workflow/briardeal_workflow/owner/_owner.py
@@ -138,7 +138,7 @@
             return
         await self.follower.wait_for(outcome.end)
         self._load(directory)
-        log_event(Event.OWNER_STARTED, epoch=self.epoch, jobs=len(self.planner.works))
+        log_event(Event.OWNER_STARTED, epoch=self.epoch, jobs=len(self.planner.state.works))
         await self.hub.lead(self)
         try:
             async with asyncio.TaskGroup() as tasks:
@@ -287,18 +287,18 @@
         """Give orders again that show no effect in the lists; they may have been lost."""
         listed = {(row.task, row.number) for row in report.running}
         listed |= set(report.unsettled)
-        vm = self.planner.vms[agent_id]
+        vm = self.planner.state.vms[agent_id]
         for key, attempt in vm.attempts.items():
             waits = attempt.phase is Phase.STOPPING or (
                 attempt.phase is Phase.ORDERED and key not in listed
             )
             if waits and now_s - member.sent_s.get(key, now_s) > RESEND_S:
-                self.planner.orders.append(self._order_again(attempt))
+                self.planner.state.orders.append(self._order_again(attempt))
 
     def _order_again(self, attempt: Attempt) -> Order:
         if attempt.phase is Phase.STOPPING:
             return StopTask(attempt.vm_id, attempt.task, attempt.number, "given again")
-        command = self.planner.works[attempt.task.job_id].job.command
+        command = self.planner.state.works[attempt.task.job_id].job.command
         return StartTask(
             attempt.vm_id, attempt.task, attempt.number, command, attempt.checkpoint, "given again"
         )
@@ -317,7 +317,7 @@
                 continue
             for order in self.planner.decide(loop_time(), self.clock.now_s()):
                 await self._give(order)
-            if self.planner.changed:
+            if self.planner.state.changed:
                 self.flush.set()
 
     def _leads(self) -> bool:
@@ -385,10 +385,10 @@
                     member.ends_kept = max(member.ends_kept, ends_taken)
 
     def _take_changes(self) -> list[Record]:
-        changed, self.planner.changed = self.planner.changed, set()
+        changed, self.planner.state.changed = self.planner.state.changed, set()
         records = []
         for job_id in sorted(changed):
-            work = self.planner.works.get(job_id)
+            work = self.planner.state.works.get(job_id)
             if work is not None:
                 value = encode_record(work.progress())
                 records.append(Record(progress_key(job_id), value))
@@ -398,7 +398,7 @@
         """Keep which agents may get orders before they get any."""
         while True:
             present = {agent_id for agent_id, member in self.members.items() if member.present}
-            keep = set(self.planner.vms) | (present & self.hub.agents.keys())
+            keep = set(self.planner.state.vms) | (present & self.hub.agents.keys())
             if not self.planner.settled:
                 keep |= self.awaited
             if keep != self.admitted and await self.election.keep_agents(tuple(sorted(keep))):
--- a/packages/workflow/briardeal_workflow/planning/_attempts.py
+++ b/packages/workflow/briardeal_workflow/planning/_attempts.py
@@ -61,8 +61,10 @@
         When it was ordered, on the loop's clock.
     percent
         Part of its work that is done.
+    first_percent, first_listed_s
+        That part when its VM first listed it, and when that was.
     advanced_s
-        When that last grew.
+        When the part last grew.
     checkpoint
         Newest checkpoint that its VM has told.
     """
@@ -77,6 +79,8 @@
     phase: Phase = Phase.ORDERED
     ordered_s: float = 0.0
     percent: int = 0
+    first_percent: int = 0
+    first_listed_s: float | None = None
     advanced_s: float = 0.0
     checkpoint: str = ""
 
--- /dev/null
+++ b/packages/workflow/briardeal_workflow/planning/_endings.py
@@ -0,0 +1,101 @@
+"""Ends of starts, and what follows from them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from briardeal_core.events import Event, log_event
+from briardeal_workflow.planning._attempts import End, Phase
+
+if TYPE_CHECKING:
+    from briardeal_workflow.model import TaskId
+    from briardeal_workflow.planning._attempts import Attempt
+    from briardeal_workflow.planning._state import State
+    from briardeal_workflow.planning._vms import Vm
+    from briardeal_workflow.planning._work import Group, Work
+
+
+class Endings:
+    """Takes over ends.
+
+    Parameters
+    ----------
+    state
+        Where they are noted.
+    """
+
+    def __init__(self, state: State) -> None:
+        self.state = state
+
+    def end_attempt(
+        self, vm: Vm, attempt: Attempt, end: End, checkpoint: str, now_s: float
+    ) -> None:
+        """Note that a start is over."""
+        task = attempt.task
+        vm.attempts.pop((task, attempt.number), None)
+        vm.missing_since_s.pop((task, attempt.number), None)
+        if end is End.DONE:
+            vm.note_success()
+        elif end is End.FAILED:
+            self.note_failure(vm, now_s)
+        work = self.state.work_of(task)
+        if work is None:
+            return
+        group = work.groups[task.group]
+        running = group.attempts.get(task.index, [])
+        if attempt in running:
+            running.remove(attempt)
+        if end is End.FAILED:
+            group.failed_on.setdefault(task.index, set()).add(vm.vm_id)
+        self.count(task, attempt.number, end, checkpoint)
+
+    def note_failure(self, vm: Vm, now_s: float) -> None:
+        """Note that a task failed on a VM, or stood still there."""
+        if vm.note_failure(now_s):
+            log_event(Event.ENDPOINT_EJECTED, vm=vm.vm_id, failures=vm.failures)
+
+    def count(self, task: TaskId, number: int, end: End, checkpoint: str) -> None:
+        """Note what an end means for its task and job."""
+        work = self.state.work_of(task)
+        if work is None or work.over:
+            return
+        group = work.groups[task.group]
+        self.state.keep_checkpoint(task, checkpoint)
+        if end is End.DONE and not group.step.lasting:
+            self._note_done(work, group, task)
+            return
+        if end is End.FAILED and not group.step.lasting and task.index not in group.done:
+            self._count_failure(work, group, task.index, number)
+        if group.step.gang and not work.over and not group.complete:
+            for attempt in list(group.running()):
+                if attempt.number == number:
+                    self.state.stop(attempt, f"member {task.index} of the gang is {end}")
+
+    def end_work(self, work: Work, cause: str) -> None:
+        """Stop all that a job runs."""
+        for group in work.groups.values():
+            self.state.drop_claims(group)
+            for attempt in list(group.running()):
+                self.state.stop(attempt, cause)
+
+    def _note_done(self, work: Work, group: Group, task: TaskId) -> None:
+        group.done.update(range(group.step.tasks) if group.step.gang else (task.index,))
+        group.checkpoints.pop(group.counted_index(task.index), None)
+        self.state.drop_claims(group, list(group.done))
+        for attempt in group.attempts.get(task.index, ()):
+            if not group.step.gang and attempt.phase is not Phase.STOPPING:
+                self.state.stop(attempt, "another copy is done")
+        self.state.changed.add(work.job.job_id)
+        if all(each.complete for each in work.groups.values()):
+            work.state = "completed"
+
+    def _count_failure(self, work: Work, group: Group, index: int, number: int) -> None:
+        counted = group.counted_index(index)
+        if number <= group.failed_numbers.get(counted, 0):
+            return
+        group.failed_numbers[counted] = number
+        group.failures[counted] = group.failures.get(counted, 0) + 1
+        self.state.changed.add(work.job.job_id)
+        if group.failures[counted] >= work.queue.failure_limit:
+            work.state = "failed"
+            self.end_work(work, "failed too often")
--- /dev/null
+++ b/packages/workflow/briardeal_workflow/planning/_progress.py
@@ -0,0 +1,37 @@
+"""Signs that a start makes no progress."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from briardeal_workflow.planning._attempts import Phase
+
+if TYPE_CHECKING:
+    from briardeal_workflow.planning._attempts import Attempt
+    from briardeal_workflow.planning._work import Group
+
+SILENCE_LIMIT_S = 5.0
+"""Time without any progress after which a start is given up, however slow it may be."""
+
+PAUSE_LIMIT_S = 2.4
+"""Least time without progress after which one that was steady before is given up; VMs tell the
+percentage each second."""
+
+PAUSE_PERCENT = 6
+"""Percentage that a steady task would have gained in a pause that shows that it is stuck."""
+
+
+def is_stuck(attempt: Attempt, group: Group, now_s: float) -> bool:
+    """Return whether a start stands still, by what it did before."""
+    if attempt.phase is not Phase.RUNNING or group.step.lasting:
+        return False
+    silent_s = now_s - attempt.advanced_s
+    if silent_s > SILENCE_LIMIT_S:
+        return True
+    if silent_s <= PAUSE_LIMIT_S or attempt.first_listed_s is None:
+        return False
+    worked_s = attempt.advanced_s - attempt.first_listed_s
+    if worked_s <= 0:
+        return False
+    rate = (attempt.percent - attempt.first_percent) / worked_s
+    return rate * silent_s >= PAUSE_PERCENT
--- /dev/null
+++ b/packages/workflow/briardeal_workflow/planning/_starts.py
@@ -0,0 +1,167 @@
+"""Starts of tasks whose turn has come."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from briardeal_workflow.planning._attempts import Attempt, Phase
+from briardeal_workflow.planning._orders import StartTask
+from briardeal_workflow.planning._placement import place_by_preemption, place_in_room
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from briardeal_workflow.model import TaskId
+    from briardeal_workflow.planning._placement import Placement
+    from briardeal_workflow.planning._state import State
+    from briardeal_workflow.planning._vms import Vm
+    from briardeal_workflow.planning._work import Group, Work
+
+CLAIM_LIMIT_S = 3.0
+"""Longest wait for stopped work to leave; workers stop within 0.4 s."""
+
+PREEMPTION_DELAY_S = 0.6
+"""Time that an urgent task waits for others to end by themselves before it stops one; with the
+stop it still starts within the 1.1 s that urgent work may take."""
+
+
+class Starts:
+    """Gives tasks their VMs.
+
+    Parameters
+    ----------
+    state
+        What the decisions are taken from, and where they are noted.
+    """
+
+    def __init__(self, state: State) -> None:
+        self.state = state
+
+    def serve(self, work: Work, group: Group, now_s: float) -> None:
+        """Start what there is room for, and make room for what is urgent."""
+        if group.unsettled:
+            return
+        indices = group.idle_indices()
+        if not indices or (group.step.gang and len(indices) < group.step.tasks):
+            return
+        vms = [vm for vm in self.state.vms.values() if vm.shape.service == work.job.service]
+        placement = place_in_room(vms, group, indices, now_s)
+        if placement is not None:
+            self._claim(group, placement, now_s)
+            self._start_group(work, group, "room", now_s)
+        left = [index for index in indices if placement is None or index not in placement.vms]
+        if left and work.queue.priority == 0 and now_s - group.ready_s >= PREEMPTION_DELAY_S:
+            self._preempt_for(work, group, left, vms, now_s)
+
+    def start_claimed(self, now_s: float) -> None:
+        """Start tasks whose VMs have room by now."""
+        for group_id, since_s in list(self.state.claimed_since_s.items()):
+            work = self.state.works.get(group_id.job_id)
+            if work is None:
+                del self.state.claimed_since_s[group_id]
+                continue
+            group = work.groups[group_id]
+            if work.over or now_s - since_s > CLAIM_LIMIT_S:
+                self.state.drop_claims(group)
+                continue
+            self._start_group(work, group, "preemption", now_s)
+
+    def add_attempt(
+        self, work: Work, group: Group, vm: Vm, task: TaskId, number: int, now_s: float
+    ) -> Attempt:
+        """Note a start on a VM."""
+        attempt = Attempt(
+            task,
+            number,
+            vm.vm_id,
+            group.need,
+            work.queue.priority,
+            work.job.customer,
+            checkpoints=group.step.checkpoints,
+            ordered_s=now_s,
+            advanced_s=now_s,
+        )
+        vm.attempts[task, number] = attempt
+        group.attempts.setdefault(task.index, []).append(attempt)
+        group.numbers[task.index] = max(number, group.numbers.get(task.index, 0))
+        return attempt
+
+    def _preempt_for(
+        self, work: Work, group: Group, indices: Sequence[int], vms: Sequence[Vm], now_s: float
+    ) -> None:
+        guaranteed = self._guaranteed_customers()
+
+        def victims_of(attempt: Attempt) -> tuple[Attempt, ...] | None:
+            other = self.state.group_of(attempt.task)
+            if attempt.phase is Phase.STOPPING or other is None or not other.may_disrupt():
+                return None
+            lower = attempt.priority > work.queue.priority
+            beyond = work.job.customer in guaranteed and attempt.customer not in guaranteed
+            return self.state.companions(attempt) if lower or beyond else None
+
+        placement = place_by_preemption(vms, group, indices, now_s, victims_of)
+        if placement is None:
+            return
+        if work.job.customer not in guaranteed and placement.cost > _brought(group, indices):
+            return
+        for attempt in placement.victims:
+            self.state.stop(attempt, f"makes room for {work.job.job_id}")
+        self._claim(group, placement, now_s)
+
+    def _guaranteed_customers(self) -> set[str]:
+        """Return the customers whose urgent jobs are all within their guarantee."""
+        wanted: dict[str, int] = {}
+        for work in self.state.works.values():
+            if work.queue.priority == 0 and not work.over:
+                customer = work.job.customer
+                wanted[customer] = wanted.get(customer, 0) + work.accelerators
+        return {
+            customer
+            for customer, accelerators in wanted.items()
+            if accelerators <= self.state.directory.guarantee_of(customer)
+        }
+
+    def _claim(self, group: Group, placement: Placement, now_s: float) -> None:
+        for index, vm_id in placement.vms.items():
+            group.claimed[index] = vm_id
+            self.state.vms[vm_id].claims[group.task(index)] = group.need
+        self.state.claimed_since_s[group.group_id] = now_s
+
+    def _start_group(self, work: Work, group: Group, cause: str, now_s: float) -> None:
+        """Start the claimed tasks of a group for which there is room; a gang all at once."""
+        if group.step.gang and not self._gang_has_room(group):
+            return
+        gang_number = max(group.numbers.values(), default=0) + 1
+        for index, vm_id in sorted(group.claimed.items()):
+            vm = self.state.vms[vm_id]
+            if not group.need.within(vm.free_now()):
+                continue
+            del group.claimed[index]
+            del vm.claims[group.task(index)]
+            number = gang_number if group.step.gang else group.numbers.get(index, 0) + 1
+            number = max(number, self.state.first_number)
+            self._start(work, group, index, vm, number, cause, now_s)
+        if not group.claimed:
+            self.state.claimed_since_s.pop(group.group_id, None)
+
+    def _gang_has_room(self, group: Group) -> bool:
+        free = {vm_id: self.state.vms[vm_id].free_now() for vm_id in group.claimed.values()}
+        for vm_id in group.claimed.values():
+            if not group.need.within(free[vm_id]):
+                return False
+            free[vm_id] = free[vm_id].minus(group.need)
+        return True
+
+    def _start(
+        self, work: Work, group: Group, index: int, vm: Vm, number: int, cause: str, now_s: float
+    ) -> None:
+        attempt = self.add_attempt(work, group, vm, group.task(index), number, now_s)
+        attempt.checkpoint = group.checkpoints.get(group.counted_index(index), "")
+        self.state.orders.append(
+            StartTask(vm.vm_id, attempt.task, number, work.job.command, attempt.checkpoint, cause)
+        )
+
+
+def _brought(group: Group, indices: Sequence[int]) -> float:
+    """Return the work of some tasks, in seconds times cores."""
+    return len(indices) * group.step.estimate_s * group.need.weight
--- /dev/null
+++ b/packages/workflow/briardeal_workflow/planning/_state.py
@@ -0,0 +1,108 @@
+"""What the decisions are taken from."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from briardeal_workflow.model import Directory
+from briardeal_workflow.planning._attempts import Phase
+from briardeal_workflow.planning._orders import StopTask
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from briardeal_workflow.model import GroupId, TaskId
+    from briardeal_workflow.planning._attempts import Attempt
+    from briardeal_workflow.planning._orders import Order
+    from briardeal_workflow.planning._vms import Vm
+    from briardeal_workflow.planning._work import Group, Work
+
+
+@attrs.define(eq=False)
+class State:
+    """Jobs, VMs, and the orders that have not been handed out.
+
+    Attributes
+    ----------
+    first_number
+        Least number of a start under this owner.
+    directory
+        The configuration in force.
+    works
+        Jobs that are not over, and those over that still have running tasks.
+    vms
+        VMs by name.
+    changed
+        Jobs whose progress has to be kept.
+    ended
+        Jobs that were over under this owner.
+    orders
+        Orders that have not been handed out.
+    claimed_since_s
+        When groups chose VMs on which there is no room yet.
+    """
+
+    first_number: int
+    directory: Directory = attrs.field(factory=Directory)
+    works: dict[str, Work] = attrs.field(factory=dict)
+    vms: dict[str, Vm] = attrs.field(factory=dict)
+    changed: set[str] = attrs.field(factory=set)
+    ended: set[str] = attrs.field(factory=set)
+    orders: list[Order] = attrs.field(factory=list)
+    claimed_since_s: dict[GroupId, float] = attrs.field(factory=dict)
+
+    def work_of(self, task: TaskId) -> Work | None:
+        """Return the job of a task, if it has the task."""
+        work = self.works.get(task.job_id)
+        return work if work is not None and task.group in work.groups else None
+
+    def group_of(self, task: TaskId) -> Group | None:
+        """Return the group of a task."""
+        work = self.work_of(task)
+        return work.groups[task.group] if work is not None else None
+
+    def stop(self, attempt: Attempt, cause: str) -> None:
+        """Order that a start ends, unless that was ordered before."""
+        if attempt.phase is not Phase.STOPPING:
+            attempt.phase = Phase.STOPPING
+            self.orders.append(StopTask(attempt.vm_id, attempt.task, attempt.number, cause))
+
+    def companions(self, attempt: Attempt) -> tuple[Attempt, ...]:
+        """Return what ends along with a start: the members of its gang, or itself alone."""
+        group = self.group_of(attempt.task)
+        if group is None or not group.step.gang:
+            return (attempt,)
+        return tuple(each for each in group.running() if each.phase is not Phase.STOPPING)
+
+    def note_started(self, task: TaskId) -> None:
+        """Note that a task of a job runs."""
+        work = self.work_of(task)
+        if work is not None and not work.started:
+            work.started = True
+            self.changed.add(task.job_id)
+
+    def keep_checkpoint(self, task: TaskId, checkpoint: str) -> None:
+        """Note the newest checkpoint of a task."""
+        group = self.group_of(task)
+        if group is not None and checkpoint and task.index not in group.done:
+            group.checkpoints[group.counted_index(task.index)] = checkpoint
+
+    def drop_claims(self, group: Group, indices: Iterable[int] | None = None) -> None:
+        """Give up the VMs that tasks have chosen; of all tasks where none are named."""
+        for index in list(group.claimed if indices is None else indices):
+            vm = self.vms.get(group.claimed.pop(index, ""))
+            if vm is not None:
+                vm.claims.pop(group.task(index), None)
+        if not group.claimed:
+            self.claimed_since_s.pop(group.group_id, None)
+
+    def drop_claims_on(self, vm: Vm) -> None:
+        """Give up a VM that tasks have chosen, and with it all VMs of their groups."""
+        for task in list(vm.claims):
+            group = self.group_of(task)
+            if group is None:
+                del vm.claims[task]
+            else:
+                self.drop_claims(group)
--- a/packages/workflow/briardeal_workflow/planning/_vms.py
+++ b/packages/workflow/briardeal_workflow/planning/_vms.py
@@ -126,6 +126,8 @@
         Tasks that failed on it in a row.
     distrusted_until_s
         Until when it is the last choice.
+    missing_since_s
+        When starts were first missing in its lists.
     """
 
     shape: Shape
@@ -135,6 +137,7 @@
     held_until_s: float = 0.0
     failures: int = 0
     distrusted_until_s: float = float("-inf")
+    missing_since_s: dict[tuple[TaskId, int], float] = attrs.field(factory=dict)
 
     @property
     def vm_id(self) -> str:
--- a/packages/workflow/briardeal_workflow/planning/_work.py
+++ b/packages/workflow/briardeal_workflow/planning/_work.py
@@ -8,6 +8,7 @@
 
 from briardeal_workflow.book import Progress
 from briardeal_workflow.model import GroupId, TaskId
+from briardeal_workflow.planning._attempts import Phase
 from briardeal_workflow.planning._vms import Need
 
 if TYPE_CHECKING:
@@ -17,6 +18,10 @@
     from briardeal_workflow.planning._attempts import Attempt
 
 
+AT_WORK_PERCENT = 100
+"""Percentage that a lasting task tells once it is past its startup."""
+
+
 @attrs.define(eq=False)
 class Group:
     """One occurrence of one step.
@@ -83,6 +88,17 @@
             if index not in self.done and not self.attempts.get(index) and index not in self.claimed
         ]
 
+    def may_disrupt(self) -> bool:
+        """Return whether a planned action may take one of its tasks away now."""
+        step = self.step
+        if not step.lasting or not step.disruption_budget:
+            return True
+        at_work = sum(
+            any(each.phase is Phase.RUNNING and each.percent >= AT_WORK_PERCENT for each in starts)
+            for starts in self.attempts.values()
+        )
+        return step.tasks - at_work < step.disruption_budget
+
     def running(self) -> Iterator[Attempt]:
         """Return the starts that are not over."""
         for attempts in self.attempts.values():
--- a/packages/workflow/briardeal_workflow/structure/_entry.py
+++ b/packages/workflow/briardeal_workflow/structure/_entry.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import random
 from typing import TYPE_CHECKING
 
@@ -33,8 +32,9 @@
 
     Parameters
     ----------
-    entry_id, address
-        Its name, and where agents and other entries reach it.
+    entry_id, incarnation, address
+        Its name, one that is different after every start, and where agents and other entries reach
+        it.
     store, network, clock
         What must last, how to connect, and wall time.
     seeds
@@ -53,6 +53,7 @@
     def __init__(
         self,
         entry_id: str,
+        incarnation: str,
         address: str,
         store: Store,
         network: Network,
@@ -63,9 +64,9 @@
         self.seeds = seeds
         self.store = RelayedStore(entry_id, store, network, self._peers)
         self.clock = clock
-        self.incarnation = f"{entry_id}/{os.urandom(6).hex()}"
-        rng = random.Random(self.incarnation)
-        self.election = Election(self.store, entry_id, self.incarnation, address, rng)
+        self.incarnation = incarnation
+        rng = random.Random(incarnation)
+        self.election = Election(self.store, entry_id, incarnation, address, rng)
         self.watch = OwnerWatch(self.election, network)
         self.hub = Hub(network, self.election, store)
         self.book = JobBook()
