--- a/packages/core/briardeal_core/metrics/_metrics.py
+++ b/packages/core/briardeal_core/metrics/_metrics.py
@@ -5,10 +5,12 @@
 from typing import TYPE_CHECKING
 
 import attrs
-from aioprometheus import Counter, Gauge, Registry
+from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.formats import text
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from briardeal_core.reasons import Reason
 
 
@@ -53,6 +55,10 @@
         """Return a new gauge of this process."""
         return Gauge(name, doc, registry=self.registry)
 
+    def histogram(self, name: str, doc: str, bounds_s: Sequence[float]) -> Histogram:
+        """Return a new histogram of this process, of times in seconds."""
+        return Histogram(name, doc, registry=self.registry, buckets=list(bounds_s))
+
     def count_refusal(self, reason: Reason) -> None:
         """Count one refusal."""
         self.refusals.inc({"reason": reason.code})
--- a/packages/workflow/briardeal_workflow/gateway/_gateway.py
+++ b/packages/workflow/briardeal_workflow/gateway/_gateway.py
@@ -19,6 +19,7 @@
     from collections.abc import Callable
 
     from briardeal_workflow.book import Entry, JobBook
+    from briardeal_workflow.metrics import WorkflowMetrics
     from briardeal_workflow.model import Job
     from briardeal_workflow.store import Follower, Store
 
@@ -56,6 +57,8 @@
         What is kept of jobs, and how new that is.
     apply
         Takes over a record that this entry has appended, as if it had been read.
+    metrics
+        What it counts.
 
     Attributes
     ----------
@@ -70,7 +73,9 @@
         book: JobBook,
         follower: Follower,
         apply: Callable[[Record], None],
+        metrics: WorkflowMetrics,
     ) -> None:
+        self.metrics = metrics
         self.store = store
         self.topic = topic
         self.book = book
@@ -99,7 +104,10 @@
         if mistake:
             return Refusal(Reason.REQUEST_INVALID, RunState.NOT_RUN, detail=mistake)
         record = Record(job_key(job.job_id), encode_record(job))
+        began_s = loop_time()
         refusal = await self._keep(job.job_id, record, deadline_s)
+        labels = {"outcome": "accepted" if refusal is None else refusal.reason.code}
+        self.metrics.acceptance_s.observe(labels, loop_time() - began_s)
         self._log_submission(job, refusal)
         return Submitted(known=False) if refusal is None else refusal
 
--- a/packages/workflow/briardeal_workflow/owner/_owner.py
+++ b/packages/workflow/briardeal_workflow/owner/_owner.py
@@ -29,6 +29,7 @@
     from briardeal_workflow.book import JobBook
     from briardeal_workflow.control import Report, Settled, VmState
     from briardeal_workflow.leadership import Election
+    from briardeal_workflow.metrics import WorkflowMetrics
     from briardeal_workflow.model import Directory
     from briardeal_workflow.owner._hub import Hub
     from briardeal_workflow.planning import Attempt, Order
@@ -97,6 +98,8 @@
         What confirms the right, reaches the agents, and keeps the jobs.
     clock
         Wall time, for jobs that are due at a time.
+    metrics
+        What it counts.
     """
 
     def __init__(
@@ -107,7 +110,9 @@
         book: JobBook,
         follower: Follower,
         clock: Clock,
+        metrics: WorkflowMetrics,
     ) -> None:
+        self.metrics = metrics
         self.election = election
         self.hub = hub
         self.book = book
@@ -139,6 +144,7 @@
         await self.follower.wait_for(outcome.end)
         self._load(directory)
         log_event(Event.OWNER_STARTED, epoch=self.epoch, jobs=len(self.planner.state.works))
+        self.metrics.takeover_s.observe({}, self._age_s())
         await self.hub.lead(self)
         try:
             async with asyncio.TaskGroup() as tasks:
@@ -354,6 +360,7 @@
             epoch=self.epoch,
         )
         if isinstance(order, StartTask):
+            self._count_first_start(order)
             message = StartOrder(
                 self.epoch, order.task, order.number, order.command, order.checkpoint
             )
@@ -361,6 +368,13 @@
             message = StopOrder(self.epoch, order.task, order.number)
         await self.hub.send(order.vm_id, message)
 
+    def _count_first_start(self, order: StartTask) -> None:
+        work = self.planner.state.works.get(order.task.job_id)
+        if work is None or work.started or work.job.timed or order.task.index or order.number > 1:
+            return
+        waited_s = max(0.0, self.clock.now_s() - work.job.accepted_s)
+        self.metrics.first_start_s.observe({"queue": work.queue.name}, waited_s)
+
     async def _renew(self) -> None:
         while True:
             await asyncio.sleep(RENEW_INTERVAL_S)
--- a/packages/workflow/briardeal_workflow/structure/_entry.py
+++ b/packages/workflow/briardeal_workflow/structure/_entry.py
@@ -10,6 +10,7 @@
 from briardeal_workflow.book import JobBook
 from briardeal_workflow.gateway import Gateway
 from briardeal_workflow.leadership import Election, OwnerWatch
+from briardeal_workflow.metrics import WorkflowMetrics
 from briardeal_workflow.owner import JOBS_TOPIC, Hub, Owner
 from briardeal_workflow.relay import RelayedStore
 from briardeal_workflow.store import Follower
@@ -39,6 +40,8 @@
         What must last, how to connect, and wall time.
     seeds
         Addresses of other entries that are known before the store has been read.
+    metrics
+        What it counts.
 
     Attributes
     ----------
@@ -59,7 +62,9 @@
         network: Network,
         clock: Clock,
         seeds: tuple[str, ...] = (),
+        metrics: WorkflowMetrics | None = None,
     ) -> None:
+        self.metrics = metrics or WorkflowMetrics()
         self.address = address
         self.seeds = seeds
         self.store = RelayedStore(entry_id, store, network, self._peers)
@@ -71,7 +76,9 @@
         self.hub = Hub(network, self.election, store)
         self.book = JobBook()
         self.jobs = Follower(self.store, JOBS_TOPIC, self._apply, JOBS_WAIT_S)
-        self.gateway = Gateway(self.store, JOBS_TOPIC, self.book, self.jobs, self._apply)
+        self.gateway = Gateway(
+            self.store, JOBS_TOPIC, self.book, self.jobs, self._apply, self.metrics
+        )
         self.owner: Owner | None = None
         self.directory: Directory | None = None
         self.configured = asyncio.Event()
@@ -104,7 +111,13 @@
             await self.election.elected.wait()
             await self.jobs.caught_up.wait()
             self.owner = Owner(
-                self.election, self.hub, self.store, self.book, self.jobs, self.clock
+                self.election,
+                self.hub,
+                self.store,
+                self.book,
+                self.jobs,
+                self.clock,
+                self.metrics,
             )
             await self.owner.run(self.directory)
             self.owner = None
