Take no member of a gang for stuck that waits for a slower one

Change: such a member is not judged, and a task is given up after a short pause only where it had that much left to gain. Tests: both on the planner.

--- a/packages/workflow/briardeal_workflow/gateway/_gateway.py
+++ b/packages/workflow/briardeal_workflow/gateway/_gateway.py
@@ -32,9 +32,9 @@
 STALE_S = 2.0
 """Age of what was read from which this entry no longer says that a job is unknown."""
 
-RETRY_AFTER_S = (1.0, 5.0)
+RETRY_AFTER_S = (1.0, 2.0)
 """Soonest and latest time to ask again. In between it is as long as the store has been away, since
-an outage that has lasted for a time will on average last as long again."""
+an outage that has lasted for a time will on average last as long again; callers wait 3 s in all."""
 
 CANCELLED = b"\x01"
 
--- a/packages/workflow/briardeal_workflow/planning/_progress.py
+++ b/packages/workflow/briardeal_workflow/planning/_progress.py
@@ -20,11 +20,17 @@
 PAUSE_PERCENT = 6
 """Percentage that a steady task would have gained in a pause that shows that it is stuck."""
 
+WHOLE_PERCENT = 100
+
 
 def is_stuck(attempt: Attempt, group: Group, now_s: float) -> bool:
     """Return whether a start stands still, by what it did before."""
     if attempt.phase is not Phase.RUNNING or group.step.lasting:
         return False
+    left_percent = WHOLE_PERCENT - attempt.percent
+    if group.step.gang and left_percent <= 0:
+        # Its own part is done; it ends together with the slowest member.
+        return False
     silent_s = now_s - attempt.advanced_s
     if silent_s > SILENCE_LIMIT_S:
         return True
@@ -34,4 +40,4 @@
     if worked_s <= 0:
         return False
     rate = (attempt.percent - attempt.first_percent) / worked_s
-    return rate * silent_s >= PAUSE_PERCENT
+    return min(rate * silent_s, left_percent) >= PAUSE_PERCENT
--- a/tests/workflow/planning/test_planner.py
+++ b/tests/workflow/planning/test_planner.py
@@ -354,6 +354,27 @@
         assert site.decide(after_s=4.5) == []
 
 
+@pytest.mark.parametrize("gang", [True, False])
+def test_a_task_that_is_nearly_done_is_not_taken_for_stuck(gang):
+    site = Site()
+    site.submit(small_step(2, gang=gang))
+    starts = site.starts()
+    for second, percent in enumerate((0, 30, 60, 98, 98, 98, 98)):
+        site.run(starts[:1], percent)
+        site.run(starts[1:], 15 * second)
+        assert site.decide(after_s=1.0) == []
+
+
+def test_a_member_that_waits_for_a_slow_one_is_not_stuck():
+    site = Site()
+    site.submit(small_step(2, gang=True))
+    starts = site.starts()
+    for percent in range(10):
+        site.run(starts[:1], 100)
+        site.run(starts[1:], percent)
+        assert site.decide(after_s=1.0) == []
+
+
 def test_a_vm_that_leaves_gives_up_what_can_go_on_elsewhere():
     site = Site(vms=2)
     site.submit(small_step(1, checkpoints=True), small_step(1))
