--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,9 +1,11 @@
 #!/bin/sh
 # Lays the libraries and the packages that the programs need below target/deps, as bytecode too.
 set -eu
-if [ ! target/deps/.installed -nt requirements.lock ]; then
-    python3 -m pip install -q -U --no-compile --target target/deps -r deploy/requirements.txt
-    touch target/deps/.installed
+installed=target/deps/.installed
+if ! cat requirements.lock deploy/requirements.txt | cmp -s - "$installed"; then
+    rm -rf target/deps
+    python3 -m pip install -q --no-compile --target target/deps -r deploy/requirements.txt
+    cat requirements.lock deploy/requirements.txt > "$installed"
 fi
 for package in core protocol workflow; do
     rm -rf "target/deps/briardeal_$package"
