--- a/packages/core/briardeal_core/events/_catalogue.py
+++ b/packages/core/briardeal_core/events/_catalogue.py
@@ -23,7 +23,6 @@
     LINK_OPENED = (210, "A connection to a peer was opened.")
     LINK_LOST = (211, "A connection to a peer was lost or went silent.")
     ENDPOINT_EJECTED = (220, "An endpoint fails more often than the others and is left out.")
-    VM_SLOW = (221, "A VM works much more slowly than the others and is the last choice.")
     PEER_JOINED = (240, "Another entry of the region was linked.")
     PEER_LOST = (241, "The link to another entry was lost or its lease lapsed.")
     PEER_LEFT = (242, "Another entry has announced that it is leaving.")
--- a/packages/workflow/briardeal_workflow/planning/_planner.py
+++ b/packages/workflow/briardeal_workflow/planning/_planner.py
@@ -10,7 +10,6 @@
 from briardeal_workflow.model import Queue
 from briardeal_workflow.planning._attempts import Attempt, End, Phase
 from briardeal_workflow.planning._endings import Endings
-from briardeal_workflow.planning._paces import SlowVms
 from briardeal_workflow.planning._progress import is_stuck
 from briardeal_workflow.planning._starts import Starts
 from briardeal_workflow.planning._state import State
@@ -82,7 +81,6 @@
         self.state = State((epoch - 1) * NUMBERS_PER_EPOCH + 1)
         self.starts = Starts(self.state)
         self.endings = Endings(self.state)
-        self.slow_vms = SlowVms(self.state)
         self.settled = False
 
     def configure(self, directory: Directory) -> None:
@@ -196,7 +194,6 @@
         self._drop_lapsed_vms(now_s)
         self._evacuate()
         self._stop_stuck(now_s)
-        self.slow_vms.review(now_s)
         self.starts.start_claimed(now_s)
         for work in sorted(self.state.works.values(), key=lambda each: _order_key(each, wall_s)):
             if work.over:
