Let an owner that is leaving go on until another entry can take over

Change: an entry that is leaving no longer watches the owner, and an owner that is leaving hands over once an entry watches it. Test: three entries that leave, of which one comes back.

--- a/packages/workflow/briardeal_workflow/leadership/_watch.py
+++ b/packages/workflow/briardeal_workflow/leadership/_watch.py
@@ -59,7 +59,8 @@
         refusals = 0
         while True:
             owner = self.election.owner
-            if owner is not None and not self.election.owns:
+            # One that is leaving takes nothing over, and the owner need not count on it.
+            if owner is not None and not self.election.owns and not self.election.leaving:
                 ending = await self._watch(owner.address, owner.epoch)
                 refusals = refusals + 1 if ending is Ending.REFUSED else 0
                 if ending is Ending.DENIED:
@@ -85,7 +86,7 @@
             await connection.close()
 
     async def _hear(self, connection: Connection, epoch: int) -> Ending:
-        while self.election.epoch == epoch:
+        while self.election.epoch == epoch and not self.election.leaving:
             try:
                 async with asyncio.timeout(SILENT_LINK_S):
                     message = await connection.receive()
--- a/packages/workflow/briardeal_workflow/owner/_hub.py
+++ b/packages/workflow/briardeal_workflow/owner/_hub.py
@@ -93,6 +93,8 @@
         Connected agents by name.
     leader
         The owner, while it is this entry.
+    watchers
+        Entries that would take the ownership over.
     """
 
     def __init__(self, network: Network, election: Election, relay: RelayServer) -> None:
@@ -101,6 +103,7 @@
         self.relay = relay
         self.agents: dict[str, AgentLink] = {}
         self.leader: Leader | None = None
+        self.watchers = 0
         self.listener: Listener | None = None
 
     async def start(self, address: str) -> None:
@@ -135,10 +138,12 @@
             await connection.close()
 
     async def _serve_entry(self, connection: Connection) -> None:
-        while True:
-            if isinstance(await connection.send(self._owner_beat()), Closed):
-                return
-            await asyncio.sleep(OWNER_BEAT_S)
+        self.watchers += 1
+        try:
+            while not isinstance(await connection.send(self._owner_beat()), Closed):
+                await asyncio.sleep(OWNER_BEAT_S)
+        finally:
+            self.watchers -= 1
 
     async def _serve_agent(self, agent_id: str, connection: Connection) -> None:
         link = AgentLink(agent_id, connection, loop_time(), self._addresses())
@@ -196,7 +201,7 @@
         )
 
     def _owner_beat(self) -> OwnerBeat:
-        if not self.election.owns or self.election.leaving:
+        if not self.election.owns:
             return OwnerBeat(0)
         failing_s = self.leader.store_failing_s() if self.leader is not None else 0.0
         return OwnerBeat(self.election.epoch, failing_s)
--- a/packages/workflow/briardeal_workflow/owner/_owner.py
+++ b/packages/workflow/briardeal_workflow/owner/_owner.py
@@ -327,10 +327,14 @@
                 self.flush.set()
 
     def _leads(self) -> bool:
-        """Return whether this entry goes on as the owner; one that is leaving hands over."""
+        """Return whether this entry goes on as the owner.
+
+        One that is leaving hands over as soon as another entry watches it.
+        """
         election = self.election
         newest = election.owns and election.epoch == self.epoch
-        return newest and not election.leaving and not self.writer.fenced
+        hands_over = election.leaving and self.hub.watchers > 0
+        return newest and not hands_over and not self.writer.fenced
 
     def _note_silent(self) -> None:
         now_s = loop_time()
--- a/tests/workflow/structure/test_entry.py
+++ b/tests/workflow/structure/test_entry.py
@@ -127,6 +127,21 @@
         assert site.checker.starts == 6
 
 
+async def test_an_owner_that_leaves_goes_on_until_another_entry_can_take_over():
+    async with run_site() as site:
+        owner = await site.wait_for_owner()
+        for name in site.entry_names:
+            site.entry(name).election.leaving = True
+        job = make_job()
+        assert await site.submit(job, Plan(1.0), owner)
+        await site.wait_for_state(job.job_id, "completed", 3.0)
+        other = next(name for name in site.entry_names if name != owner)
+        await site.kill(other)
+        site.start_process(other)
+        await asyncio.sleep(1.5)
+        assert site.owner_name() == other
+
+
 async def test_work_goes_on_when_every_process_is_replaced():
     async with run_site() as site:
         job = make_job(small_step(4))
