Drop old jobs from the store, and judge stuck work by what was declared

Causes, both found while the target size was measured: a job of hours gains a percent in minutes and was given up after 5 s without progress; ended jobs stayed in the store for good; and every report of a VM woke the planner, which at 630 VMs would never have rested. Change: the limit without progress is a fifth of the declared run time where that is longer; jobs that have been over for 10 minutes leave; only news wakes the planner between its regular rounds.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -23,6 +23,7 @@
 GROUPS = [
     "jobs",
     "recovery",
+    "workflow",
     "agent_process",
     "entry_process",
     "log",
--- /dev/null
+++ b/bench/workflow.py
@@ -0,0 +1,163 @@
+"""Figures of the way over the users' platform, on the emulator and its virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import statistics
+import time
+from typing import TYPE_CHECKING
+
+from bench.figures import Bound, Figure
+from bench.log_parts import run_virtual
+from briardeal_core.clock import loop_time
+from briardeal_standins.emulator import DIRECTORY, Emulator, Plan
+from briardeal_workflow.book import Progress
+from briardeal_workflow.model import Job, Step
+from briardeal_workflow.planning import Need, Planner, Shape
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+GROUP = "workflow"
+SERVICE = DIRECTORY.services[0].name
+ENTRIES = 6
+"""Entries of the target: three in each of two regions."""
+
+VMS = 12
+TASKS_PER_VM = 8
+SETTLE_S = 5.0
+MEASURE_S = 20.0
+SEEDS = (1, 2, 3)
+CONTROL_BYTES_PER_S = 3000
+URGENT_START_S = 1.1
+TAKEOVER_S = 1.5
+PLANNER_VMS = (158, 315, 630)
+PLANNER_TASKS_PER_VM = 10
+LONG_S = 10_000.0
+
+
+def parts() -> list[Callable[[], list[Figure]]]:
+    """Return the measurements."""
+    return [measure_control, measure_takeover, measure_urgent, measure_rounds]
+
+
+def combine(results: list[list[Figure]]) -> list[Figure]:
+    """Return all figures."""
+    return [figure for figures in results for figure in figures]
+
+
+def measure_control() -> list[Figure]:
+    """Return what an agent sends and receives, and the calls to the store."""
+    return run_virtual(_measure_control)
+
+
+def measure_takeover() -> list[Figure]:
+    """Return the time without an owner after it was killed."""
+    gaps_s = [run_virtual(lambda seed=seed: _measure_takeover(seed)) for seed in SEEDS]
+    bound = Bound("<=", TAKEOVER_S)
+    return [Figure(GROUP, "owner killed: time without an owner", max(gaps_s), "s", bound)]
+
+
+def measure_urgent() -> list[Figure]:
+    """Return the time to the start of urgent work while all VMs are taken."""
+    waits_s = [run_virtual(lambda seed=seed: _measure_urgent(seed)) for seed in SEEDS]
+    bound = Bound("<=", URGENT_START_S)
+    return [Figure(GROUP, "urgent start within a guarantee, longest", max(waits_s), "s", bound)]
+
+
+def measure_rounds() -> list[Figure]:
+    """Return the processor time of a round of decisions with nothing to decide."""
+    figures = []
+    for vms in PLANNER_VMS:
+        title = f"processor time of a round, {vms} VMs of {PLANNER_TASKS_PER_VM} tasks"
+        figures.append(Figure(GROUP, title, _round_ms(vms), "ms"))
+    return figures
+
+
+async def _measure_control() -> list[Figure]:
+    emulator = Emulator(entries=ENTRIES, vms=VMS)
+    await emulator.start()
+    await emulator.wait_for_owner()
+    await emulator.submit(_job(VMS * TASKS_PER_VM), Plan(LONG_S))
+    await asyncio.sleep(SETTLE_S)
+    bytes_before, calls_before = _agent_bytes(emulator), emulator.store.calls
+    await asyncio.sleep(MEASURE_S)
+    per_agent = (_agent_bytes(emulator) - bytes_before) / MEASURE_S / VMS
+    calls = (emulator.store.calls - calls_before) / MEASURE_S
+    await emulator.stop()
+    title = f"control of an agent with {TASKS_PER_VM} tasks and {ENTRIES} entries"
+    return [
+        Figure(GROUP, title, per_agent, "B/s", Bound("<=", CONTROL_BYTES_PER_S)),
+        Figure(GROUP, f"calls to the store at rest, {ENTRIES} entries", calls, "1/s"),
+    ]
+
+
+async def _measure_takeover(seed: int) -> float:
+    emulator = Emulator(seed=seed)
+    await emulator.start()
+    owner = await emulator.wait_for_owner()
+    await asyncio.sleep(SETTLE_S)
+    killed_s = loop_time()
+    await emulator.kill(owner)
+    await emulator.wait_for_owner()
+    gap_s = loop_time() - killed_s
+    await emulator.stop()
+    return gap_s
+
+
+async def _measure_urgent(seed: int) -> float:
+    emulator = Emulator(seed=seed)
+    await emulator.start()
+    await emulator.wait_for_owner()
+    await asyncio.sleep(SETTLE_S)
+    await emulator.submit(_job(len(emulator.vms), accelerators=8, customer="south"), Plan(LONG_S))
+    await asyncio.sleep(SETTLE_S)
+    urgent = _job(3, accelerators=8, queue="urgent")
+    began_s = loop_time()
+    await emulator.submit(urgent, Plan(1.0))
+    while urgent.job_id not in emulator.checker.first_start_s:
+        await asyncio.sleep(0.01)
+    wait_s = emulator.checker.first_start_s[urgent.job_id] - began_s
+    await emulator.stop()
+    return wait_s
+
+
+def _round_ms(vms: int) -> float:
+    planner = Planner(1)
+    planner.configure(DIRECTORY)
+    planner.settle()
+    for number in range(vms):
+        name = f"vm-{number}"
+        shape = Shape(name, "1", SERVICE, Need(64_000, 262_144, 16), rack=f"rack-{number // 3}")
+        planner.update_vm(shape, LONG_S, 0.0)
+    for number in range(vms):
+        planner.add(_job(PLANNER_TASKS_PER_VM, number=number), Progress(), 0.0)
+    planner.decide(0.0, 0.0)
+    times_s = []
+    for _ in range(5):
+        began_s = time.process_time()
+        planner.decide(0.0, 0.0)
+        times_s.append(time.process_time() - began_s)
+    return statistics.median(times_s) * 1000
+
+
+def _agent_bytes(emulator: Emulator) -> int:
+    """Return the bytes that agents have sent and received so far."""
+    return sum(
+        link.connection.bytes_sent + link.connection.bytes_received
+        for name in emulator.vms
+        for link in emulator.processes[name].program.links.values()
+    )
+
+
+def _job(
+    tasks: int,
+    *,
+    accelerators: int = 1,
+    customer: str = "north",
+    queue: str = "bulk",
+    number: int = 0,
+) -> Job:
+    step = Step(tasks, 1000, 1000, accelerators, LONG_S)
+    name = f"{tasks:04x}{accelerators:04x}{number:08x}"
+    return Job(name, queue, SERVICE, customer, f"run {name}", (step,))
--- a/packages/core/briardeal_core/events/_catalogue.py
+++ b/packages/core/briardeal_core/events/_catalogue.py
@@ -57,6 +57,7 @@
     HOLD_LOST = (427, "No owner extends the hold of this agent; its work ends when that is over.")
     WORKER_REPLACED = (428, "A worker came back with a newer incarnation and runs nothing.")
     WORKER_SILENT = (429, "A worker does not answer its agent.")
+    JOBS_EXPIRED = (432, "So many jobs that have long been over are taken out of the store.")
     WORKER_HEARD = (430, "A worker that was silent answers its agent again.")
     WORKER_GONE = (431, "A worker has ended and runs nothing.")
     LOG_UNAVAILABLE = (500, "The log can't be reached or does not answer.")
--- a/packages/workflow/briardeal_workflow/book/_book.py
+++ b/packages/workflow/briardeal_workflow/book/_book.py
@@ -137,8 +137,8 @@
         ]
 
     def _drop(self, kind: str, job_id: str) -> None:
-        if kind != JOB:
-            return
-        self.entries.pop(job_id, None)
-        for key in (job_key(job_id), cancel_key(job_id), progress_key(job_id)):
-            self._offsets.pop(key, None)
+        """Forget a job; its own record is the last of its keys to be removed."""
+        if kind == JOB:
+            self.entries.pop(job_id, None)
+            for key in (job_key(job_id), cancel_key(job_id), progress_key(job_id)):
+                self._offsets.pop(key, None)
--- /dev/null
+++ b/packages/workflow/briardeal_workflow/owner/_keeper.py
@@ -0,0 +1,92 @@
+"""What the owner keeps of jobs in the store."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from briardeal_core.clock import loop_time
+from briardeal_core.events import Event, log_event
+from briardeal_workflow.book import cancel_key, encode_record, job_key, progress_key
+from briardeal_workflow.store import Fenced, Record
+
+if TYPE_CHECKING:
+    from briardeal_workflow.book import JobBook
+    from briardeal_workflow.owner._members import Member
+    from briardeal_workflow.planning import State
+    from briardeal_workflow.store import FencedWriter
+
+RETENTION_S = 600.0
+"""Time for which a job that is over can be asked for; callers ask for two minutes."""
+
+EXPIRY_INTERVAL_S = 30.0
+"""Time between two looks for jobs that have been over for that long."""
+
+EXPIRED_AT_ONCE = 100
+"""Most jobs that one append takes out, so that others are not held up."""
+
+
+class Keeper:
+    """Writes the progress of jobs, and takes out those that have long been over.
+
+    Parameters
+    ----------
+    writer, state, book, members
+        Where to write, whose progress, what is kept, and whose ends follow from it.
+
+    Attributes
+    ----------
+    wake
+        Set when there is something to keep.
+    """
+
+    def __init__(
+        self, writer: FencedWriter, state: State, book: JobBook, members: dict[str, Member]
+    ) -> None:
+        self.writer = writer
+        self.state = state
+        self.book = book
+        self.members = members
+        self.wake = asyncio.Event()
+
+    async def drop_expired(self) -> None:
+        """Take jobs that have long been over out of the store."""
+        while True:
+            await asyncio.sleep(EXPIRY_INTERVAL_S)
+            expired = self.book.expired(loop_time() - RETENTION_S)[:EXPIRED_AT_ONCE]
+            records = [
+                Record(key(job_id), None)
+                for job_id in expired
+                for key in (progress_key, cancel_key, job_key)
+            ]
+            if records:
+                log_event(Event.JOBS_EXPIRED, jobs=len(expired))
+                await self.writer.append(records)
+            self.state.ended.difference_update(expired)
+
+    async def run(self) -> None:
+        """Keep the progress of jobs, and with it the ends that it follows from."""
+        while True:
+            await self.wake.wait()
+            self.wake.clear()
+            taken = {
+                agent_id: (member.incarnation, member.ends_taken)
+                for agent_id, member in self.members.items()
+            }
+            records = self._take_changes()
+            if records and isinstance(await self.writer.append(records), Fenced):
+                return
+            for agent_id, (incarnation, ends_taken) in taken.items():
+                member = self.members[agent_id]
+                if member.incarnation == incarnation:
+                    member.ends_kept = max(member.ends_kept, ends_taken)
+
+    def _take_changes(self) -> list[Record]:
+        changed, self.state.changed = self.state.changed, set()
+        records = []
+        for job_id in sorted(changed):
+            work = self.state.works.get(job_id)
+            if work is not None:
+                value = encode_record(work.progress())
+                records.append(Record(progress_key(job_id), value))
+        return records
--- a/packages/workflow/briardeal_workflow/owner/_owner.py
+++ b/packages/workflow/briardeal_workflow/owner/_owner.py
@@ -5,12 +5,11 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-import attrs
-
 from briardeal_core.clock import awake_time, loop_time
 from briardeal_core.events import Event, log_event
-from briardeal_workflow.book import encode_record, progress_key
 from briardeal_workflow.control import Acknowledge, Lead, SettledAs, StartOrder, StopOrder
+from briardeal_workflow.owner._keeper import Keeper
+from briardeal_workflow.owner._members import Member
 from briardeal_workflow.planning import (
     End,
     Need,
@@ -21,7 +20,7 @@
     StartTask,
     StopTask,
 )
-from briardeal_workflow.store import Fenced, FencedWriter, Record
+from briardeal_workflow.store import Fenced, FencedWriter
 from briardeal_workflow.worker import HOLD_LAPSE_S
 
 if TYPE_CHECKING:
@@ -60,35 +59,6 @@
 """Time after which an order without an effect is given again."""
 
 
-@attrs.define(eq=False)
-class Member:
-    """What the owner knows of an agent.
-
-    Attributes
-    ----------
-    incarnation
-        That of its worker.
-    ends_taken, ends_kept
-        Newest end of this incarnation that was taken over, and the newest that is kept.
-    heard_s
-        When it was last heard, on the loop's clock.
-    reported
-        Whether it has told under this epoch what its worker runs.
-    present
-        Whether its worker answers it.
-    sent_s
-        When an order was last given, by task and number of the start.
-    """
-
-    incarnation: str = ""
-    ends_taken: int = 0
-    ends_kept: int = 0
-    heard_s: float = 0.0
-    reported: bool = False
-    present: bool = False
-    sent_s: dict[tuple[object, int], float] = attrs.field(factory=dict)
-
-
 class Owner:
     """Decides on all jobs under one fencing token.
 
@@ -129,7 +99,7 @@
         self.lapse_s = right_s + HOLD_LAPSE_S
         self.loaded = False
         self.wake = asyncio.Event()
-        self.flush = asyncio.Event()
+        self.keeper = Keeper(self.writer, self.planner.state, book, self.members)
 
     @property
     def right_left_s(self) -> float:
@@ -148,7 +118,12 @@
         await self.hub.lead(self)
         try:
             async with asyncio.TaskGroup() as tasks:
-                parts = (self._renew(), self._keep(), self._admit())
+                parts = (
+                    self._renew(),
+                    self.keeper.run(),
+                    self.keeper.drop_expired(),
+                    self._admit(),
+                )
                 running = [tasks.create_task(part) for part in parts]
                 await self._decide_until_fenced()
                 for task in running:
@@ -191,11 +166,16 @@
         if member.incarnation != report.vm.incarnation:
             member.incarnation = report.vm.incarnation
             member.ends_taken = member.ends_kept = 0
-        self.planner.update_vm(_shape_of(agent_id, report.vm), self._hold_end_s(), now_s)
+        shape = _shape_of(agent_id, report.vm)
+        known = self.planner.state.vms.get(agent_id)
+        news = known is None or known.shape != shape or bool(report.ended)
+        self.planner.update_vm(shape, self._hold_end_s(), now_s)
         self._take_lists(agent_id, member, report, now_s)
         self._note_reported(agent_id, member)
         self._repeat_orders(agent_id, member, report, now_s)
-        self.wake.set()
+        # Percentages alone decide little, and a large site would never rest.
+        if news:
+            self.wake.set()
 
     def take_settled(self, agent_id: str, settled: Settled) -> None:
         """Take what became of an order."""
@@ -213,7 +193,7 @@
         else:
             self.planner.note_ended(agent_id, settled.task, settled.number, End.REFUSED, "", now_s)
         self.wake.set()
-        self.flush.set()
+        self.keeper.wake.set()
 
     def note_heard(self, agent_id: str) -> Acknowledge | None:
         """Return what extends the hold of an agent."""
@@ -266,7 +246,7 @@
             self.planner.note_ended(
                 agent_id, ended.task, ended.number, end, ended.checkpoint, now_s
             )
-            self.flush.set()
+            self.keeper.wake.set()
         rows = [
             RunningTask(row.task, row.number, row.checkpoint, row.percent, row.load)
             for row in report.running
@@ -324,7 +304,7 @@
             for order in self.planner.decide(loop_time(), self.clock.now_s()):
                 await self._give(order)
             if self.planner.state.changed:
-                self.flush.set()
+                self.keeper.wake.set()
 
     def _leads(self) -> bool:
         """Return whether this entry goes on as the owner.
@@ -385,33 +365,6 @@
             if awake_time() - self.writer.confirmed_s >= RENEW_INTERVAL_S:
                 await self.writer.append([])
 
-    async def _keep(self) -> None:
-        """Keep the progress of jobs, and with it the ends that it follows from."""
-        while True:
-            await self.flush.wait()
-            self.flush.clear()
-            taken = {
-                agent_id: (member.incarnation, member.ends_taken)
-                for agent_id, member in self.members.items()
-            }
-            records = self._take_changes()
-            if records and isinstance(await self.writer.append(records), Fenced):
-                return
-            for agent_id, (incarnation, ends_taken) in taken.items():
-                member = self.members[agent_id]
-                if member.incarnation == incarnation:
-                    member.ends_kept = max(member.ends_kept, ends_taken)
-
-    def _take_changes(self) -> list[Record]:
-        changed, self.planner.state.changed = self.planner.state.changed, set()
-        records = []
-        for job_id in sorted(changed):
-            work = self.planner.state.works.get(job_id)
-            if work is not None:
-                value = encode_record(work.progress())
-                records.append(Record(progress_key(job_id), value))
-        return records
-
     async def _admit(self) -> None:
         """Keep which agents may get orders before they get any."""
         while True:
--- a/packages/workflow/briardeal_workflow/planning/__init__.py
+++ b/packages/workflow/briardeal_workflow/planning/__init__.py
@@ -3,6 +3,7 @@
 from briardeal_workflow.planning._attempts import Attempt, End, Phase
 from briardeal_workflow.planning._orders import Order, StartTask, StopTask
 from briardeal_workflow.planning._planner import Planner, RunningTask
+from briardeal_workflow.planning._state import State
 from briardeal_workflow.planning._vms import Need, Shape, Vm
 
 __all__ = [
@@ -15,6 +16,7 @@
     "RunningTask",
     "Shape",
     "StartTask",
+    "State",
     "StopTask",
     "Vm",
 ]
--- a/packages/workflow/briardeal_workflow/planning/_progress.py
+++ b/packages/workflow/briardeal_workflow/planning/_progress.py
@@ -11,7 +11,11 @@
     from briardeal_workflow.planning._work import Group
 
 SILENCE_LIMIT_S = 5.0
-"""Time without any progress after which a start is given up, however slow it may be."""
+"""Least time without any progress after which a start is given up, however slow it may be."""
+
+SILENCE_SHARE = 0.2
+"""The same as a part of the declared run time: a step of one percent may take that long where the
+work is twenty times as slow as declared."""
 
 PAUSE_LIMIT_S = 2.4
 """Least time without progress after which one that was steady before is given up; VMs tell the
@@ -32,7 +36,7 @@
         # Its own part is done; it ends together with the slowest member.
         return False
     silent_s = now_s - attempt.advanced_s
-    if silent_s > SILENCE_LIMIT_S:
+    if silent_s > max(SILENCE_LIMIT_S, SILENCE_SHARE * group.step.estimate_s):
         return True
     if silent_s <= PAUSE_LIMIT_S or attempt.first_listed_s is None:
         return False
--- a/tests/workflow/planning/test_planner.py
+++ b/tests/workflow/planning/test_planner.py
@@ -345,6 +345,15 @@
     assert [type(order) for order in site.decide(after_s=1.0)] == [StopTask]
 
 
+def test_a_task_of_hours_goes_on_though_its_percentage_stands_for_minutes():
+    site = Site()
+    site.submit(small_step(1, estimate_s=4 * 3600.0))
+    start = site.starts()[0]
+    for minute in range(10):
+        site.run([start], minute // 2)
+        assert site.decide(after_s=60.0) == []
+
+
 def test_a_task_that_is_slow_goes_on():
     site = Site()
     site.submit(small_step())
--- a/tests/workflow/structure/test_entry.py
+++ b/tests/workflow/structure/test_entry.py
@@ -373,3 +373,16 @@
         site.store.faults.clear()
         await asyncio.sleep(1.5)
         assert all(site.entry(name).gateway.informed for name in site.entry_names)
+
+
+async def test_a_job_that_has_long_been_over_leaves_the_store():
+    async with run_site() as site:
+        job = make_job()
+        await site.submit(job, Plan(1.0))
+        await site.wait_for_state(job.job_id, "completed", 5.0)
+        await asyncio.sleep(500.0)
+        assert site.state(job.job_id, "entry-0") == "completed"
+        site.checker.accepted.clear()
+        await asyncio.sleep(200.0)
+        assert not site.store.find("jobs").newest
+        assert all(not site.entry(name).book.entries for name in site.entry_names)
