--- a/tests/workflow/structure/test_entry.py
+++ b/tests/workflow/structure/test_entry.py
@@ -9,6 +9,7 @@
 from briardeal_core.clock import loop_time
 from briardeal_standins.emulator import Plan, StoreFault, VmFault
 from briardeal_workflow.book import Progress, encode_record, progress_key
+from briardeal_workflow.owner import _keeper
 from briardeal_workflow.store import Record
 from tests.workflow.samples import make_job, small_step, whole_vm_step
 from tests.workflow.sites import run_site
@@ -375,14 +376,16 @@
         assert all(site.entry(name).gateway.informed for name in site.entry_names)
 
 
-async def test_a_job_that_has_long_been_over_leaves_the_store():
+async def test_a_job_that_has_long_been_over_leaves_the_store(monkeypatch):
+    monkeypatch.setattr(_keeper, "RETENTION_S", 20.0)
+    monkeypatch.setattr(_keeper, "EXPIRY_INTERVAL_S", 5.0)
     async with run_site() as site:
         job = make_job()
         await site.submit(job, Plan(1.0))
         await site.wait_for_state(job.job_id, "completed", 5.0)
-        await asyncio.sleep(500.0)
+        await asyncio.sleep(15.0)
         assert site.state(job.job_id, "entry-0") == "completed"
         site.checker.accepted.clear()
-        await asyncio.sleep(200.0)
+        await asyncio.sleep(15.0)
         assert not site.store.find("jobs").newest
         assert all(not site.entry(name).book.entries for name in site.entry_names)
