--- a/packages/workflow/briardeal_workflow/gateway/__init__.py
+++ b/packages/workflow/briardeal_workflow/gateway/__init__.py
@@ -1,5 +1,5 @@
 """Answers to callers who submit jobs, ask for them, or cancel them."""
 
-from briardeal_workflow.gateway._gateway import Gateway, Submitted
+from briardeal_workflow.gateway._gateway import RETRY_AFTER_S, Gateway, Submitted
 
-__all__ = ["Gateway", "Submitted"]
+__all__ = ["RETRY_AFTER_S", "Gateway", "Submitted"]
--- a/packages/workflow/briardeal_workflow/gateway/_gateway.py
+++ b/packages/workflow/briardeal_workflow/gateway/_gateway.py
@@ -32,9 +32,9 @@
 STALE_S = 2.0
 """Age of what was read from which this entry no longer says that a job is unknown."""
 
-RETRY_AFTER_S = (1.0, 2.0)
-"""Soonest and latest time to ask again. In between it is as long as the store has been away, since
-an outage that has lasted for a time will on average last as long again; callers wait 3 s in all."""
+RETRY_AFTER_S = 1.0
+"""When to ask again while the store does not answer: callers wait 3 s in all, and outages last some
+seconds, so that they get three tries instead of wasting all at once."""
 
 CANCELLED = b"\x01"
 
@@ -141,7 +141,7 @@
         while True:
             left_s = deadline_s - loop_time()
             if left_s <= 0:
-                return Refusal(Reason.LOG_ANSWER_LOST, RunState.UNKNOWN, self._retry_after_s())
+                return Refusal(Reason.LOG_ANSWER_LOST, RunState.UNKNOWN, RETRY_AFTER_S)
             outcome = await self.store.append(
                 self.topic, [record], timeout_s=min(TRY_TIMEOUT_S, left_s)
             )
@@ -176,12 +176,7 @@
 
     def _uninformed(self) -> Refusal:
         detail = f"What was read is {self.follower.age_s:.1f} s old."
-        return Refusal(Reason.LOG_UNAVAILABLE, RunState.UNKNOWN, self._retry_after_s(), detail)
+        return Refusal(Reason.LOG_UNAVAILABLE, RunState.UNKNOWN, RETRY_AFTER_S, detail)
 
     def _refuse(self, detail: str) -> Refusal:
-        retry_after_s = self._retry_after_s()
-        return Refusal(Reason.LOG_UNAVAILABLE, RunState.NOT_RUN, retry_after_s, detail)
-
-    def _retry_after_s(self) -> float:
-        soonest_s, latest_s = RETRY_AFTER_S
-        return min(latest_s, max(soonest_s, self.follower.age_s))
+        return Refusal(Reason.LOG_UNAVAILABLE, RunState.NOT_RUN, RETRY_AFTER_S, detail)
