--- a/packages/workflow/briardeal_workflow/worker/_agent.py
+++ b/packages/workflow/briardeal_workflow/worker/_agent.py
@@ -127,6 +127,7 @@
         self.listed_epoch = -1
         self.ends_kept = 0
         self.held_until_s = float("-inf")
+        self.was_held = False
         self.clock_offset_s: float | None = None
         # Until then work may go on that an agent held that ran here before.
         self.idle_from_s = awake_time() + HOLD_LAPSE_S
@@ -346,6 +347,7 @@
                     await self.news.wait()
             except TimeoutError:
                 pass
+            self._note_hold()
             changed = self.news.is_set()
             self.news.clear()
             full = changed or loop_time() - reported_s >= REPORT_S
@@ -354,6 +356,11 @@
             for link in list(self.links.values()):
                 await self._tell(link, full=full)
 
+    def _note_hold(self) -> None:
+        if self.was_held and not self.held:
+            log_event(Event.HOLD_LOST, epoch=self.epoch, tasks=len(self.table.running))
+        self.was_held = self.held
+
     async def _tell(self, link: EntryLink, *, full: bool) -> None:
         self._sequence += 1
         message: Beat | Report = Beat(self._sequence, self.epoch)
