Let broken records and unknown ends stop nothing

Found by reading the change: a record of the control topic that can't be read ended the entry, and an end of a kind that is not known ended the owner. Both are logged and passed over now. The memory of uncertain appends is bounded.

--- a/packages/workflow/briardeal_workflow/gateway/_gateway.py
+++ b/packages/workflow/briardeal_workflow/gateway/_gateway.py
@@ -36,6 +36,9 @@
 """When to ask again while the store does not answer: callers wait 3 s in all, and outages last some
 seconds, so that they get three tries instead of wasting all at once."""
 
+UNCERTAIN_LIMIT = 10_000
+"""Most jobs of uncertain appends that are remembered; an append lands within seconds or never."""
+
 CANCELLED = b"\x01"
 
 
@@ -81,7 +84,7 @@
         self.book = book
         self.follower = follower
         self.apply = apply
-        self.uncertain: set[str] = set()
+        self.uncertain: dict[str, None] = {}
 
     @property
     def informed(self) -> bool:
@@ -146,15 +149,20 @@
                 self.topic, [record], timeout_s=min(TRY_TIMEOUT_S, left_s)
             )
             if isinstance(outcome, Appended):
-                self.uncertain.discard(job_id)
+                self.uncertain.pop(job_id, None)
                 self.apply(attrs.evolve(record, offset=outcome.end - 1))
                 return None
             if isinstance(outcome, NotStored) and job_id not in self.uncertain:
                 return self._refuse(outcome.detail)
-            self.uncertain.add(job_id)
+            self._note_uncertain(job_id)
             log_event(Event.APPEND_UNCERTAIN, job_id=job_id, detail=str(outcome))
             await asyncio.sleep(RETRY_S)
 
+    def _note_uncertain(self, job_id: str) -> None:
+        self.uncertain[job_id] = None
+        if len(self.uncertain) > UNCERTAIN_LIMIT:
+            del self.uncertain[next(iter(self.uncertain))]
+
     def _log_submission(self, job: Job, refusal: Refusal | None) -> None:
         if refusal is None:
             log_event(
--- a/packages/workflow/briardeal_workflow/leadership/_election.py
+++ b/packages/workflow/briardeal_workflow/leadership/_election.py
@@ -201,6 +201,13 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
 
     def _apply(self, record: Record) -> None:
+        try:
+            self._decode(record)
+        except msgspec.DecodeError as error:
+            log_event(Event.RECORD_BROKEN, key=record.key, offset=record.offset, detail=str(error))
+
+    def _decode(self, record: Record) -> None:
+        """Take over a record; raises `msgspec.DecodeError` for one that can't be read."""
         if record.key == OWNER_KEY and record.value is not None:
             self._take(msgspec.msgpack.decode(record.value, type=OwnerRecord), record.offset)
         elif record.key.startswith(ENTRY_PREFIX):
--- a/packages/workflow/briardeal_workflow/owner/_owner.py
+++ b/packages/workflow/briardeal_workflow/owner/_owner.py
@@ -242,7 +242,7 @@
                 vm=agent_id,
                 end=ended.end,
             )
-            end = End(ended.end)
+            end = _end_of(ended.end)
             self.planner.note_ended(
                 agent_id, ended.task, ended.number, end, ended.checkpoint, now_s
             )
@@ -379,6 +379,15 @@
             await asyncio.sleep(ADMIT_INTERVAL_S)
 
 
+def _end_of(name: str) -> End:
+    """Return the end of a name; one that is not known frees the room and counts as no failure."""
+    try:
+        return End(name)
+    except ValueError:
+        log_event(Event.RECORD_BROKEN, key="end", detail=name)
+        return End.LOST
+
+
 def _shape_of(agent_id: str, vm: VmState) -> Shape:
     return Shape(
         agent_id,
--- /dev/null
+++ b/tests/workflow/planning/site.py
@@ -0,0 +1,66 @@
+"""A planner with VMs for tests."""
+
+from __future__ import annotations
+
+from briardeal_standins.emulator import DIRECTORY
+from briardeal_workflow.book import Progress
+from briardeal_workflow.planning import Need, Planner, RunningTask, Shape, StartTask
+from tests.workflow.samples import SERVICE, make_job
+
+WALL_S = 1_000_000.0
+
+
+class Site:
+    """A planner with VMs of eight accelerators, three to a rack."""
+
+    def __init__(self, vms=6, epoch=1, settled=True):
+        self.planner = Planner(epoch)
+        self.planner.configure(DIRECTORY)
+        self.now_s = 0.0
+        if settled:
+            self.planner.settle()
+        for number in range(vms):
+            self.add_vm(number)
+
+    def add_vm(self, number, **fields):
+        rack = f"rack-{number // 3}"
+        values = {
+            "vm_id": f"vm-{number}",
+            "incarnation": "1",
+            "service": SERVICE,
+            "capacity": Need(32_000, 65_536, 8),
+            "labels": frozenset({"a", rack}),
+            "rack": rack,
+        }
+        self.planner.update_vm(Shape(**{**values, **fields}), self.now_s + 5.0, self.now_s)
+
+    def submit(self, *steps, progress=None, unsettled=False, **fields):
+        job = make_job(*steps, accepted_s=WALL_S + self.now_s, **fields)
+        self.planner.add(job, progress or Progress(), self.now_s, unsettled=unsettled)
+        return job
+
+    def decide(self, after_s=0.0):
+        self.now_s += after_s
+        for vm in self.planner.state.vms.values():
+            if vm.in_reach:
+                vm.held_until_s = self.now_s + 5.0
+        return self.planner.decide(self.now_s, WALL_S + self.now_s)
+
+    def decide_twice(self):
+        """Decide when a job comes, and once urgent work may stop others for it."""
+        return self.decide() + self.decide(after_s=1.0)
+
+    def starts(self, after_s=0.0):
+        return [each for each in self.decide(after_s) if isinstance(each, StartTask)]
+
+    def run(self, starts, percent=0, checkpoint=""):
+        """Let VMs list what was started."""
+        by_vm = {}
+        for start in starts:
+            row = RunningTask(start.task, start.number, checkpoint, percent)
+            by_vm.setdefault(start.vm_id, []).append(row)
+        for vm_id, rows in by_vm.items():
+            self.planner.note_running(vm_id, rows, self.now_s)
+
+    def end(self, start, end, checkpoint=""):
+        self.planner.note_ended(start.vm_id, start.task, start.number, end, checkpoint, self.now_s)
--- a/tests/workflow/planning/test_planner.py
+++ b/tests/workflow/planning/test_planner.py
@@ -4,76 +4,14 @@
 
 import pytest
 
-from briardeal_standins.emulator import DIRECTORY
-from briardeal_workflow.book import Progress
 from briardeal_workflow.planning import (
     End,
-    Need,
-    Planner,
     RunningTask,
-    Shape,
     StartTask,
     StopTask,
 )
-from tests.workflow.samples import SERVICE, make_job, small_step, whole_vm_step
-
-WALL_S = 1_000_000.0
-
-
-class Site:
-    """A planner with VMs of eight accelerators, three to a rack."""
-
-    def __init__(self, vms=6, epoch=1, settled=True):
-        self.planner = Planner(epoch)
-        self.planner.configure(DIRECTORY)
-        self.now_s = 0.0
-        if settled:
-            self.planner.settle()
-        for number in range(vms):
-            self.add_vm(number)
-
-    def add_vm(self, number, **fields):
-        rack = f"rack-{number // 3}"
-        values = {
-            "vm_id": f"vm-{number}",
-            "incarnation": "1",
-            "service": SERVICE,
-            "capacity": Need(32_000, 65_536, 8),
-            "labels": frozenset({"a", rack}),
-            "rack": rack,
-        }
-        self.planner.update_vm(Shape(**{**values, **fields}), self.now_s + 5.0, self.now_s)
-
-    def submit(self, *steps, progress=None, unsettled=False, **fields):
-        job = make_job(*steps, accepted_s=WALL_S + self.now_s, **fields)
-        self.planner.add(job, progress or Progress(), self.now_s, unsettled=unsettled)
-        return job
-
-    def decide(self, after_s=0.0):
-        self.now_s += after_s
-        for vm in self.planner.state.vms.values():
-            if vm.in_reach:
-                vm.held_until_s = self.now_s + 5.0
-        return self.planner.decide(self.now_s, WALL_S + self.now_s)
-
-    def decide_twice(self):
-        """Decide when a job comes, and once urgent work may stop others for it."""
-        return self.decide() + self.decide(after_s=1.0)
-
-    def starts(self, after_s=0.0):
-        return [each for each in self.decide(after_s) if isinstance(each, StartTask)]
-
-    def run(self, starts, percent=0, checkpoint=""):
-        """Let VMs list what was started."""
-        by_vm = {}
-        for start in starts:
-            row = RunningTask(start.task, start.number, checkpoint, percent)
-            by_vm.setdefault(start.vm_id, []).append(row)
-        for vm_id, rows in by_vm.items():
-            self.planner.note_running(vm_id, rows, self.now_s)
-
-    def end(self, start, end, checkpoint=""):
-        self.planner.note_ended(start.vm_id, start.task, start.number, end, checkpoint, self.now_s)
+from tests.workflow.planning.site import WALL_S, Site
+from tests.workflow.samples import make_job, small_step, whole_vm_step
 
 
 def racks(starts):
@@ -164,59 +102,6 @@
     assert [start.task.occurrence for start in site.starts(after_s=5.0)] == [1]
 
 
-def test_urgent_work_within_its_guarantee_stops_what_loses_least():
-    site = Site(vms=2)
-    site.submit(whole_vm_step(), customer="south")
-    old = site.starts()
-    site.run(old)
-    site.now_s = 4.0
-    site.run(old, percent=30)
-    site.submit(whole_vm_step(), customer="south")
-    young = site.starts()
-    site.run(young)
-    site.submit(whole_vm_step(), queue="urgent", customer="north")
-    assert site.decide() == []
-    assert site.decide(after_s=0.5) == []
-    stops = site.decide(after_s=0.2)
-    assert [stop.task for stop in stops] == [young[0].task]
-    site.end(young[0], End.STOPPED)
-    assert [start.task.job_id for start in site.starts()] != []
-
-
-def test_urgent_work_outside_its_guarantee_stops_no_more_work_than_it_brings():
-    site = Site(vms=1)
-    site.submit(whole_vm_step(estimate_s=100.0), customer="south")
-    starts = site.starts()
-    site.run(starts)
-    site.now_s = 20.0
-    site.run(starts, percent=20)
-    site.submit(whole_vm_step(estimate_s=5.0), queue="urgent", customer="nobody")
-    assert site.decide_twice() == []
-    site.submit(whole_vm_step(estimate_s=60.0), queue="urgent", customer="nobody")
-    assert [type(order) for order in site.decide_twice()] == [StopTask]
-
-
-def test_urgent_work_of_others_is_stopped_only_beyond_their_guarantee():
-    site = Site(vms=3)
-    site.submit(whole_vm_step(3), queue="urgent", customer="south")
-    site.run(site.starts())
-    site.submit(whole_vm_step(1), queue="urgent", customer="north")
-    assert site.decide_twice() == []
-    site = Site(vms=4)
-    site.submit(whole_vm_step(4), queue="urgent", customer="south")
-    site.run(site.starts())
-    site.submit(whole_vm_step(1), queue="urgent", customer="north")
-    assert [type(order) for order in site.decide_twice()] == [StopTask]
-
-
-def test_a_gang_is_stopped_whole():
-    site = Site(vms=2)
-    site.submit(whole_vm_step(2, gang=True), customer="south")
-    site.run(site.starts())
-    site.submit(whole_vm_step(1), queue="urgent", customer="north")
-    assert len(site.decide_twice()) == 2
-
-
 @pytest.mark.parametrize("end", [End.REFUSED, End.LOST, End.FAILED, End.LAPSED])
 def test_the_others_of_a_gang_do_not_wait_for_a_member_that_is_over(end):
     site = Site()
--- /dev/null
+++ b/tests/workflow/planning/test_preemption.py
@@ -0,0 +1,60 @@
+"""Urgent work takes VMs from others, as far as guarantees and gains allow."""
+
+from __future__ import annotations
+
+from briardeal_workflow.planning import End, StopTask
+from tests.workflow.planning.site import Site
+from tests.workflow.samples import whole_vm_step
+
+
+def test_urgent_work_within_its_guarantee_stops_what_loses_least():
+    site = Site(vms=2)
+    site.submit(whole_vm_step(), customer="south")
+    old = site.starts()
+    site.run(old)
+    site.now_s = 4.0
+    site.run(old, percent=30)
+    site.submit(whole_vm_step(), customer="south")
+    young = site.starts()
+    site.run(young)
+    site.submit(whole_vm_step(), queue="urgent", customer="north")
+    assert site.decide() == []
+    assert site.decide(after_s=0.5) == []
+    stops = site.decide(after_s=0.2)
+    assert [stop.task for stop in stops] == [young[0].task]
+    site.end(young[0], End.STOPPED)
+    assert [start.task.job_id for start in site.starts()] != []
+
+
+def test_urgent_work_outside_its_guarantee_stops_no_more_work_than_it_brings():
+    site = Site(vms=1)
+    site.submit(whole_vm_step(estimate_s=100.0), customer="south")
+    starts = site.starts()
+    site.run(starts)
+    site.now_s = 20.0
+    site.run(starts, percent=20)
+    site.submit(whole_vm_step(estimate_s=5.0), queue="urgent", customer="nobody")
+    assert site.decide_twice() == []
+    site.submit(whole_vm_step(estimate_s=60.0), queue="urgent", customer="nobody")
+    assert [type(order) for order in site.decide_twice()] == [StopTask]
+
+
+def test_urgent_work_of_others_is_stopped_only_beyond_their_guarantee():
+    site = Site(vms=3)
+    site.submit(whole_vm_step(3), queue="urgent", customer="south")
+    site.run(site.starts())
+    site.submit(whole_vm_step(1), queue="urgent", customer="north")
+    assert site.decide_twice() == []
+    site = Site(vms=4)
+    site.submit(whole_vm_step(4), queue="urgent", customer="south")
+    site.run(site.starts())
+    site.submit(whole_vm_step(1), queue="urgent", customer="north")
+    assert [type(order) for order in site.decide_twice()] == [StopTask]
+
+
+def test_a_gang_is_stopped_whole():
+    site = Site(vms=2)
+    site.submit(whole_vm_step(2, gang=True), customer="south")
+    site.run(site.starts())
+    site.submit(whole_vm_step(1), queue="urgent", customer="north")
+    assert len(site.decide_twice()) == 2
--- a/tests/workflow/structure/test_entry.py
+++ b/tests/workflow/structure/test_entry.py
@@ -389,3 +389,29 @@
         await asyncio.sleep(15.0)
         assert not site.store.find("jobs").newest
         assert all(not site.entry(name).book.entries for name in site.entry_names)
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff\x00", b"{}", b"\x93\x01\x02\x03"])
+async def test_broken_records_stop_nothing(value):
+    async with run_site() as site:
+        for topic, keys in {
+            "control": ("owner", "entry/x", "other"),
+            "jobs": ("job/1", "progress/1", "x"),
+        }.items():
+            records = [Record(key, value) for key in keys]
+            site.store.write(topic, records, None, None)
+        await asyncio.sleep(0.5)
+        job = make_job()
+        assert await site.submit(job, Plan(1.0))
+        await site.wait_for_state(job.job_id, "completed", 5.0)
+
+
+async def test_an_end_of_an_unknown_kind_frees_the_vm():
+    async with run_site() as site:
+        job = make_job(whole_vm_step(1))
+        await site.submit(job, Plan(2.0))
+        await site.wait_for_state(job.job_id, "running", 5.0)
+        vm = next(vm for vm in site.vms.values() if vm.runs)
+        for run in list(vm.runs.values()):
+            vm._end(run, "vanished")
+        await site.wait_for_state(job.job_id, "completed", 6.0)
