--- a/packages/core/briardeal_core/http/_server.py
+++ b/packages/core/briardeal_core/http/_server.py
@@ -20,6 +20,7 @@
 """Longest time from the first byte of a request to its last."""
 
 BODY_LIMIT_BYTES = 262_144
+"""Longest body that is read, by the contract with callers."""
 
 
 @attrs.frozen
--- a/packages/workflow/briardeal_workflow/leadership/__init__.py
+++ b/packages/workflow/briardeal_workflow/leadership/__init__.py
@@ -7,10 +7,11 @@
     OwnerRecord,
     entry_key,
 )
-from briardeal_workflow.leadership._watch import OwnerWatch
+from briardeal_workflow.leadership._watch import OWNER_BEAT_S, OwnerWatch
 
 __all__ = [
     "CONTROL_TOPIC",
+    "OWNER_BEAT_S",
     "Election",
     "EntryRecord",
     "OwnerRecord",
--- a/packages/workflow/briardeal_workflow/leadership/_election.py
+++ b/packages/workflow/briardeal_workflow/leadership/_election.py
@@ -37,6 +37,7 @@
 """Most age of what was read before a claim; a reader hears from the store each second."""
 
 CHECK_INTERVAL_S = 0.1
+"""Time between two looks whether the owner is lost."""
 APPEND_TIMEOUT_S = 1.0
 """Time for one append; a store in order answers within 10 ms."""
 
--- a/packages/workflow/briardeal_workflow/owner/_hub.py
+++ b/packages/workflow/briardeal_workflow/owner/_hub.py
@@ -22,6 +22,7 @@
     Report,
     Settled,
 )
+from briardeal_workflow.leadership import OWNER_BEAT_S
 
 if TYPE_CHECKING:
     from briardeal_protocol.connections import Connection, Listener, Network
@@ -31,9 +32,6 @@
 AGENT_SILENCE_S = 3.0
 """Silence after which the connection of an agent is closed; agents send a beat each 0.4 s."""
 
-OWNER_BEAT_S = 0.3
-"""Time between two words of the owner to each entry."""
-
 
 class Leader(Protocol):
     """What the hub needs of the owner while this entry is the owner."""
--- a/packages/workflow/briardeal_workflow/owner/_owner.py
+++ b/packages/workflow/briardeal_workflow/owner/_owner.py
@@ -70,6 +70,19 @@
         Wall time, for jobs that are due at a time.
     metrics
         What it counts.
+
+    Attributes
+    ----------
+    members
+        What is known of agents by name.
+    awaited
+        Agents that an earlier owner may have given orders to and that have not told what runs.
+    admitted
+        Agents that stand in the store as those that may get orders.
+    lapse_s
+        Time after which nothing runs any more that an earlier owner has ordered unheard.
+    loaded
+        Whether the jobs that were kept before have been taken over.
     """
 
     def __init__(
--- a/packages/workflow/briardeal_workflow/planning/_progress.py
+++ b/packages/workflow/briardeal_workflow/planning/_progress.py
@@ -25,6 +25,7 @@
 """Percentage that a steady task would have gained in a pause that shows that it is stuck."""
 
 WHOLE_PERCENT = 100
+"""Percentage that a task tells whose own part is done."""
 
 
 def is_stuck(attempt: Attempt, group: Group, now_s: float) -> bool:
