Take a start without an answer for over only once its end is listed

Ruled out: two owners (one epoch), the hold (both on one worker). Change: after the stop the agent reads the lists; a start that stands there is told as started, and its end comes with the lists. A refusal that follows a call without an answer is settled the same way.

--- a/packages/standins/briardeal_standins/emulator/_worker.py
+++ b/packages/standins/briardeal_standins/emulator/_worker.py
@@ -51,6 +51,8 @@
     """Tasks make no progress."""
     GONE = "gone"
     """It has ended; nobody listens."""
+    LOSES_STARTS = "loses starts"
+    """It starts tasks and does not say so."""
     OBEYS_LATE = "obeys late"
     """Orders get no answer and are carried out later."""
 
@@ -185,7 +187,8 @@
         if self.fault is VmFault.OBEYS_LATE:
             self._later(self._start, *arguments)
             return await self._no_answer()
-        return self._start(*arguments)
+        started = self._start(*arguments)
+        return await self._no_answer() if self.fault is VmFault.LOSES_STARTS else started
 
     async def stop(
         self, incarnation: str, task: TaskId, number: int, *, epoch: int
--- a/packages/workflow/briardeal_workflow/worker/_agent.py
+++ b/packages/workflow/briardeal_workflow/worker/_agent.py
@@ -31,6 +31,7 @@
     from typing import Any
 
     from briardeal_protocol.connections import Connection, Network
+    from briardeal_workflow.model import TaskId
     from briardeal_workflow.worker._port import Worker
     from briardeal_workflow.worker._registration import Registration
 
@@ -133,7 +134,7 @@
         self.idle_from_s = awake_time() + HOLD_LAPSE_S
         self.silent_since_s: float | None = None
         self.refused_since_s: float | None = None
-        self.orders = Orders(worker, self._hold_clock, self._note_settled)
+        self.orders = Orders(worker, self._hold_clock, self._note_settled, self._is_listed)
         self.news = asyncio.Event()
         self._sequence = 0
         self._tasks: set[asyncio.Task[object]] = set()
@@ -328,6 +329,13 @@
             self.orders.forget()
             self.news.set()
 
+    async def _is_listed(self, task: TaskId, number: int) -> bool:
+        """Read the lists until the worker answers, and return whether a start stands in them."""
+        while not await self._list_once(0.0):
+            await asyncio.sleep(RETRY_S)
+        ended = {(each.task, each.number) for each in self.table.ended}
+        return (task, number) in ended or (task, number) in self.table.running
+
     def _hold_clock(self) -> float | None:
         """Return until when the work is held, on the worker's clock.
 
--- a/packages/workflow/briardeal_workflow/worker/_orders.py
+++ b/packages/workflow/briardeal_workflow/worker/_orders.py
@@ -10,7 +10,7 @@
 from briardeal_workflow.worker._port import Refused, Replaced, Started, StopTaken
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from briardeal_workflow.control import StopOrder
     from briardeal_workflow.model import TaskId
@@ -37,6 +37,8 @@
         Returns until when, on the worker's clock, the work is held; `None` where it is not.
     settle
         Takes what became of a start, with the worker's clock of its answer where it began.
+    is_listed
+        Reads the worker's lists and returns whether a start stands in them.
 
     Attributes
     ----------
@@ -49,10 +51,12 @@
         worker: Worker,
         hold_clock: Callable[[], float | None],
         settle: Callable[[Settled, float], None],
+        is_listed: Callable[[TaskId, int], Awaitable[bool]],
     ) -> None:
         self.worker = worker
         self.hold_clock = hold_clock
         self.settle = settle
+        self.is_listed = is_listed
         self.unsettled: set[tuple[TaskId, int]] = set()
         self.stopping: set[tuple[TaskId, int]] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -84,6 +88,7 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _start(self, incarnation: str, order: StartOrder) -> None:
+        unanswered = False
         for _ in range(START_TRIES):
             hold_clock_s = self.hold_clock()
             if hold_clock_s is None:
@@ -104,15 +109,28 @@
                 self._settle(order, SettledAs.STARTED, "", answer.clock_s)
                 return
             if isinstance(answer, Refused):
+                if unanswered:
+                    break
                 self._settle(order, SettledAs.REFUSED, answer.reason)
                 return
             if isinstance(answer, Replaced):
                 self._settle(order, SettledAs.REFUSED, "worker was replaced")
                 return
+            unanswered = True
             log_event(Event.REQUEST_RETRIED, task=str(order.task), detail=answer.detail)
             await asyncio.sleep(RETRY_S)
-        # A call without an answer may still take effect. A stop of the same number rules it out.
-        if await self._close(incarnation, order):
+        await self._rule_out(incarnation, order)
+
+    async def _rule_out(self, incarnation: str, order: StartOrder) -> None:
+        """Settle a start that may have taken effect, or may still do so.
+
+        A stop of the same number keeps it from taking effect later. Where it has already, it goes
+        on until its end is listed and takes its room until then.
+        """
+        await self._close(incarnation, order)
+        if await self.is_listed(order.task, order.number):
+            self._settle(order, SettledAs.STARTED, "stopped without an answer")
+        else:
             self._settle(order, SettledAs.REFUSED, "no answer")
 
     async def _stop(self, incarnation: str, order: StopOrder) -> None:
@@ -121,15 +139,15 @@
         finally:
             self.stopping.discard((order.task, order.number))
 
-    async def _close(self, incarnation: str, order: StartOrder | StopOrder) -> bool:
-        """Stop a start until the worker has taken it, and return whether it has."""
+    async def _close(self, incarnation: str, order: StartOrder | StopOrder) -> None:
+        """Stop a start until the worker has taken that."""
         pause_s = RETRY_S
         while True:
             answer = await self.worker.stop(
                 incarnation, order.task, order.number, epoch=order.epoch
             )
             if isinstance(answer, StopTaken | Replaced):
-                return True
+                return
             log_event(Event.REQUEST_RETRIED, task=str(order.task), detail=answer.detail)
             await asyncio.sleep(pause_s)
             pause_s = min(2 * pause_s, LONGEST_RETRY_S)
--- a/tests/workflow/structure/test_entry.py
+++ b/tests/workflow/structure/test_entry.py
@@ -415,3 +415,14 @@
         for run in list(vm.runs.values()):
             vm._end(run, "vanished")
         await site.wait_for_state(job.job_id, "completed", 6.0)
+
+
+async def test_a_start_without_an_answer_is_over_only_once_its_end_is_listed():
+    async with run_site(vms=1) as site:
+        vm = site.vms["vm-0"]
+        vm.fault = VmFault.LOSES_STARTS
+        job = make_job(small_step(1))
+        await site.submit(job, Plan(4.0))
+        await asyncio.sleep(2.5)
+        vm.fault = VmFault.NONE
+        await site.wait_for_state(job.job_id, "completed", 20.0)
