Judge the progress of work by the lists of its VM alone

Cause: a start counted as stuck by the time since its percentage last grew, up to now. While its VM was not heard, its worker did not answer, or the owner itself stood still, no list came and the time ran on: after 2.4 s running work was stopped as 'no progress' although nothing was known of it, and its VM was counted as failing.

Change: evidence ends one report after the newest list, whose age the agent tells (age_ms); a gap of over 2 s between two lists counts for no start.

--- a/packages/workflow/briardeal_workflow/control/_messages.py
+++ b/packages/workflow/briardeal_workflow/control/_messages.py
@@ -99,6 +99,8 @@
         Starts that were ordered and of which the outcome is open.
     idle
         Whether the hold of the worker has run out, so that it runs nothing.
+    age_ms
+        Time since the worker gave the lists, in milliseconds.
     """
 
     sequence: int
@@ -108,6 +110,7 @@
     ended: tuple[EndedTask, ...] = ()
     unsettled: tuple[tuple[TaskId, int], ...] = ()
     idle: bool = False
+    age_ms: int = 0
 
 
 class SettledAs(enum.StrEnum):
--- a/packages/workflow/briardeal_workflow/planning/_planner.py
+++ b/packages/workflow/briardeal_workflow/planning/_planner.py
@@ -13,7 +13,7 @@
 from briardeal_workflow.planning._progress import is_stuck
 from briardeal_workflow.planning._starts import Starts
 from briardeal_workflow.planning._state import State
-from briardeal_workflow.planning._vms import Vm
+from briardeal_workflow.planning._vms import LIST_INTERVAL_S, Vm
 from briardeal_workflow.planning._work import Work
 
 if TYPE_CHECKING:
@@ -127,7 +127,7 @@
             self.drop_vm(shape.vm_id, now_s)
             vm = None
         if vm is None:
-            vm = self.state.vms[shape.vm_id] = Vm(shape)
+            vm = self.state.vms[shape.vm_id] = Vm(shape, listed_s=now_s)
         if shape.leaving and not vm.shape.leaving:
             self.state.drop_claims_on(vm)
         vm.shape = shape
@@ -164,11 +164,14 @@
             attempt.advanced_s = now_s
             self.state.note_started(task)
 
-    def note_running(self, vm_id: str, rows: Iterable[RunningTask], now_s: float) -> None:
-        """Take over the list of what a VM runs."""
+    def note_running(
+        self, vm_id: str, rows: Iterable[RunningTask], now_s: float, age_s: float = 0.0
+    ) -> None:
+        """Take over the list of what a VM runs, and the age of that list."""
         vm = self.state.vms.get(vm_id)
         if vm is None:
             return
+        vm.note_list(now_s - age_s)
         listed = set()
         for row in rows:
             listed.add((row.task, row.number))
@@ -260,9 +263,10 @@
 
     def _stop_stuck(self, now_s: float) -> None:
         for vm in self.state.vms.values():
+            known_s = min(now_s, vm.listed_s + LIST_INTERVAL_S)
             for attempt in list(vm.attempts.values()):
                 group = self.state.group_of(attempt.task)
-                if group is not None and is_stuck(attempt, group, now_s):
+                if group is not None and is_stuck(attempt, group, known_s):
                     self.endings.note_failure(vm, now_s)
                     for each in self.state.companions(attempt):
                         self.state.stop(each, "no progress")
--- a/packages/workflow/briardeal_workflow/planning/_vms.py
+++ b/packages/workflow/briardeal_workflow/planning/_vms.py
@@ -23,6 +23,13 @@
 FAILURES_DISTRUSTED = 2
 """Failed tasks in a row after which a VM is distrusted; single ones are often the task's fault."""
 
+LIST_INTERVAL_S = 1.0
+"""Time between two lists of a VM that is heard, as its agent tells them."""
+
+LIST_GAP_S = 2.0
+"""Longest time between two lists of a VM that is heard: reports come each 1.2 s at most, with lists
+that are up to 0.8 s old."""
+
 
 @attrs.frozen
 class Need:
@@ -128,6 +135,8 @@
         Until when it is the last choice.
     missing_since_s
         When starts were first missing in its lists.
+    listed_s
+        When it last told what it runs.
     """
 
     shape: Shape
@@ -138,6 +147,7 @@
     failures: int = 0
     distrusted_until_s: float = float("-inf")
     missing_since_s: dict[tuple[TaskId, int], float] = attrs.field(factory=dict)
+    listed_s: float = 0.0
 
     @property
     def vm_id(self) -> str:
@@ -180,6 +190,14 @@
         self.distrusted_until_s = now_s + DISTRUST_S
         return True
 
+    def note_list(self, listed_s: float) -> None:
+        """Note when it listed what it runs; a gap before says nothing of the progress of work."""
+        gap_s = listed_s - self.listed_s
+        if gap_s > LIST_GAP_S:
+            for attempt in self.attempts.values():
+                attempt.advanced_s = min(attempt.advanced_s + gap_s, listed_s)
+        self.listed_s = max(self.listed_s, listed_s)
+
     def _without(self, attempts: Iterable[Attempt]) -> Need:
         return self.shape.capacity.minus(_total(each.need for each in attempts))
 
--- a/packages/workflow/briardeal_workflow/worker/_agent.py
+++ b/packages/workflow/briardeal_workflow/worker/_agent.py
@@ -126,6 +126,7 @@
         self.incarnation = ""
         self.table = Table()
         self.listed_epoch = -1
+        self.listed_s = float("-inf")
         self.ends_kept = 0
         self.held_until_s = float("-inf")
         self.was_held = False
@@ -293,7 +294,8 @@
             self._note_silent(listing)
             return False
         self._note_answer()
-        self.clock_offset_s = listing.clock_s - awake_time()
+        self.listed_s = awake_time()
+        self.clock_offset_s = listing.clock_s - self.listed_s
         first = self.listed_epoch < epoch
         self.listed_epoch = max(self.listed_epoch, epoch)
         if self.table.take(listing) or first:
@@ -391,4 +393,5 @@
             self.table.rows(),
             self.table.ended,
             tuple(self.orders.unsettled),
+            age_ms=int(1000 * (awake_time() - self.listed_s)),
         )
--- a/tests/workflow/planning/site.py
+++ b/tests/workflow/planning/site.py
@@ -53,14 +53,14 @@
     def starts(self, after_s=0.0):
         return [each for each in self.decide(after_s) if isinstance(each, StartTask)]
 
-    def run(self, starts, percent=0, checkpoint=""):
+    def run(self, starts, percent=0, checkpoint="", age_s=0.0):
         """Let VMs list what was started."""
         by_vm = {}
         for start in starts:
             row = RunningTask(start.task, start.number, checkpoint, percent)
             by_vm.setdefault(start.vm_id, []).append(row)
         for vm_id, rows in by_vm.items():
-            self.planner.note_running(vm_id, rows, self.now_s)
+            self.planner.note_running(vm_id, rows, self.now_s, age_s)
 
     def end(self, start, end, checkpoint=""):
         self.planner.note_ended(start.vm_id, start.task, start.number, end, checkpoint, self.now_s)
--- a/tests/workflow/planning/test_planner.py
+++ b/tests/workflow/planning/test_planner.py
@@ -269,6 +269,53 @@
         assert site.decide(after_s=1.0) == []
 
 
+def steady(site):
+    """Return a start that has gained 15 % each second for three seconds."""
+    site.submit(small_step())
+    start = site.starts()[0]
+    for second in range(4):
+        site.run([start], 15 * second)
+        assert site.decide(after_s=1.0) == []
+    return start
+
+
+def test_work_is_not_taken_for_stuck_while_its_vm_is_not_heard():
+    site = Site()
+    start = steady(site)
+    site.planner.lose_reach(start.vm_id)
+    for _ in range(3):
+        assert site.decide(after_s=1.0) == []
+
+
+def test_work_that_was_frozen_together_with_its_vm_goes_on():
+    site = Site()
+    start = steady(site)
+    site.decide(after_s=3.0)
+    site.run([start], 45)
+    assert site.decide(after_s=1.0) == []
+    site.run([start], 60)
+    assert site.decide(after_s=1.0) == []
+
+
+def test_work_that_stands_still_after_a_pause_of_its_vm_is_stopped():
+    site = Site()
+    start = steady(site)
+    site.decide(after_s=3.0)
+    orders = []
+    for _ in range(4):
+        site.run([start], 45)
+        orders += site.decide(after_s=1.0)
+    assert [type(order) for order in orders] == [StopTask]
+
+
+def test_a_list_that_the_worker_has_not_renewed_is_no_sign_of_stuck_work():
+    site = Site()
+    start = steady(site)
+    for age_s in range(1, 5):
+        site.run([start], 45, age_s=float(age_s))
+        assert site.decide(after_s=1.0) == []
+
+
 def test_a_vm_that_leaves_gives_up_what_can_go_on_elsewhere():
     site = Site(vms=2)
     site.submit(small_step(1, checkpoints=True), small_step(1))
