Take a worker for gone once, and collect the log lines of the emulator

Change: a worker that is gone is no longer held on. The emulator collects the lines of all its processes, with time and VM in front; connections run with the context of the process that listens. The test of a worker that has ended now asks for one line, and failed before.

--- a/packages/core/briardeal_core/events/_log.py
+++ b/packages/core/briardeal_core/events/_log.py
@@ -35,3 +35,8 @@
 def log_to(output: Callable[[dict[str, Any]], None]) -> None:
     """Send the events of this process to a function."""
     eliot.add_destinations(output)
+
+
+def end_log_to(output: Callable[[dict[str, Any]], None]) -> None:
+    """Send no more events to a function."""
+    eliot.remove_destination(output)
--- a/packages/protocol/briardeal_protocol/connections/_memory.py
+++ b/packages/protocol/briardeal_protocol/connections/_memory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextvars
 from typing import TYPE_CHECKING
 
 from briardeal_protocol.connections._codec import JSON_LINES
@@ -107,6 +108,7 @@
         self.latency_s = latency_s
         self.codec = codec
         self.listeners: dict[str, Callable[[Connection], Awaitable[None]]] = {}
+        self.contexts: dict[str, contextvars.Context] = {}
         self.unreachable: set[str] = set()
         self.connections: list[MemoryConnection] = []
         self.tasks: set[asyncio.Task[None]] = set()
@@ -120,7 +122,9 @@
         near, far = MemoryConnection(self, address), MemoryConnection(self, address)
         near.other, far.other = far, near
         self.connections += [near, far]
-        task = asyncio.get_running_loop().create_task(serve(far))
+        # The far end runs with the context variables of the process that listens.
+        context = self.contexts[address].copy()
+        task = asyncio.get_running_loop().create_task(serve(far), context=context)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
         return near
@@ -130,6 +134,7 @@
     ) -> MemoryListener:
         """Run `serve` in a task of its own for each connection to an address."""
         self.listeners[address] = serve
+        self.contexts[address] = contextvars.copy_context()
         return MemoryListener(self, address)
 
     def silence(self, address: str) -> None:
--- a/packages/standins/briardeal_standins/emulator/_emulator.py
+++ b/packages/standins/briardeal_standins/emulator/_emulator.py
@@ -13,6 +13,7 @@
 from briardeal_core.reasons import Refusal, RunState
 from briardeal_protocol.connections import MemoryNetwork
 from briardeal_standins.emulator._checker import Checker
+from briardeal_standins.emulator._logs import LogCollector
 from briardeal_standins.emulator._store import MemoryStore, StoreClient
 from briardeal_standins.emulator._worker import Plan, StandinVm
 from briardeal_workflow.control import CONTROL_LINES, VmState
@@ -62,6 +63,11 @@
         Of all random choices.
     directory
         What operators have configured.
+
+    Attributes
+    ----------
+    logs
+        The log lines of all processes.
     """
 
     def __init__(
@@ -75,6 +81,7 @@
         self.network = MemoryNetwork(codec=CONTROL_LINES)
         self.clock = WallClock(1_000_000.0)
         self.checker = Checker()
+        self.logs = LogCollector()
         self.plans: dict[str, Plan] = {}
         self.board: dict[tuple[TaskId, int], StandinVm] = {}
         self.entry_names = [f"entry-{number}" for number in range(entries)]
@@ -87,6 +94,7 @@
 
     async def start(self) -> None:
         """Start all processes and workers."""
+        self.logs.start()
         self._works = [self._spawn(vm.run()) for vm in self.vms.values()]
         for name in (*self.entry_names, *self.vms):
             self.start_process(name)
@@ -99,6 +107,7 @@
         for task in left:
             task.cancel()
         await asyncio.gather(*left, return_exceptions=True)
+        self.logs.stop()
 
     def start_process(self, name: str) -> None:
         """Start an entry or an agent, knowing nothing of before."""
@@ -117,7 +126,8 @@
             address = self.address_of(name)
             program = Entry(name, incarnation, address, client, self.network, self.clock, seeds)
             program.configure(self.directory)
-        self.processes[name] = _Process(program, self._spawn(program.run()))
+        with self.logs.running(name):
+            self.processes[name] = _Process(program, self._spawn(program.run()))
 
     async def kill(self, name: str) -> None:
         """End a process at once; its connections are reset."""
@@ -161,7 +171,8 @@
         name = entry or self.rng.choice(
             [each for each in self.entry_names if each in self.processes]
         )
-        outcome = await self.entry(name).gateway.submit(job, loop_time() + CALL_S)
+        with self.logs.running(name):
+            outcome = await self.entry(name).gateway.submit(job, loop_time() + CALL_S)
         if not isinstance(outcome, Refusal):
             self.checker.accepted.setdefault(job.job_id, loop_time())
             self.checker.refused.discard(job.job_id)
@@ -175,7 +186,8 @@
 
     async def cancel(self, job_id: str, entry: str) -> bool:
         """Cancel a job and return whether that was answered."""
-        outcome = await self.entry(entry).gateway.cancel(job_id, loop_time() + CALL_S)
+        with self.logs.running(entry):
+            outcome = await self.entry(entry).gateway.cancel(job_id, loop_time() + CALL_S)
         if isinstance(outcome, Refusal):
             return False
         if not outcome:
@@ -185,7 +197,8 @@
 
     def state(self, job_id: str, entry: str) -> str | None:
         """Return the state of a job that an entry tells; `None` where it doesn't know."""
-        found = self.entry(entry).gateway.find(job_id)
+        with self.logs.running(entry):
+            found = self.entry(entry).gateway.find(job_id)
         if isinstance(found, Refusal):
             return None
         if found is None:
--- a/packages/workflow/briardeal_workflow/worker/_agent.py
+++ b/packages/workflow/briardeal_workflow/worker/_agent.py
@@ -317,12 +317,17 @@
             log_event(Event.WORKER_SILENT, detail=str(outcome))
             self.news.set()
         if isinstance(outcome, NoAnswer) and outcome.refused:
-            since_s = self.refused_since_s = self.refused_since_s or now_s
-            if now_s - since_s > REFUSED_LIMIT_S:
+            self.refused_since_s = self.refused_since_s or now_s
+            if self._is_gone():
                 self._note_gone(now_s)
         else:
             self.refused_since_s = None
 
+    def _is_gone(self) -> bool:
+        """Return whether connections were refused for so long that the worker has ended."""
+        since_s = self.refused_since_s
+        return since_s is not None and awake_time() - since_s > REFUSED_LIMIT_S
+
     def _note_gone(self, now_s: float) -> None:
         """Note that the worker has ended, so that it runs nothing."""
         if self.idle_from_s > now_s:
@@ -346,6 +351,8 @@
         silent_s = 0.0 if self.silent_since_s is None else awake_time() - self.silent_since_s
         if not self.held or self.clock_offset_s is None or silent_s > WORKER_SILENCE_S:
             return None
+        if self._is_gone():
+            return None
         self.idle_from_s = max(self.idle_from_s, self.held_until_s + HOLD_LAPSE_S - HOLD_S)
         return self.held_until_s + self.clock_offset_s
 
--- a/tests/workflow/structure/test_entry.py
+++ b/tests/workflow/structure/test_entry.py
@@ -317,6 +317,7 @@
         await site.wait_for_state(job.job_id, "running", 5.0)
         next(vm for vm in site.vms.values() if vm.runs).end()
         assert await site.wait_for_state(job.job_id, "completed", 20.0) < 5.5
+    assert sum('"worker_gone"' in line for line in site.logs.lines) == 1
 
 
 async def test_work_of_a_worker_that_is_silent_starts_elsewhere_though_its_agent_is_heard():
