Explain from log lines what became of a job

An engineer with only the logs had to read the lines of a job and of what happened around it side by side.

Lines that were missing are written: the end of a job with its state and cause, refusals of invalid jobs, of cancels and of queries, jobs handed in again; orders carry what they were decided from (version of the configuration, time since the task was ready, work lost and brought by a preemption, percentage and silence), refused calls the version and age of the configuration.

Tests: stories and causes from lines; the commands of the operators' page are run over the lines of three failures and a change of owners played on the emulator; 1000 refusals while nobody reads the log are answered within 0.1 s at the 99th percentile and hold less than 8 MB. One of them found that the longest pause alone blamed the wrong thing for a VM that was cut off; delays are now measured from one start of a task to the next.

--- a/bench/workflow.py
+++ b/bench/workflow.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
+import os
 import statistics
 import time
 from typing import TYPE_CHECKING
@@ -10,6 +12,7 @@
 from bench.figures import Bound, Figure
 from bench.log_parts import run_virtual
 from briardeal_core.clock import loop_time
+from briardeal_core.events import Event, LogOutput, end_log_to, log_event, log_to
 from briardeal_standins.emulator import DIRECTORY, Emulator, Plan
 from briardeal_workflow.book import Progress
 from briardeal_workflow.model import Job, Step
@@ -34,11 +37,17 @@
 PLANNER_VMS = (158, 315, 630)
 PLANNER_TASKS_PER_VM = 10
 LONG_S = 10_000.0
+LOG_JOBS = 40
+LOG_TASKS = 8
+LOG_RUN_S = 2.0
+LOG_INTERVAL_S = 0.5
+LOG_LINES = 5000
+LOG_ROUNDS = 5
 
 
 def parts() -> list[Callable[[], list[Figure]]]:
     """Return the measurements."""
-    return [measure_control, measure_takeover, measure_urgent, measure_rounds]
+    return [measure_control, measure_takeover, measure_urgent, measure_rounds, measure_log]
 
 
 def combine(results: list[list[Figure]]) -> list[Figure]:
@@ -74,6 +83,60 @@
     return figures
 
 
+def measure_log() -> list[Figure]:
+    """Return the volume of the log and what writing it costs."""
+    lines, size, processor_s = run_virtual(_measure_log)
+    line_s, output_s = _line_cost_s()
+    return [
+        Figure(GROUP, f"log of a job of {LOG_TASKS} tasks, all processes", size / LOG_JOBS, "B"),
+        Figure(GROUP, "processor time of a log line", line_s * 1e6, "us"),
+        Figure(GROUP, "part of it in eliot", 1 - output_s / line_s, "share"),
+        Figure(GROUP, "log: share of processor time", lines * line_s / processor_s, "share"),
+    ]
+
+
+async def _measure_log() -> tuple[int, int, float]:
+    """Return the lines and bytes that some jobs log, and the processor time of the run."""
+    emulator = Emulator(entries=ENTRIES, vms=VMS)
+    await emulator.start()
+    await emulator.wait_for_owner()
+    await asyncio.sleep(SETTLE_S)
+    before, began_s = len(emulator.logs.lines), time.process_time()
+    for number in range(LOG_JOBS):
+        await emulator.submit(_job(LOG_TASKS, number=number), Plan(LOG_RUN_S))
+        await asyncio.sleep(LOG_INTERVAL_S)
+    await asyncio.sleep(SETTLE_S)
+    processor_s = time.process_time() - began_s
+    lines = emulator.logs.lines[before:]
+    await emulator.stop()
+    return len(lines), sum(len(line) + 1 for line in lines), processor_s
+
+
+def _line_cost_s() -> tuple[float, float]:
+    """Return the processor time of one line in all, and that of its output alone."""
+    descriptor = os.open(os.devnull, os.O_WRONLY)
+    written = itertools.count()
+    # Each line comes late enough not to be summed up.
+    output = LogOutput(descriptor, lambda: next(written))
+    fields = {"job_id": "0123456789abcdef", "vm": "vm-1", "cause": "room", "epoch": 1}
+    message = {"message_type": "task_ordered", "event": Event.TASK_ORDERED.number, **fields}
+    log_to(output)
+    in_all, alone = [], []
+    for _ in range(LOG_ROUNDS):
+        in_all.append(_time_calls(lambda: log_event(Event.TASK_ORDERED, **fields)))
+        alone.append(_time_calls(lambda: output(message)))
+    end_log_to(output)
+    os.close(descriptor)
+    return statistics.median(in_all), statistics.median(alone)
+
+
+def _time_calls(call: Callable[[], None]) -> float:
+    began_s = time.process_time()
+    for _ in range(LOG_LINES):
+        call()
+    return (time.process_time() - began_s) / LOG_LINES
+
+
 async def _measure_control() -> list[Figure]:
     emulator = Emulator(entries=ENTRIES, vms=VMS)
     await emulator.start()
--- a/packages/entry/briardeal/__main__.py
+++ b/packages/entry/briardeal/__main__.py
@@ -20,6 +20,7 @@
 DIFF_HELP = "Print what differs between versions OLD and NEW."
 HISTORY_HELP = "Print the last changes and what became of each."
 EXPLAIN_HELP = "Tell in sentences why a job ran, waits, was stopped or was refused."
+LOG_HELP = "Read log lines from FILE instead of asking an entry; may be given more than once."
 
 
 @click.group()
@@ -101,11 +102,22 @@
 
 @cli.command(help=EXPLAIN_HELP)
 @click.argument("job_id")
+@click.option(
+    "--log",
+    "files",
+    metavar="FILE",
+    multiple=True,
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+    help=LOG_HELP,
+)
 @click_options(OperatorSettings)
-def explain(job_id: str, **flags: str | None) -> None:
+def explain(job_id: str, files: tuple[Path, ...], **flags: str | None) -> None:
     """Explain a job."""
     from briardeal.commands import explain as command
 
+    if files:
+        command.explain_from_log(files, job_id)
+        return
     command.explain(load_or_exit(OperatorSettings, flags), job_id)
 
 
--- a/packages/entry/briardeal/commands/explain.py
+++ b/packages/entry/briardeal/commands/explain.py
@@ -9,8 +9,12 @@
 import click
 
 from briardeal.operators import OperatorClient, Refused
+from briardeal_workflow.explanation import explain_job, read_log
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from pathlib import Path
+
     from briardeal.operators import OperatorSettings
 
 REFUSED_EXIT_CODE = 1
@@ -25,3 +29,10 @@
         sys.exit(REFUSED_EXIT_CODE)
     for sentence in outcome["sentences"]:
         click.echo(sentence)
+
+
+def explain_from_log(files: Sequence[Path], job_id: str) -> None:
+    """Print the sentences that log files tell about a job."""
+    texts = (line for file in files for line in file.read_text(errors="replace").splitlines())
+    for sentence in explain_job(read_log(texts), job_id):
+        click.echo(sentence)
--- /dev/null
+++ b/packages/workflow/briardeal_workflow/explanation/__init__.py
@@ -0,0 +1,6 @@
+"""What became of a job, told from the log lines of all processes."""
+
+from briardeal_workflow.explanation._lines import LogLine, LogLines, read_log
+from briardeal_workflow.explanation._story import explain_job
+
+__all__ = ["LogLine", "LogLines", "explain_job", "read_log"]
--- a/packages/workflow/briardeal_workflow/gateway/_gateway.py
+++ b/packages/workflow/briardeal_workflow/gateway/_gateway.py
@@ -102,28 +102,40 @@
             When its caller stops waiting, on the loop's clock.
         """
         if self.book.get(job.job_id) is not None:
+            self._log_acceptance(job, known=True)
             return Submitted(known=True)
         mistake = find_mistake(job)
         if mistake:
-            return Refusal(Reason.REQUEST_INVALID, RunState.NOT_RUN, detail=mistake)
+            refusal = Refusal(Reason.REQUEST_INVALID, RunState.NOT_RUN, detail=mistake)
+            self._log_refusal(refusal, job.job_id, queue=job.queue)
+            return refusal
         record = Record(job_key(job.job_id), encode_record(job))
         began_s = loop_time()
         refusal = await self._keep(job.job_id, record, deadline_s)
         labels = {"outcome": "accepted" if refusal is None else refusal.reason.code}
-        self.metrics.acceptance_s.observe(labels, loop_time() - began_s)
-        self._log_submission(job, refusal)
-        return Submitted(known=False) if refusal is None else refusal
+        took_s = loop_time() - began_s
+        self.metrics.acceptance_s.observe(labels, took_s)
+        if refusal is not None:
+            self._log_refusal(refusal, job.job_id, queue=job.queue, took_s=round(took_s, 3))
+            return refusal
+        self._log_acceptance(job, known=False)
+        return Submitted(known=False)
 
     async def cancel(self, job_id: str, deadline_s: float) -> bool | Refusal:
         """Cancel a job and return whether it is known."""
         entry = self.book.get(job_id)
         if entry is None:
-            return False if self.informed and job_id not in self.uncertain else self._uninformed()
+            if self.informed and job_id not in self.uncertain:
+                return False
+            refusal = self._uninformed()
+            self._log_refusal(refusal, job_id, call="cancel")
+            return refusal
         if entry.over:
             return True
         record = Record(cancel_key(job_id), CANCELLED)
         refusal = await self._keep(job_id, record, deadline_s)
         if refusal is not None:
+            self._log_refusal(refusal, job_id, call="cancel")
             return refusal
         log_event(Event.JOB_CANCELLED, job_id=job_id)
         return True
@@ -134,7 +146,9 @@
         if entry is not None:
             return entry
         if not self.informed or job_id in self.uncertain:
-            return self._uninformed()
+            refusal = self._uninformed()
+            self._log_refusal(refusal, job_id, call="find")
+            return refusal
         return None
 
     async def _keep(self, job_id: str, record: Record, deadline_s: float) -> Refusal | None:
@@ -163,24 +177,25 @@
         if len(self.uncertain) > UNCERTAIN_LIMIT:
             del self.uncertain[next(iter(self.uncertain))]
 
-    def _log_submission(self, job: Job, refusal: Refusal | None) -> None:
-        if refusal is None:
-            log_event(
-                Event.JOB_ACCEPTED,
-                job_id=job.job_id,
-                queue=job.queue,
-                customer=job.customer,
-                tasks=sum(step.tasks for step in job.steps),
-            )
-        else:
-            log_event(
-                Event.JOB_REFUSED,
-                job_id=job.job_id,
-                queue=job.queue,
-                reason=refusal.reason.code,
-                run_state=refusal.run_state,
-                detail=refusal.detail,
-            )
+    def _log_acceptance(self, job: Job, *, known: bool) -> None:
+        log_event(
+            Event.JOB_ACCEPTED,
+            job_id=job.job_id,
+            queue=job.queue,
+            customer=job.customer,
+            tasks=sum(step.tasks for step in job.steps),
+            known=known,
+        )
+
+    def _log_refusal(self, refusal: Refusal, job_id: str, **inputs: object) -> None:
+        log_event(
+            Event.JOB_REFUSED,
+            job_id=job_id,
+            reason=refusal.reason.code,
+            run_state=refusal.run_state,
+            detail=refusal.detail,
+            **inputs,
+        )
 
     def _uninformed(self) -> Refusal:
         detail = f"What was read is {self.follower.age_s:.1f} s old."
--- a/packages/workflow/briardeal_workflow/owner/_owner.py
+++ b/packages/workflow/briardeal_workflow/owner/_owner.py
@@ -355,6 +355,8 @@
             vm=order.vm_id,
             cause=order.cause,
             epoch=self.epoch,
+            configuration=self.planner.state.directory.version,
+            **order.inputs,
         )
         if isinstance(order, StartTask):
             self._count_first_start(order)
--- a/packages/workflow/briardeal_workflow/planning/_endings.py
+++ b/packages/workflow/briardeal_workflow/planning/_endings.py
@@ -87,7 +87,7 @@
                 self.state.stop(attempt, "another copy is done")
         self.state.changed.add(work.job.job_id)
         if all(each.complete for each in work.groups.values()):
-            work.state = "completed"
+            self._end_job(work, "completed", "all tasks are done")
 
     def _count_failure(self, work: Work, group: Group, index: int, number: int) -> None:
         counted = group.counted_index(index)
@@ -97,5 +97,11 @@
         group.failures[counted] = group.failures.get(counted, 0) + 1
         self.state.changed.add(work.job.job_id)
         if group.failures[counted] >= work.queue.failure_limit:
-            work.state = "failed"
+            vms = sorted(group.failed_on.get(index, ()))
+            cause = f"{group.task(index)} failed {group.failures[counted]} times"
+            self._end_job(work, "failed", cause, vms=vms)
             self.end_work(work, "failed too often")
+
+    def _end_job(self, work: Work, state: str, cause: str, **inputs: object) -> None:
+        work.state = state
+        log_event(Event.JOB_ENDED, job_id=work.job.job_id, state=state, cause=cause, **inputs)
--- a/packages/workflow/briardeal_workflow/planning/_orders.py
+++ b/packages/workflow/briardeal_workflow/planning/_orders.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -21,8 +21,8 @@
         What it is told to run.
     checkpoint
         What it goes on from; empty for the beginning.
-    cause
-        Why it starts now, for the log.
+    cause, inputs
+        Why it starts now and what that was decided from, for the log.
     """
 
     vm_id: str
@@ -31,6 +31,7 @@
     command: str
     checkpoint: str
     cause: str
+    inputs: dict[str, object] = field(default_factory=dict, compare=False)
 
 
 @dataclass(frozen=True)
@@ -41,14 +42,15 @@
     ----------
     vm_id, task, number
         Where, what, and the number of the start.
-    cause
-        Why, for the log.
+    cause, inputs
+        Why and what that was decided from, for the log.
     """
 
     vm_id: str
     task: TaskId
     number: int
     cause: str
+    inputs: dict[str, object] = field(default_factory=dict, compare=False)
 
 
 Order = StartTask | StopTask
--- a/packages/workflow/briardeal_workflow/planning/_planner.py
+++ b/packages/workflow/briardeal_workflow/planning/_planner.py
@@ -269,7 +269,10 @@
                 if group is not None and is_stuck(attempt, group, known_s):
                     self.endings.note_failure(vm, now_s)
                     for each in self.state.companions(attempt):
-                        self.state.stop(each, "no progress")
+                        silent_s = round(known_s - each.advanced_s, 3)
+                        self.state.stop(
+                            each, "no progress", percent=each.percent, silent_s=silent_s
+                        )
 
     def _drop_lapsed_vms(self, now_s: float) -> None:
         for vm in list(self.state.vms.values()):
--- a/packages/workflow/briardeal_workflow/planning/_starts.py
+++ b/packages/workflow/briardeal_workflow/planning/_starts.py
@@ -102,10 +102,18 @@
         placement = place_by_preemption(vms, group, indices, now_s, victims_of)
         if placement is None:
             return
-        if work.job.customer not in guaranteed and placement.cost > _brought(group, indices):
+        within_guarantee = work.job.customer in guaranteed
+        brought = _brought(group, indices)
+        if not within_guarantee and placement.cost > brought:
             return
         for attempt in placement.victims:
-            self.state.stop(attempt, f"makes room for {work.job.job_id}")
+            self.state.stop(
+                attempt,
+                f"makes room for {work.job.job_id}",
+                guaranteed=within_guarantee,
+                lost_core_s=round(attempt.unsaved_work(now_s), 1),
+                brought_core_s=round(brought, 1),
+            )
         self._claim(group, placement, now_s)
 
     def _guaranteed_customers(self) -> set[str]:
@@ -157,8 +165,17 @@
     ) -> None:
         attempt = self.add_attempt(work, group, vm, group.task(index), number, now_s)
         attempt.checkpoint = group.checkpoints.get(group.counted_index(index), "")
+        ready_for_s = 0.0 if group.ready_s is None else round(now_s - group.ready_s, 3)
         self.state.orders.append(
-            StartTask(vm.vm_id, attempt.task, number, work.job.command, attempt.checkpoint, cause)
+            StartTask(
+                vm.vm_id,
+                attempt.task,
+                number,
+                work.job.command,
+                attempt.checkpoint,
+                cause,
+                {"ready_for_s": ready_for_s, "resumed": bool(attempt.checkpoint)},
+            )
         )
 
 
--- a/packages/workflow/briardeal_workflow/planning/_state.py
+++ b/packages/workflow/briardeal_workflow/planning/_state.py
@@ -63,11 +63,11 @@
         work = self.work_of(task)
         return work.groups[task.group] if work is not None else None
 
-    def stop(self, attempt: Attempt, cause: str) -> None:
+    def stop(self, attempt: Attempt, cause: str, **inputs: object) -> None:
         """Order that a start ends, unless that was ordered before."""
         if attempt.phase is not Phase.STOPPING:
             attempt.phase = Phase.STOPPING
-            self.orders.append(StopTask(attempt.vm_id, attempt.task, attempt.number, cause))
+            self.orders.append(StopTask(attempt.vm_id, attempt.task, attempt.number, cause, inputs))
 
     def companions(self, attempt: Attempt) -> tuple[Attempt, ...]:
         """Return what ends along with a start: the members of its gang, or itself alone."""
--- /dev/null
+++ b/tests/docs/test_operations.py
@@ -0,0 +1,114 @@
+"""The commands of the operators' page lead from a failed request to its cause."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import subprocess
+from pathlib import Path
+
+import pytest
+
+from briardeal_standins.emulator import Plan, StoreFault
+from tests.workflow.samples import make_job, small_step, whole_vm_step
+from tests.workflow.sites import run_site
+
+pytestmark = pytest.mark.looptime
+
+PAGE = Path(__file__).parents[2] / "docs" / "OPERATIONS.md"
+ROOT = PAGE.parents[1]
+JOB_NAME = re.compile(r"\b[0-9a-f]{16}\b")
+PROGRAMS = ("grep ", "briardeal ")
+BRIARDEAL = f"{ROOT}/.venv/bin/python -m briardeal "
+
+
+def commands_of(heading: str) -> list[str]:
+    """Return the commands of one section of the page."""
+    section = PAGE.read_text().partition(f"### {heading}\n")[2].partition("\n## ")[0]
+    section = section.partition("\n### ")[0]
+    assert section, heading
+    lines = (line.strip() for line in section.splitlines() if line.startswith("    "))
+    return [line for line in lines if line.startswith(PROGRAMS)]
+
+
+def follow(heading: str, job_id: str, lines: list[str], folder: Path) -> list[str]:
+    """Run the commands of one section over log lines and return what each prints."""
+    logs: dict[str, list[str]] = {}
+    for line in lines:
+        logs.setdefault(line.split()[1], []).append(line)
+    for vm, texts in logs.items():
+        (folder / f"{vm}.log").write_text("\n".join(texts) + "\n")
+    names = " ".join(str(folder / f"{vm}.log") for vm in sorted(logs))
+    printed = []
+    for command in commands_of(heading):
+        ready = JOB_NAME.sub(job_id, command).replace("LOGS", names).replace("JOB", job_id)
+        if ready.startswith("briardeal "):
+            files = " ".join(f"--log {name}" for name in names.split())
+            ready = f"{BRIARDEAL}explain {job_id} {files}"
+        done = subprocess.run(  # noqa: S602
+            ready, shell=True, cwd=ROOT, capture_output=True, text=True, check=False
+        )
+        assert not done.stderr, (ready, done.stderr)
+        printed.append(done.stdout)
+    assert len(printed) >= 2, "the section has too few commands"
+    return printed
+
+
+async def test_a_refused_job_is_followed_to_the_store_that_was_down(tmp_path):
+    async with run_site() as site:
+        site.store.faults[""] = StoreFault.REFUSES
+        job = make_job()
+        await asyncio.sleep(1.0)
+        assert not await site.submit(job, Plan(1.0), "entry-0")
+        site.store.faults.clear()
+        await asyncio.sleep(5.0)
+    printed = follow("A job that was refused", job.job_id, site.logs.lines, tmp_path)
+    assert '"message_type":"job_refused"' in printed[0]
+    assert '"run_state":"not_run"' in printed[0]
+    assert all(name in printed[1] for name in site.entry_names)
+    assert "Cause: log_unavailable" in printed[-1]
+    assert "the store failed entry-0, entry-1, entry-2" in printed[-1]
+
+
+async def test_a_late_job_is_followed_to_the_vm_that_was_lost(tmp_path):
+    async with run_site() as site:
+        job = make_job(whole_vm_step(1))
+        await site.submit(job, Plan(8.0))
+        await site.wait_for_state(job.job_id, "running", 5.0)
+        lost = next(name for name, vm in site.vms.items() if vm.runs)
+        await site.kill(lost)
+        await site.wait_for_state(job.job_id, "completed", 20.0)
+    printed = follow("A job that was accepted and came late", job.job_id, site.logs.lines, tmp_path)
+    assert printed[0].count('"message_type":"task_ordered"') == 2
+    assert '"message_type":"agent_expired"' in printed[1]
+    assert f'"vm":"{lost}"' in printed[1]
+    assert f"{lost} was lost (agent_expired)" in printed[-1]
+
+
+async def test_a_late_job_is_followed_to_the_change_of_owners(tmp_path):
+    async with run_site() as site:
+        owner = await site.wait_for_owner()
+        other = next(name for name in site.entry_names if name != owner)
+        await site.kill(owner)
+        job = make_job()
+        await site.submit(job, Plan(1.0), other)
+        await site.wait_for_state(job.job_id, "completed", 20.0)
+    printed = follow("A job that was accepted and came late", job.job_id, site.logs.lines, tmp_path)
+    claims = [line for line in printed[1].splitlines() if "owner_claims" in line]
+    assert len(claims) >= 2
+
+
+async def test_a_failed_job_is_followed_to_the_job_itself(tmp_path):
+    async with run_site() as site:
+        job = make_job(small_step(1))
+        await site.submit(job, Plan(0.5, failures=10))
+        await site.wait_for_state(job.job_id, "failed", 20.0)
+        good = make_job(small_step(4))
+        await site.submit(good, Plan(0.5))
+        await site.wait_for_state(good.job_id, "completed", 20.0)
+    printed = follow("A job that has failed", job.job_id, site.logs.lines, tmp_path)
+    assert '"message_type":"job_ended"' in printed[0]
+    assert printed[0].count('"end":"failed"') >= 3
+    counts = [line.split()[0] for line in printed[1].splitlines()]
+    assert sum(map(int, counts)) >= 3
+    assert "no other job failed there, which points at the job" in printed[-1]
