Wait out a pause for as long as a new start would repeat and be in time

Ruled out: a longer limit for all, which moves short and checkpointed work off a dead worker later.

Change: the limit is what a new start would repeat (a checkpointed task repeats 0.7 s), while a new start would still be in time, and 2.4 s at least. The orders to start tell what a task takes, so that the log gives the work that was thrown away by cause.

Tests: three on the length of pauses by work done, checkpoints and time to spare.

--- a/packages/workflow/briardeal_workflow/planning/_attempts.py
+++ b/packages/workflow/briardeal_workflow/planning/_attempts.py
@@ -64,7 +64,7 @@
     first_percent, first_listed_s
         That part when its VM first listed it, and when that was.
     advanced_s
-        When the part last grew.
+        When the part last grew. Both times are later by gaps in which nothing was told.
     checkpoint
         Newest checkpoint that its VM has told.
     """
@@ -91,3 +91,17 @@
         """
         lost_s = RESTART_S if self.checkpoints else max(0.0, now_s - self.ordered_s)
         return lost_s * self.need.weight
+
+    def leave_out(self, gap_s: float, now_s: float) -> None:
+        """Leave a time out of account in which nothing was told of it."""
+        self.advanced_s = min(self.advanced_s + gap_s, now_s)
+        if self.first_listed_s is not None:
+            self.first_listed_s = min(self.first_listed_s + gap_s, now_s)
+
+    def worked_s(self) -> float:
+        """Return for how long it was seen to work, in seconds."""
+        return 0.0 if self.first_listed_s is None else self.advanced_s - self.first_listed_s
+
+    def repeated_s(self) -> float:
+        """Return for how long a new start would run to come as far as this one, in seconds."""
+        return RESTART_S if self.checkpoints else self.worked_s()
--- a/packages/workflow/briardeal_workflow/planning/_planner.py
+++ b/packages/workflow/briardeal_workflow/planning/_planner.py
@@ -196,7 +196,7 @@
         """Return what is to be done now, in this order."""
         self._drop_lapsed_vms(now_s)
         self._evacuate()
-        self._stop_stuck(now_s)
+        self._stop_stuck(now_s, wall_s)
         self.starts.start_claimed(now_s)
         for work in sorted(self.state.works.values(), key=lambda each: _order_key(each, wall_s)):
             if work.over:
@@ -261,12 +261,15 @@
                     for each in self.state.companions(attempt):
                         self.state.stop(each, "VM is leaving")
 
-    def _stop_stuck(self, now_s: float) -> None:
+    def _stop_stuck(self, now_s: float, wall_s: float) -> None:
         for vm in self.state.vms.values():
             known_s = min(now_s, vm.listed_s + LIST_INTERVAL_S)
             for attempt in list(vm.attempts.values()):
-                group = self.state.group_of(attempt.task)
-                if group is not None and is_stuck(attempt, group, known_s):
+                work = self.state.work_of(attempt.task)
+                if work is None:
+                    continue
+                group = work.groups[attempt.task.group]
+                if is_stuck(attempt, group, known_s, work.spare_s(group, wall_s)):
                     self.endings.note_failure(vm, now_s)
                     for each in self.state.companions(attempt):
                         silent_s = round(known_s - each.advanced_s, 3)
@@ -290,6 +293,6 @@
 
 def _order_key(work: Work, wall_s: float) -> tuple[int, bool, float, str]:
     """Return the place of a job: urgent classes first, then by when it has to be done."""
-    objective_s = work.queue.stretch_limit * work.chain_s() + work.queue.latency_target_s
+    objective_s = work.objective_s()
     useless = wall_s > work.job.accepted_s + LATE_FACTOR * objective_s and not work.job.timed
     return (work.queue.priority, useless, work.job.accepted_s + objective_s, work.job.job_id)
--- a/packages/workflow/briardeal_workflow/planning/_progress.py
+++ b/packages/workflow/briardeal_workflow/planning/_progress.py
@@ -28,8 +28,21 @@
 """Percentage that a task tells whose own part is done."""
 
 
-def is_stuck(attempt: Attempt, group: Group, now_s: float) -> bool:
-    """Return whether a start stands still, by what it did before."""
+def is_stuck(attempt: Attempt, group: Group, now_s: float, spare_s: float) -> bool:
+    """Return whether a start stands still, by what it did before.
+
+    Most pauses end by themselves. Waiting for as long as a new start would take to come as far
+    costs at most twice what is best in hindsight; it ends where a new start would be late.
+
+    Parameters
+    ----------
+    attempt, group
+        The start and its group.
+    now_s
+        Time up to which its VM was heard, on the loop's clock.
+    spare_s
+        Time for which a new start may still wait, in seconds.
+    """
     if attempt.phase is not Phase.RUNNING or group.step.lasting:
         return False
     left_percent = WHOLE_PERCENT - attempt.percent
@@ -37,12 +50,11 @@
         # Its own part is done; it ends together with the slowest member.
         return False
     silent_s = now_s - attempt.advanced_s
-    if silent_s > max(SILENCE_LIMIT_S, SILENCE_SHARE * group.step.estimate_s):
+    patience_s = min(attempt.repeated_s(), spare_s)
+    if silent_s > max(SILENCE_LIMIT_S, SILENCE_SHARE * group.step.estimate_s, patience_s):
         return True
-    if silent_s <= PAUSE_LIMIT_S or attempt.first_listed_s is None:
-        return False
-    worked_s = attempt.advanced_s - attempt.first_listed_s
-    if worked_s <= 0:
+    worked_s = attempt.worked_s()
+    if silent_s <= max(PAUSE_LIMIT_S, patience_s) or worked_s <= 0:
         return False
     rate = (attempt.percent - attempt.first_percent) / worked_s
     return min(rate * silent_s, left_percent) >= PAUSE_PERCENT
--- a/packages/workflow/briardeal_workflow/planning/_starts.py
+++ b/packages/workflow/briardeal_workflow/planning/_starts.py
@@ -174,7 +174,12 @@
                 work.job.command,
                 attempt.checkpoint,
                 cause,
-                {"ready_for_s": ready_for_s, "resumed": bool(attempt.checkpoint)},
+                {
+                    "ready_for_s": ready_for_s,
+                    "resumed": bool(attempt.checkpoint),
+                    "cpu_millis": group.need.cpu_millis,
+                    "accelerators": group.need.accelerators,
+                },
             )
         )
 
--- a/packages/workflow/briardeal_workflow/planning/_vms.py
+++ b/packages/workflow/briardeal_workflow/planning/_vms.py
@@ -195,7 +195,7 @@
         gap_s = listed_s - self.listed_s
         if gap_s > LIST_GAP_S:
             for attempt in self.attempts.values():
-                attempt.advanced_s = min(attempt.advanced_s + gap_s, listed_s)
+                attempt.leave_out(gap_s, listed_s)
         self.listed_s = max(self.listed_s, listed_s)
 
     def _without(self, attempts: Iterable[Attempt]) -> Need:
--- a/packages/workflow/briardeal_workflow/planning/_work.py
+++ b/packages/workflow/briardeal_workflow/planning/_work.py
@@ -205,11 +205,26 @@
 
     def chain_s(self) -> float:
         """Return the declared time of its longest chain of steps."""
+        return max(self._step_ends())
+
+    def objective_s(self) -> float:
+        """Return the time from its acceptance in which it is to be done."""
+        return self.queue.stretch_limit * self.chain_s() + self.queue.latency_target_s
+
+    def spare_s(self, group: Group, wall_s: float) -> float:
+        """Return how long a new start of a task may wait for the job to be in time, in seconds."""
+        begun_s = max(self.job.accepted_s, self.job.due_s(group.group_id.occurrence))
+        ends = self._step_ends()
+        before_s = ends[group.group_id.step] - group.step.estimate_s
+        return begun_s + self.objective_s() - wall_s - (max(ends) - before_s)
+
+    def _step_ends(self) -> list[float]:
+        """Return when its steps end by their declared times, counted from its begin."""
         ends: list[float] = []
         for step in self.job.steps:
             start_s = max((ends[earlier] for earlier in step.after), default=0.0)
             ends.append(start_s + step.estimate_s)
-        return max(ends)
+        return ends
 
     def next_due_s(self, wall_s: float) -> float | None:
         """Return when its next occurrence is due, in seconds since 1970."""
--- a/tests/workflow/planning/site.py
+++ b/tests/workflow/planning/site.py
@@ -17,6 +17,7 @@
         self.planner = Planner(epoch)
         self.planner.configure(DIRECTORY)
         self.now_s = 0.0
+        self.wall_s = WALL_S
         if settled:
             self.planner.settle()
         for number in range(vms):
@@ -44,7 +45,7 @@
         for vm in self.planner.state.vms.values():
             if vm.in_reach:
                 vm.held_until_s = self.now_s + 5.0
-        return self.planner.decide(self.now_s, WALL_S + self.now_s)
+        return self.planner.decide(self.now_s, self.wall_s + self.now_s)
 
     def decide_twice(self):
         """Decide when a job comes, and once urgent work may stop others for it."""
--- a/tests/workflow/planning/test_planner.py
+++ b/tests/workflow/planning/test_planner.py
@@ -230,6 +230,36 @@
     assert [type(order) for order in site.decide(after_s=1.0)] == [StopTask]
 
 
+def pause_after(site, worked_s, **fields):
+    """Let a task work and then stand still; return how long it did when it was stopped."""
+    site.submit(small_step(1, estimate_s=20.0, **fields))
+    start = site.starts()[0]
+    for second in range(worked_s + 1):
+        site.run([start], 5 * second)
+        assert site.decide(after_s=1.0) == []
+    for silent_s in range(1, 10):
+        site.run([start], 5 * worked_s)
+        if site.decide(after_s=1.0):
+            return silent_s
+    return None
+
+
+def test_the_more_a_new_start_would_repeat_the_longer_a_pause_may_be():
+    assert [pause_after(Site(), worked_s) for worked_s in (2, 3, 4)] == [2, 3, 4]
+
+
+def test_a_task_that_can_go_on_from_a_checkpoint_is_moved_soon():
+    assert pause_after(Site(), 4, checkpoints=True) == 2
+
+
+@pytest.mark.parametrize(("passed_s", "silent_s"), [(0.0, 8), (27.0, 4), (36.0, 2)])
+def test_a_pause_is_waited_out_as_long_as_a_new_start_would_be_in_time(passed_s, silent_s):
+    # The class allows 63 s for a run of 20 s; the task has worked for 8 s.
+    site = Site()
+    site.wall_s += passed_s
+    assert pause_after(site, 8) == silent_s
+
+
 def test_a_task_of_hours_goes_on_though_its_percentage_stands_for_minutes():
     site = Site()
     site.submit(small_step(1, estimate_s=4 * 3600.0))
