Open one connection to another entry for calls that come together

Cause: two calls that began a detour at the same time each opened a connection to the same entry. Change: connecting to an address is serialized.

--- a/packages/workflow/briardeal_workflow/relay/_client.py
+++ b/packages/workflow/briardeal_workflow/relay/_client.py
@@ -64,6 +64,7 @@
         self.detour_until_s = float("-inf")
         self.direct_works = True
         self._links: dict[str, tuple[Link, asyncio.Task[object]]] = {}
+        self._connecting: dict[str, asyncio.Lock] = {}
 
     async def append(
         self,
@@ -161,9 +162,13 @@
         return failed
 
     async def _link(self, address: str) -> Link | None:
-        known = self._links.get(address)
-        if known is not None and not known[0].closed:
-            return known[0]
+        async with self._connecting.setdefault(address, asyncio.Lock()):
+            known = self._links.get(address)
+            if known is not None and not known[0].closed:
+                return known[0]
+            return await self._connect(address)
+
+    async def _connect(self, address: str) -> Link | None:
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 connection = await self.network.connect(address)
