Keep checkpoints in the store

Cause: checkpoints of tasks stood only in the memory of the owner and on the workers. Progress was written when a task was done or failed, not when a checkpoint was new, and the end of a stopped task was acknowledged, so that its worker forgot its checkpoint, before that was kept.

Ruled out: stops that save nothing (all other restarts after a stop resumed); checkpoints of another member of a gang.

Change: the checkpoint of a start that has ended is kept before its end is acknowledged; those of running tasks are written each 2 s, and less often where that is more than 3000 B/s. Tests: two losses of power on the emulator, which now can cut the power of all VMs; both failed before.

--- a/packages/standins/briardeal_standins/emulator/_emulator.py
+++ b/packages/standins/briardeal_standins/emulator/_emulator.py
@@ -141,6 +141,20 @@
                 await link.connection.close()
         await asyncio.gather(process.task, return_exceptions=True)
 
+    async def cut_power(self) -> None:
+        """End all processes and workers at once."""
+        for vm in self.vms.values():
+            vm.end()
+        for name in list(self.processes):
+            await self.kill(name)
+
+    def restore_power(self) -> None:
+        """Start all processes and workers, knowing nothing of before."""
+        for vm in self.vms.values():
+            vm.restart()
+        for name in (*self.entry_names, *self.vms):
+            self.start_process(name)
+
     def address_of(self, name: str) -> str:
         """Return the address of a process."""
         return f"{name}:7000"
--- a/packages/standins/briardeal_standins/emulator/_worker.py
+++ b/packages/standins/briardeal_standins/emulator/_worker.py
@@ -137,6 +137,7 @@
         self.news = asyncio.Event()
         self._position = 0
         self._sequence = 0
+        self._born = 1
         self._late: set[asyncio.Task[None]] = set()
 
     def end(self) -> None:
@@ -145,6 +146,19 @@
         for run in list(self.runs.values()):
             self._end(run, "lost")
 
+    def restart(self) -> None:
+        """Come back after the end of the worker, knowing nothing of before."""
+        self._born += 1
+        self._sequence = self._position = self.token = 0
+        self.state = msgspec.structs.replace(
+            self.state, incarnation=f"{self.vm_id}@{self._born}", leaving=False
+        )
+        self.ended.clear()
+        self.closed.clear()
+        self.hold_clock_s = float("-inf")
+        self.fault = VmFault.NONE
+        self.announce()
+
     async def run(self) -> None:
         """Work and announce itself until cancelled."""
         announced_s = float("-inf")
@@ -160,7 +174,7 @@
     def announce(self) -> None:
         """Tell the agent what it is."""
         self._sequence += 1
-        self.registration.announce(self.state, 1, self._sequence)
+        self.registration.announce(self.state, self._born, self._sequence)
 
     def leave(self) -> None:
         """Take no new work from now on."""
--- a/packages/workflow/briardeal_workflow/owner/_keeper.py
+++ b/packages/workflow/briardeal_workflow/owner/_keeper.py
@@ -25,6 +25,12 @@
 EXPIRED_AT_ONCE = 100
 """Most jobs that one append takes out, so that others are not held up."""
 
+CHECKPOINT_INTERVAL_S = 2.0
+"""Least time between two writes of the checkpoints of running tasks; VMs make one in 1 to 2 s."""
+
+CHECKPOINT_BYTES_PER_S = 3000
+"""Most of such writes on average, as every entry reads them; the control budget of a node."""
+
 
 class Keeper:
     """Writes the progress of jobs, and takes out those that have long been over.
@@ -49,6 +55,18 @@
         self.members = members
         self.wake = asyncio.Event()
 
+    async def keep_checkpoints(self) -> None:
+        """Keep the checkpoints of running tasks for a loss of all VMs, as the budget allows."""
+        pause_s = CHECKPOINT_INTERVAL_S
+        while True:
+            await asyncio.sleep(pause_s)
+            advanced, self.state.advanced = self.state.advanced, set()
+            records = self._encode(advanced - self.state.changed)
+            if records and isinstance(await self.writer.append(records), Fenced):
+                return
+            size = sum(len(record.value or b"") for record in records)
+            pause_s = max(CHECKPOINT_INTERVAL_S, size / CHECKPOINT_BYTES_PER_S)
+
     async def drop_expired(self) -> None:
         """Take jobs that have long been over out of the store."""
         while True:
@@ -83,10 +101,13 @@
 
     def _take_changes(self) -> list[Record]:
         changed, self.state.changed = self.state.changed, set()
-        records = []
-        for job_id in sorted(changed):
-            work = self.state.works.get(job_id)
-            if work is not None:
-                value = encode_record(work.progress())
-                records.append(Record(progress_key(job_id), value))
-        return records
+        self.state.advanced -= changed
+        return self._encode(changed)
+
+    def _encode(self, job_ids: set[str]) -> list[Record]:
+        """Return the progress of those jobs that are not forgotten."""
+        works = self.state.works
+        return [
+            Record(progress_key(job_id), encode_record(works[job_id].progress()))
+            for job_id in sorted(job_ids & works.keys())
+        ]
--- a/packages/workflow/briardeal_workflow/owner/_owner.py
+++ b/packages/workflow/briardeal_workflow/owner/_owner.py
@@ -134,6 +134,7 @@
                 parts = (
                     self._renew(),
                     self.keeper.run(),
+                    self.keeper.keep_checkpoints(),
                     self.keeper.drop_expired(),
                     self._admit(),
                 )
--- a/packages/workflow/briardeal_workflow/planning/_endings.py
+++ b/packages/workflow/briardeal_workflow/planning/_endings.py
@@ -60,7 +60,7 @@
         if work is None or work.over:
             return
         group = work.groups[task.group]
-        self.state.keep_checkpoint(task, checkpoint)
+        self.state.keep_checkpoint(task, checkpoint, ended=True)
         if end is End.DONE and not group.step.lasting:
             self._note_done(work, group, task)
             return
--- a/packages/workflow/briardeal_workflow/planning/_planner.py
+++ b/packages/workflow/briardeal_workflow/planning/_planner.py
@@ -240,7 +240,7 @@
             attempt.advanced_s = now_s
         if row.checkpoint and row.checkpoint != attempt.checkpoint:
             attempt.checkpoint = row.checkpoint
-            self.state.keep_checkpoint(row.task, row.checkpoint)
+            self.state.keep_checkpoint(row.task, row.checkpoint, ended=False)
 
     def _note_missing(self, vm: Vm, listed: set[tuple[TaskId, int]], now_s: float) -> None:
         for key, attempt in list(vm.attempts.items()):
--- a/packages/workflow/briardeal_workflow/planning/_state.py
+++ b/packages/workflow/briardeal_workflow/planning/_state.py
@@ -36,6 +36,8 @@
         VMs by name.
     changed
         Jobs whose progress has to be kept.
+    advanced
+        Jobs with newer checkpoints of tasks that run; these may be kept later.
     ended
         Jobs that were over under this owner.
     orders
@@ -49,6 +51,7 @@
     works: dict[str, Work] = attrs.field(factory=dict)
     vms: dict[str, Vm] = attrs.field(factory=dict)
     changed: set[str] = attrs.field(factory=set)
+    advanced: set[str] = attrs.field(factory=set)
     ended: set[str] = attrs.field(factory=set)
     orders: list[Order] = attrs.field(factory=list)
     claimed_since_s: dict[GroupId, float] = attrs.field(factory=dict)
@@ -83,11 +86,20 @@
             work.started = True
             self.changed.add(task.job_id)
 
-    def keep_checkpoint(self, task: TaskId, checkpoint: str) -> None:
-        """Note the newest checkpoint of a task."""
+    def keep_checkpoint(self, task: TaskId, checkpoint: str, *, ended: bool) -> None:
+        """Note the newest checkpoint of a task.
+
+        That of a start that has ended is kept at once: its VM forgets it when the end is kept.
+        """
         group = self.group_of(task)
-        if group is not None and checkpoint and task.index not in group.done:
-            group.checkpoints[group.counted_index(task.index)] = checkpoint
+        if group is None or not checkpoint or task.index in group.done:
+            return
+        index = group.counted_index(task.index)
+        if group.checkpoints.get(index) != checkpoint:
+            group.checkpoints[index] = checkpoint
+            self.advanced.add(task.job_id)
+        if ended:
+            self.changed.add(task.job_id)
 
     def drop_claims(self, group: Group, indices: Iterable[int] | None = None) -> None:
         """Give up the VMs that tasks have chosen; of all tasks where none are named."""
--- a/tests/workflow/structure/test_entry.py
+++ b/tests/workflow/structure/test_entry.py
@@ -427,3 +427,31 @@
         await asyncio.sleep(2.5)
         vm.fault = VmFault.NONE
         await site.wait_for_state(job.job_id, "completed", 20.0)
+
+
+async def test_work_goes_on_from_its_checkpoints_after_all_vms_lost_power():
+    async with run_site() as site:
+        job = make_job(whole_vm_step(2, checkpoints=True))
+        await site.submit(job, Plan(12.0))
+        await asyncio.sleep(10.0)
+        await site.cut_power()
+        await asyncio.sleep(1.0)
+        site.restore_power()
+        assert await site.wait_for_state(job.job_id, "completed", 20.0) < 8.0
+
+
+async def test_a_stopped_task_goes_on_from_its_checkpoint_after_all_vms_lost_power():
+    async with run_site() as site:
+        job = make_job(whole_vm_step(6, checkpoints=True, estimate_s=12.0))
+        await site.submit(job, Plan(12.0))
+        await asyncio.sleep(8.0)
+        urgent = make_job(whole_vm_step(6, estimate_s=300.0), queue="urgent")
+        await site.submit(urgent, Plan(300.0))
+        await site.wait_for_state(urgent.job_id, "running", 5.0)
+        await asyncio.sleep(0.5)
+        await site.cut_power()
+        site.restore_power()
+        await site.wait_for_owner()
+        while not await site.cancel(urgent.job_id, site.entry_names[0]):
+            await asyncio.sleep(0.1)
+        assert await site.wait_for_state(job.job_id, "completed", 20.0) < 9.0
