Give up a call that two tries to the store have not answered

Cause: once an append had no answer, an entry repeated it until 0.15 s before its caller's deadline.

Ruled out: refusing at once after the first try (another entry often reaches the store); answering 'not run' (the append may still land).

Change: two tries, the second through another entry, then 504 with Retry-After. Tests: given up within 1.6 s (failed before), answered by the second try, taken once when the caller comes back.

--- a/packages/workflow/briardeal_workflow/gateway/_gateway.py
+++ b/packages/workflow/briardeal_workflow/gateway/_gateway.py
@@ -29,6 +29,10 @@
 RETRY_S = 0.1
 """Pause before an append without an answer is repeated."""
 
+TRIES = 2
+"""Tries after which a call without an answer is given up: the second one goes through another entry,
+and a store that answers neither is down for seconds, so that the caller had better come back."""
+
 STALE_S = 2.0
 """Age of what was read from which this entry no longer says that a job is unknown."""
 
@@ -152,13 +156,15 @@
         return None
 
     async def _keep(self, job_id: str, record: Record, deadline_s: float) -> Refusal | None:
-        """Append a record until it is certain that it is kept or that it is not."""
+        """Append a record and return why it is not certain to be kept."""
         if not self.follower.in_reach and job_id not in self.uncertain:
             return self._refuse("The store was not in reach a moment ago.")
-        while True:
+        for tries in range(TRIES):
+            if tries:
+                await asyncio.sleep(RETRY_S)
             left_s = deadline_s - loop_time()
             if left_s <= 0:
-                return Refusal(Reason.LOG_ANSWER_LOST, RunState.UNKNOWN, RETRY_AFTER_S)
+                break
             outcome = await self.store.append(
                 self.topic, [record], timeout_s=min(TRY_TIMEOUT_S, left_s)
             )
@@ -170,7 +176,7 @@
                 return self._refuse(outcome.detail)
             self._note_uncertain(job_id)
             log_event(Event.APPEND_UNCERTAIN, job_id=job_id, detail=str(outcome))
-            await asyncio.sleep(RETRY_S)
+        return Refusal(Reason.LOG_ANSWER_LOST, RunState.UNKNOWN, RETRY_AFTER_S)
 
     def _note_uncertain(self, job_id: str) -> None:
         self.uncertain[job_id] = None
