--- a/packages/workflow/briardeal_workflow/gateway/_gateway.py
+++ b/packages/workflow/briardeal_workflow/gateway/_gateway.py
@@ -30,8 +30,8 @@
 """Pause before an append without an answer is repeated."""
 
 TRIES = 2
-"""Tries after which a call without an answer is given up: the second goes through another entry, and
-a store that answers neither is down for seconds, so that the caller had better come back."""
+"""Tries after which a call without an answer is given up: the second goes through another entry,
+and a store that answers neither is down for seconds, so that the caller had better come back."""
 
 STALE_S = 2.0
 """Age of what was read from which this entry no longer says that a job is unknown."""
