Give no work to a VM that fails a task right after its start

Cause: a VM counted as failing after two failures in a row and was then the last choice only, and a task that ended well cleared it even where it had begun long before.

Ruled out: faults of the jobs (their other tasks and their restarts elsewhere ended well).

Change: a failure within a second of the order blames the VM, unless the job has failed so on other VMs too. A distrusted VM gets no work while others can hold it, for 6 s, then 12, 24 and 48 s if it fails again; only a task that began after the last failure clears it.

--- a/packages/workflow/briardeal_workflow/planning/_endings.py
+++ b/packages/workflow/briardeal_workflow/planning/_endings.py
@@ -14,6 +14,10 @@
     from briardeal_workflow.planning._vms import Vm
     from briardeal_workflow.planning._work import Group, Work
 
+EARLY_FAILURE_S = 1.0
+"""Time after an order in which a failure is rather the VM's than the task's: a tenth of the
+shortest usual tasks and the way of the messages."""
+
 
 class Endings:
     """Takes over ends.
@@ -34,11 +38,12 @@
         task = attempt.task
         vm.attempts.pop((task, attempt.number), None)
         vm.missing_since_s.pop((task, attempt.number), None)
+        work = self.state.work_of(task)
         if end is End.DONE:
-            vm.note_success()
+            vm.note_success(attempt.ordered_s)
         elif end is End.FAILED:
-            self.note_failure(vm, now_s)
-        work = self.state.work_of(task)
+            to_blame = work is not None and _blames_vm(work, attempt, now_s)
+            self.note_failure(vm, now_s, to_blame=to_blame)
         if work is None:
             return
         group = work.groups[task.group]
@@ -49,10 +54,15 @@
             group.failed_on.setdefault(task.index, set()).add(vm.vm_id)
         self.count(task, attempt.number, end, checkpoint)
 
-    def note_failure(self, vm: Vm, now_s: float) -> None:
+    def note_failure(self, vm: Vm, now_s: float, *, to_blame: bool = False) -> None:
         """Note that a task failed on a VM, or stood still there."""
-        if vm.note_failure(now_s):
-            log_event(Event.ENDPOINT_EJECTED, vm=vm.vm_id, failures=vm.failures)
+        if vm.note_failure(now_s, to_blame=to_blame):
+            log_event(
+                Event.ENDPOINT_EJECTED,
+                vm=vm.vm_id,
+                failures=vm.failures,
+                for_s=round(vm.distrusted_until_s - now_s, 3),
+            )
 
     def count(self, task: TaskId, number: int, end: End, checkpoint: str) -> None:
         """Note what an end means for its task and job."""
@@ -105,3 +115,14 @@
     def _end_job(self, work: Work, state: str, cause: str, **inputs: object) -> None:
         work.state = state
         log_event(Event.JOB_ENDED, job_id=work.job.job_id, state=state, cause=cause, **inputs)
+
+
+def _blames_vm(work: Work, attempt: Attempt, now_s: float) -> bool:
+    """Return whether a failure shows by itself that the VM is at fault.
+
+    It does so right after the start, unless the job has failed so on other VMs as well.
+    """
+    if now_s - attempt.ordered_s > EARLY_FAILURE_S:
+        return False
+    work.failed_early_on.add(attempt.vm_id)
+    return work.failed_early_on == {attempt.vm_id}
--- a/packages/workflow/briardeal_workflow/planning/_placement.py
+++ b/packages/workflow/briardeal_workflow/planning/_placement.py
@@ -130,7 +130,7 @@
 def _pools(vms: Sequence[Vm], group: Group, now_s: float) -> list[list[Vm]]:
     """Return the sets of VMs to try, the best first."""
     step = group.step
-    suited = [vm for vm in vms if vm.open and _suits(vm, group)]
+    suited = _trusted(vms, group, now_s)
     near = [vm for vm in suited if vm.shape.rack == step.data_rack]
     waited_s = now_s - (now_s if group.ready_s is None else group.ready_s)
     if step.data_rack and any(group.need.within(vm.shape.capacity) for vm in near):
@@ -148,6 +148,17 @@
     return [*able, suited]
 
 
+def _trusted(vms: Sequence[Vm], group: Group, now_s: float) -> list[Vm]:
+    """Return the VMs that may take a group; distrusted ones only where the others can't hold it."""
+    suited = [vm for vm in vms if vm.open and _suits(vm, group)]
+    trusted = [vm for vm in suited if vm.is_trusted(now_s)]
+    if group.step.gang:
+        able = _holds_when_empty(trusted, group)
+    else:
+        able = any(group.need.within(vm.shape.capacity) for vm in trusted)
+    return trusted if able else suited
+
+
 def _holds_when_empty(vms: Sequence[Vm], group: Group) -> bool:
     rooms = Rooms(vms, lambda vm: vm.shape.capacity)
     for _ in range(group.step.tasks):
@@ -176,7 +187,7 @@
     rooms: Rooms, group: Group, index: int, vm: Vm, now_s: float
 ) -> tuple[bool, bool, int, float, str]:
     left = rooms.rooms[vm.vm_id].minus(group.need)
-    distrusted = vm.distrusted_until_s > now_s
+    distrusted = not vm.is_trusted(now_s)
     failed_here = vm.vm_id in group.failed_on.get(index, ())
     return (distrusted, failed_here, left.accelerators, left.weight, vm.vm_id)
 
@@ -202,7 +213,7 @@
         victims, vm = min(
             choices,
             key=lambda choice: (
-                choice[1].distrusted_until_s > now_s,
+                not choice[1].is_trusted(now_s),
                 _cost(choice[0], now_s),
                 _preference(rooms, group, index, choice[1], now_s),
             ),
--- a/packages/workflow/briardeal_workflow/planning/_vms.py
+++ b/packages/workflow/briardeal_workflow/planning/_vms.py
@@ -18,7 +18,11 @@
 """Cores that an accelerator counts as where work is compared, by the users' price list."""
 
 DISTRUST_S = 6.0
-"""Time for which a VM that failed several tasks is the last choice; trouble lasts 5 to 10 s."""
+"""Time for which a VM that fails tasks gets none at first; trouble lasts 5 to 10 s. It doubles with
+each time that the VM fails again before it has done any task."""
+
+DISTRUST_LIMIT_S = 48.0
+"""Longest such time, so that a VM that has been mended is back within a minute."""
 
 FAILURES_DISTRUSTED = 2
 """Failed tasks in a row after which a VM is distrusted; single ones are often the task's fault."""
@@ -129,10 +133,10 @@
         Whether its agent is heard.
     held_until_s
         Until when its work may go on unheard, on the loop's clock.
-    failures
-        Tasks that failed on it in a row.
-    distrusted_until_s
-        Until when it is the last choice.
+    failures, failed_s
+        Tasks that failed on it in a row, and when the last of them did.
+    distrusted_until_s, distrusted_times
+        Until when it gets no work while others can, and how often that was so in a row.
     missing_since_s
         When starts were first missing in its lists.
     listed_s
@@ -145,7 +149,9 @@
     in_reach: bool = True
     held_until_s: float = 0.0
     failures: int = 0
+    failed_s: float = float("-inf")
     distrusted_until_s: float = float("-inf")
+    distrusted_times: int = 0
     missing_since_s: dict[tuple[TaskId, int], float] = attrs.field(factory=dict)
     listed_s: float = 0.0
 
@@ -177,17 +183,33 @@
         running = {task for task, _ in self.attempts if task[:3] == group}
         return len(running | {task for task in self.claims if task[:3] == group})
 
-    def note_success(self) -> None:
-        """Note that a task was done on it."""
-        self.failures = 0
-        self.distrusted_until_s = float("-inf")
+    def is_trusted(self, now_s: float) -> bool:
+        """Return whether it may get work while others can."""
+        return self.distrusted_until_s <= now_s
+
+    def note_success(self, started_s: float) -> None:
+        """Note that a task was done on it; one that began before the last failure tells nothing."""
+        if started_s > self.failed_s:
+            self.failures = self.distrusted_times = 0
+            self.distrusted_until_s = float("-inf")
 
-    def note_failure(self, now_s: float) -> bool:
-        """Note that a task failed on it and return whether it is distrusted from now on."""
+    def note_failure(self, now_s: float, *, to_blame: bool) -> bool:
+        """Note that a task failed on it and return whether it is distrusted from now on.
+
+        Parameters
+        ----------
+        to_blame
+            Whether this failure alone shows that the VM is at fault.
+        """
         self.failures += 1
-        if self.failures < FAILURES_DISTRUSTED:
+        self.failed_s = now_s
+        if not to_blame and self.failures < FAILURES_DISTRUSTED:
+            return False
+        if not self.is_trusted(now_s):
             return False
-        self.distrusted_until_s = now_s + DISTRUST_S
+        pause_s = min(DISTRUST_S * 2**self.distrusted_times, DISTRUST_LIMIT_S)
+        self.distrusted_until_s = now_s + pause_s
+        self.distrusted_times += 1
         return True
 
     def note_list(self, listed_s: float) -> None:
--- a/packages/workflow/briardeal_workflow/planning/_work.py
+++ b/packages/workflow/briardeal_workflow/planning/_work.py
@@ -127,6 +127,8 @@
         Whether its caller wants it no more.
     added_s
         When this process learnt of it, on the loop's clock.
+    failed_early_on
+        VMs on which a task of it failed right after its start.
     """
 
     job: Job
@@ -136,6 +138,7 @@
     state: str = ""
     cancelled: bool = False
     added_s: float = 0.0
+    failed_early_on: set[str] = attrs.field(factory=set)
 
     @classmethod
     def begin(cls, job: Job, queue: Queue, progress: Progress, now_s: float) -> Work:
