Stop less urgent work first, and no more in all than is brought

Cause: urgent work within a guarantee stopped what lost least, which was urgent work that had just started on VMs from which others had been stopped for it; that work then stopped others again.

Change: victims of less urgent classes come first, whatever they lose; what was stopped for a group before counts against what it brings. The number of a job's failures on VMs where others fail too no longer speaks for those VMs. Tests: three, which failed before.

--- a/packages/workflow/briardeal_workflow/planning/_attempts.py
+++ b/packages/workflow/briardeal_workflow/planning/_attempts.py
@@ -16,6 +16,10 @@
 """Time that a restart from a checkpoint costs: the stop, the restoring, and the way of an order."""
 
 
+URGENT = 0
+"""Priority of the most urgent class; higher numbers are less urgent."""
+
+
 class Phase(enum.Enum):
     """Where a start stands."""
 
@@ -84,6 +88,11 @@
     advanced_s: float = 0.0
     checkpoint: str = ""
 
+    @property
+    def urgent(self) -> bool:
+        """Whether its job is of the most urgent class."""
+        return self.priority == URGENT
+
     def unsaved_work(self, now_s: float) -> float:
         """Return what a stop would lose, in seconds times cores, an accelerator as eight cores.
 
--- a/packages/workflow/briardeal_workflow/planning/_endings.py
+++ b/packages/workflow/briardeal_workflow/planning/_endings.py
@@ -42,7 +42,7 @@
         if end is End.DONE:
             vm.note_success(attempt.ordered_s)
         elif end is End.FAILED:
-            to_blame = work is not None and _blames_vm(work, attempt, now_s)
+            to_blame = work is not None and self._blames_vm(work, vm, attempt, now_s)
             self.note_failure(vm, now_s, to_blame=to_blame)
         if work is None:
             return
@@ -88,6 +88,19 @@
             for attempt in list(group.running()):
                 self.state.stop(attempt, cause)
 
+    def _blames_vm(self, work: Work, vm: Vm, attempt: Attempt, now_s: float) -> bool:
+        """Return whether a failure shows by itself that the VM is at fault.
+
+        It does so right after the start, unless the job alone has failed so on other VMs as well.
+        """
+        if now_s - attempt.ordered_s > EARLY_FAILURE_S:
+            return False
+        job_id = work.job.job_id
+        vm.failed_jobs.add(job_id)
+        work.failed_early_on.add(vm.vm_id)
+        others = (self.state.vms.get(name) for name in work.failed_early_on - {vm.vm_id})
+        return not any(each is not None and each.failed_jobs == {job_id} for each in others)
+
     def _note_done(self, work: Work, group: Group, task: TaskId) -> None:
         group.done.update(range(group.step.tasks) if group.step.gang else (task.index,))
         group.checkpoints.pop(group.counted_index(task.index), None)
@@ -115,14 +128,3 @@
     def _end_job(self, work: Work, state: str, cause: str, **inputs: object) -> None:
         work.state = state
         log_event(Event.JOB_ENDED, job_id=work.job.job_id, state=state, cause=cause, **inputs)
-
-
-def _blames_vm(work: Work, attempt: Attempt, now_s: float) -> bool:
-    """Return whether a failure shows by itself that the VM is at fault.
-
-    It does so right after the start, unless the job has failed so on other VMs as well.
-    """
-    if now_s - attempt.ordered_s > EARLY_FAILURE_S:
-        return False
-    work.failed_early_on.add(attempt.vm_id)
-    return work.failed_early_on == {attempt.vm_id}
--- a/packages/workflow/briardeal_workflow/planning/_placement.py
+++ b/packages/workflow/briardeal_workflow/planning/_placement.py
@@ -35,6 +35,14 @@
     victims: tuple[Attempt, ...] = ()
     cost: float = 0.0
 
+    @property
+    def rank(self) -> tuple[bool, float]:
+        """Where it stands among placements, the best first.
+
+        Urgent work that is stopped would in turn stop others, so that less urgent work goes first.
+        """
+        return any(attempt.urgent for attempt in self.victims), self.cost
+
 
 class Rooms:
     """Room of VMs while a placement is tried out.
@@ -117,7 +125,7 @@
     best: Placement | None = None
     for pool in _pools(vms, group, now_s):
         placement = _preempt_in(pool, group, indices, now_s, victims_of)
-        if placement is not None and (best is None or placement.cost < best.cost):
+        if placement is not None and (best is None or placement.rank < best.rank):
             best = placement
     return best
 
@@ -214,7 +222,7 @@
             choices,
             key=lambda choice: (
                 not choice[1].is_trusted(now_s),
-                _cost(choice[0], now_s),
+                _rank(choice[0], now_s),
                 _preference(rooms, group, index, choice[1], now_s),
             ),
         )
@@ -242,7 +250,7 @@
             continue
         ending = victims_of(attempt)
         if ending is not None:
-            options.append((_cost(ending, now_s), attempt, ending))
+            options.append((_rank(ending, now_s), attempt, ending))
     options.sort(key=lambda option: option[0])
     taken = []
     for option in options:
@@ -253,7 +261,7 @@
     if not group.need.within(room):
         return None
     # The cheapest ones were taken first; those that turned out not to be needed go on.
-    for option in sorted(taken, key=lambda option: -option[0]):
+    for option in taken[::-1]:
         without = room.minus(option[1].need)
         if group.need.within(without):
             room = without
@@ -261,5 +269,10 @@
     return tuple(attempt for _, _, ending in taken for attempt in ending)
 
 
+def _rank(attempts: Iterable[Attempt], now_s: float) -> tuple[bool, float]:
+    """Return how soon starts are stopped; urgent ones last, else those that lose least first."""
+    return any(attempt.urgent for attempt in attempts), _cost(attempts, now_s)
+
+
 def _cost(attempts: Iterable[Attempt], now_s: float) -> float:
     return sum(attempt.unsaved_work(now_s) for attempt in attempts)
--- a/packages/workflow/briardeal_workflow/planning/_starts.py
+++ b/packages/workflow/briardeal_workflow/planning/_starts.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from briardeal_workflow.planning._attempts import Attempt, Phase
+from briardeal_workflow.planning._attempts import URGENT, Attempt, Phase
 from briardeal_workflow.planning._orders import StartTask
 from briardeal_workflow.planning._placement import place_by_preemption, place_in_room
 
@@ -50,7 +50,7 @@
             self._claim(group, placement, now_s)
             self._start_group(work, group, "room", now_s)
         left = [index for index in indices if placement is None or index not in placement.vms]
-        if left and work.queue.priority == 0 and now_s - group.ready_s >= PREEMPTION_DELAY_S:
+        if left and work.queue.priority == URGENT and now_s - group.ready_s >= PREEMPTION_DELAY_S:
             self._preempt_for(work, group, left, vms, now_s)
 
     def start_claimed(self, now_s: float) -> None:
@@ -104,8 +104,10 @@
             return
         within_guarantee = work.job.customer in guaranteed
         brought = _brought(group, indices)
-        if not within_guarantee and placement.cost > brought:
+        # What was stopped for it in vain counts, or it would stop others again and again.
+        if not within_guarantee and group.displaced + placement.cost > brought:
             return
+        group.displaced += placement.cost
         for attempt in placement.victims:
             self.state.stop(
                 attempt,
@@ -120,7 +122,7 @@
         """Return the customers whose urgent jobs are all within their guarantee."""
         wanted: dict[str, int] = {}
         for work in self.state.works.values():
-            if work.queue.priority == 0 and not work.over:
+            if work.queue.priority == URGENT and not work.over:
                 customer = work.job.customer
                 wanted[customer] = wanted.get(customer, 0) + work.accelerators
         return {
--- a/packages/workflow/briardeal_workflow/planning/_vms.py
+++ b/packages/workflow/briardeal_workflow/planning/_vms.py
@@ -135,6 +135,8 @@
         Until when its work may go on unheard, on the loop's clock.
     failures, failed_s
         Tasks that failed on it in a row, and when the last of them did.
+    failed_jobs
+        Jobs that had a task fail on it right after its start since a task was done on it.
     distrusted_until_s, distrusted_times
         Until when it gets no work while others can, and how often that was so in a row.
     missing_since_s
@@ -150,6 +152,7 @@
     held_until_s: float = 0.0
     failures: int = 0
     failed_s: float = float("-inf")
+    failed_jobs: set[str] = attrs.field(factory=set)
     distrusted_until_s: float = float("-inf")
     distrusted_times: int = 0
     missing_since_s: dict[tuple[TaskId, int], float] = attrs.field(factory=dict)
@@ -191,6 +194,7 @@
         """Note that a task was done on it; one that began before the last failure tells nothing."""
         if started_s > self.failed_s:
             self.failures = self.distrusted_times = 0
+            self.failed_jobs.clear()
             self.distrusted_until_s = float("-inf")
 
     def note_failure(self, now_s: float, *, to_blame: bool) -> bool:
--- a/packages/workflow/briardeal_workflow/planning/_work.py
+++ b/packages/workflow/briardeal_workflow/planning/_work.py
@@ -50,6 +50,8 @@
         Newest start that counts as failed, by index, so that no failure counts twice.
     unsettled
         Whether tasks of it may run where no agent has told yet.
+    displaced
+        Work that was lost so far to make room for it, in seconds times cores.
     """
 
     group_id: GroupId
@@ -65,6 +67,7 @@
     ready_s: float | None = None
     failed_numbers: dict[int, int] = attrs.field(factory=dict)
     unsettled: bool = False
+    displaced: float = 0.0
 
     @property
     def complete(self) -> bool:
--- a/tests/workflow/planning/site.py
+++ b/tests/workflow/planning/site.py
@@ -63,5 +63,9 @@
         for vm_id, rows in by_vm.items():
             self.planner.note_running(vm_id, rows, self.now_s, age_s)
 
+    def running_vms(self):
+        """Return the VMs that run anything."""
+        return {vm.vm_id for vm in self.planner.state.vms.values() if vm.attempts}
+
     def end(self, start, end, checkpoint=""):
         self.planner.note_ended(start.vm_id, start.task, start.number, end, checkpoint, self.now_s)
--- a/tests/workflow/planning/test_planner.py
+++ b/tests/workflow/planning/test_planner.py
@@ -260,6 +260,22 @@
     assert trusted.count(False) == 1
 
 
+def test_a_job_that_fails_where_others_fail_too_is_not_to_blame():
+    site = Site(vms=3)
+    for _ in range(2):
+        site.submit(small_step(1, accelerators=4))
+    starts = site.starts()
+    assert len({start.vm_id for start in starts}) == 1
+    for start in starts:
+        site.run([start])
+        site.end(start, End.FAILED)
+    again = site.starts()[0]
+    site.run([again])
+    site.end(again, End.FAILED)
+    assert again.vm_id != starts[0].vm_id
+    assert not site.planner.state.vms[again.vm_id].is_trusted(site.now_s)
+
+
 def test_distrusted_vms_are_used_where_no_other_can_hold_a_task():
     site = Site(vms=1)
     site.submit(whole_vm_step())
--- a/tests/workflow/planning/test_preemption.py
+++ b/tests/workflow/planning/test_preemption.py
@@ -58,3 +58,41 @@
     site.run(site.starts())
     site.submit(whole_vm_step(1), queue="urgent", customer="north")
     assert len(site.decide_twice()) == 2
+
+
+def test_urgent_work_for_which_others_made_room_is_not_the_first_to_be_stopped():
+    site = Site(vms=2)
+    site.submit(whole_vm_step(2), customer="south")
+    bulk = site.starts()
+    site.run(bulk)
+    site.decide(after_s=3.0)
+    site.submit(whole_vm_step(1, estimate_s=30.0), queue="urgent", customer="nobody")
+    (stop,) = site.decide_twice()
+    site.end(stop, End.STOPPED)
+    (urgent,) = site.starts()
+    site.run([urgent])
+    site.submit(whole_vm_step(1), queue="urgent", customer="north")
+    (stop,) = site.decide_twice()
+    assert stop.task.job_id == bulk[0].task.job_id
+
+
+def test_urgent_work_outside_its_guarantee_stops_others_no_more_than_it_brings_in_all():
+    site = Site(vms=2)
+    site.submit(whole_vm_step(1, estimate_s=100.0), customer="south")
+    site.submit(whole_vm_step(1, estimate_s=100.0), customer="south")
+    bulk = site.starts()
+    site.run(bulk)
+    site.decide(after_s=4.0)
+    site.run(bulk, percent=10)
+    urgent = site.submit(whole_vm_step(1, estimate_s=9.0), queue="urgent", customer="nobody")
+    stops = 0
+    for percent in (20, 30, 40, 50):
+        for stop in [each for each in site.decide_twice() if isinstance(each, StopTask)]:
+            assert stop.task.job_id != urgent.job_id
+            stops += 1
+            # The VM that was made free is lost before the urgent task starts there.
+            site.end(stop, End.STOPPED)
+            site.planner.drop_vm(stop.vm_id, site.now_s)
+            site.add_vm(int(stop.vm_id[-1]), incarnation=str(stops + 1), leaving=True)
+        site.run([each for each in bulk if each.vm_id in site.running_vms()], percent=percent)
+    assert stops == 1
