Keep VMs for urgent work that waits for whole ones

Cause: urgent work outside its guarantee that would stop more than it brings waited until a VM happened to be empty, while freed accelerators went one by one to small tasks.

Ruled out: takeovers, lost VMs (none in that time); its guarantee (the customer was beyond it).

Change: where room and preemption fail, the VMs that will be free soonest are kept for the group for a second at a time; others start nothing there. Tests: small tasks that come without end, and a cancelled job; both failed before.

--- a/packages/workflow/briardeal_workflow/planning/_placement.py
+++ b/packages/workflow/briardeal_workflow/planning/_placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -130,6 +131,39 @@
     return best
 
 
+def place_on_soonest(
+    vms: Sequence[Vm],
+    group: Group,
+    indices: Sequence[int],
+    now_s: float,
+    left_s: Callable[[Attempt], float],
+) -> Placement | None:
+    """Return the VMs that have room for tasks soonest when nothing else starts on them.
+
+    Parameters
+    ----------
+    left_s
+        Returns for how long a start will run on, in seconds.
+    """
+    best: tuple[float, Placement] | None = None
+    for pool in _pools(vms, group, now_s):
+        rooms = Rooms(pool, lambda vm: vm.room())
+        waits_s = {vm.vm_id: _time_to_room(rooms, vm, group, left_s) for vm in pool}
+        chosen: dict[int, str] = {}
+        last_s = 0.0
+        for index in indices:
+            vm_id = min(waits_s, key=lambda each: (waits_s[each], each), default="")
+            if not vm_id or math.isinf(waits_s[vm_id]):
+                break
+            last_s = max(last_s, waits_s[vm_id])
+            chosen[index] = vm_id
+            rooms.take(group, vm_id)
+            waits_s[vm_id] = _time_to_room(rooms, rooms.vms[vm_id], group, left_s)
+        if len(chosen) == len(indices) and (best is None or last_s < best[0]):
+            best = (last_s, Placement(chosen))
+    return None if best is None else best[1]
+
+
 def fits_somewhere(vms: Iterable[Vm], group: Group) -> bool:
     """Return whether some VM could hold a task of a group if it were empty."""
     return any(_suits(vm, group) and group.need.within(vm.shape.capacity) for vm in vms)
@@ -200,6 +234,22 @@
     return (distrusted, failed_here, left.accelerators, left.weight, vm.vm_id)
 
 
+def _time_to_room(rooms: Rooms, vm: Vm, group: Group, left_s: Callable[[Attempt], float]) -> float:
+    """Return in how many seconds one more task of a group fits on a VM; infinite for never."""
+    if not rooms.within_limit(group, vm):
+        return math.inf
+    room = rooms.rooms[vm.vm_id]
+    if group.need.within(room):
+        return 0.0
+    for ends_s, attempt in sorted(
+        ((left_s(attempt), attempt) for attempt in vm.attempts.values()), key=lambda pair: pair[0]
+    ):
+        room = room.plus(attempt.need)
+        if group.need.within(room):
+            return ends_s
+    return math.inf
+
+
 def _preempt_in(
     pool: Sequence[Vm],
     group: Group,
--- a/packages/workflow/briardeal_workflow/planning/_starts.py
+++ b/packages/workflow/briardeal_workflow/planning/_starts.py
@@ -6,7 +6,11 @@
 
 from briardeal_workflow.planning._attempts import URGENT, Attempt, Phase
 from briardeal_workflow.planning._orders import StartTask
-from briardeal_workflow.planning._placement import place_by_preemption, place_in_room
+from briardeal_workflow.planning._placement import (
+    place_by_preemption,
+    place_in_room,
+    place_on_soonest,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -24,6 +28,12 @@
 """Time that an urgent task waits for others to end by themselves before it stops one; with the
 stop it still starts within the 1.1 s that urgent work may take."""
 
+RESERVATION_S = 1.0
+"""Time after which reserved VMs are chosen anew, by what runs then; lists come each second."""
+
+STOP_S = 0.4
+"""Time in which workers stop a task, by the contract of the platform."""
+
 
 class Starts:
     """Gives tasks their VMs.
@@ -45,13 +55,18 @@
         if not indices or (group.step.gang and len(indices) < group.step.tasks):
             return
         vms = [vm for vm in self.state.vms.values() if vm.shape.service == work.job.service]
-        placement = place_in_room(vms, group, indices, now_s)
+        unreserved = [vm for vm in vms if not vm.is_kept_from(group.group_id, now_s)]
+        placement = place_in_room(unreserved, group, indices, now_s)
         if placement is not None:
             self._claim(group, placement, now_s)
             self._start_group(work, group, "room", now_s)
         left = [index for index in indices if placement is None or index not in placement.vms]
-        if left and work.queue.priority == URGENT and now_s - group.ready_s >= PREEMPTION_DELAY_S:
-            self._preempt_for(work, group, left, vms, now_s)
+        if not left or work.queue.priority != URGENT:
+            return
+        if now_s - group.ready_s < PREEMPTION_DELAY_S:
+            return
+        if not self._preempt_for(work, group, left, vms, now_s):
+            self._reserve(group, left, unreserved, now_s)
 
     def start_claimed(self, now_s: float) -> None:
         """Start tasks whose VMs have room by now."""
@@ -88,7 +103,8 @@
 
     def _preempt_for(
         self, work: Work, group: Group, indices: Sequence[int], vms: Sequence[Vm], now_s: float
-    ) -> None:
+    ) -> bool:
+        """Stop others for some tasks, and return whether that is allowed and worth it."""
         guaranteed = self._guaranteed_customers()
 
         def victims_of(attempt: Attempt) -> tuple[Attempt, ...] | None:
@@ -101,12 +117,12 @@
 
         placement = place_by_preemption(vms, group, indices, now_s, victims_of)
         if placement is None:
-            return
+            return False
         within_guarantee = work.job.customer in guaranteed
         brought = _brought(group, indices)
         # What was stopped for it in vain counts, or it would stop others again and again.
         if not within_guarantee and group.displaced + placement.cost > brought:
-            return
+            return False
         group.displaced += placement.cost
         for attempt in placement.victims:
             self.state.stop(
@@ -117,6 +133,27 @@
                 brought_core_s=round(brought, 1),
             )
         self._claim(group, placement, now_s)
+        return True
+
+    def _reserve(
+        self, group: Group, indices: Sequence[int], vms: Sequence[Vm], now_s: float
+    ) -> None:
+        """Keep the VMs that have room soonest, or smaller tasks would take it bit by bit."""
+        if group.reserved_until_s > now_s:
+            return
+        placement = place_on_soonest(
+            vms, group, indices, now_s, lambda attempt: self._left_s(attempt, now_s)
+        )
+        group.reserved_until_s = now_s + RESERVATION_S
+        for vm_id in () if placement is None else placement.vms.values():
+            self.state.vms[vm_id].keep_for(group.group_id, group.reserved_until_s)
+
+    def _left_s(self, attempt: Attempt, now_s: float) -> float:
+        """Return for how long a start is expected to run on, in seconds."""
+        group = self.state.group_of(attempt.task)
+        if attempt.phase is Phase.STOPPING or group is None:
+            return STOP_S
+        return max(STOP_S, attempt.ordered_s + group.step.estimate_s - now_s)
 
     def _guaranteed_customers(self) -> set[str]:
         """Return the customers whose urgent jobs are all within their guarantee."""
--- a/packages/workflow/briardeal_workflow/planning/_vms.py
+++ b/packages/workflow/briardeal_workflow/planning/_vms.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from briardeal_workflow.model import Step, TaskId
+    from briardeal_workflow.model import GroupId, Step, TaskId
     from briardeal_workflow.planning._attempts import Attempt
 
 ACCELERATOR_CORES = 8
@@ -143,6 +143,8 @@
         When starts were first missing in its lists.
     listed_s
         When it last told what it runs.
+    kept_for, kept_until_s
+        Group that alone may start tasks on it, and until when.
     """
 
     shape: Shape
@@ -157,6 +159,8 @@
     distrusted_times: int = 0
     missing_since_s: dict[tuple[TaskId, int], float] = attrs.field(factory=dict)
     listed_s: float = 0.0
+    kept_for: GroupId | None = None
+    kept_until_s: float = float("-inf")
 
     @property
     def vm_id(self) -> str:
@@ -186,6 +190,14 @@
         running = {task for task, _ in self.attempts if task[:3] == group}
         return len(running | {task for task in self.claims if task[:3] == group})
 
+    def keep_for(self, group: GroupId, until_s: float) -> None:
+        """Let only one group start tasks on it until then."""
+        self.kept_for, self.kept_until_s = group, until_s
+
+    def is_kept_from(self, group: GroupId, now_s: float) -> bool:
+        """Return whether it is kept for another group."""
+        return self.kept_until_s > now_s and self.kept_for != group
+
     def is_trusted(self, now_s: float) -> bool:
         """Return whether it may get work while others can."""
         return self.distrusted_until_s <= now_s
--- a/packages/workflow/briardeal_workflow/planning/_work.py
+++ b/packages/workflow/briardeal_workflow/planning/_work.py
@@ -52,6 +52,8 @@
         Whether tasks of it may run where no agent has told yet.
     displaced
         Work that was lost so far to make room for it, in seconds times cores.
+    reserved_until_s
+        Until when VMs are kept for it that have no room yet.
     """
 
     group_id: GroupId
@@ -68,6 +70,7 @@
     failed_numbers: dict[int, int] = attrs.field(factory=dict)
     unsettled: bool = False
     displaced: float = 0.0
+    reserved_until_s: float = float("-inf")
 
     @property
     def complete(self) -> bool:
--- a/tests/workflow/planning/test_preemption.py
+++ b/tests/workflow/planning/test_preemption.py
@@ -4,7 +4,7 @@
 
 from briardeal_workflow.planning import End, StopTask
 from tests.workflow.planning.site import Site
-from tests.workflow.samples import whole_vm_step
+from tests.workflow.samples import small_step, whole_vm_step
 
 
 def test_urgent_work_within_its_guarantee_stops_what_loses_least():
@@ -96,3 +96,35 @@
             site.add_vm(int(stop.vm_id[-1]), incarnation=str(stops + 1), leaving=True)
         site.run([each for each in bulk if each.vm_id in site.running_vms()], percent=percent)
     assert stops == 1
+
+
+def test_small_tasks_do_not_keep_urgent_work_of_whole_vms_out():
+    site = Site(vms=3)
+    site.submit(small_step(500, estimate_s=16.0))
+    running = site.starts()
+    assert len(running) == 24
+    urgent = site.submit(whole_vm_step(1, estimate_s=0.5), queue="urgent", customer="nobody")
+    for second in range(16):
+        # Tasks end in the order of their starts, and others wait for their room.
+        for start in running[:2]:
+            site.end(start, End.DONE)
+        running = running[2:] + site.starts(after_s=1.0)
+        site.run(running, percent=second)
+        if any(start.task.job_id == urgent.job_id for start in running):
+            break
+    # A VM is empty after eight ends; the one that is soonest is chosen.
+    assert second < 8
+
+
+def test_vms_kept_for_an_urgent_job_are_given_up_when_it_is_cancelled():
+    site = Site(vms=1)
+    site.submit(small_step(8, estimate_s=16.0))
+    running = site.starts()
+    site.run(running)
+    urgent = site.submit(whole_vm_step(1, estimate_s=0.1), queue="urgent", customer="nobody")
+    assert site.decide_twice() == []
+    site.submit(small_step(1))
+    site.end(running[0], End.DONE)
+    assert site.starts() == []
+    site.planner.cancel(urgent.job_id)
+    assert len(site.starts(after_s=1.0)) == 1
