--- a/packages/workflow/briardeal_workflow/explanation/_causes.py
+++ b/packages/workflow/briardeal_workflow/explanation/_causes.py
@@ -121,6 +121,10 @@
 
 def _blame(lines: Sequence[LogLine], wait: Wait) -> str:
     between = find_between(lines, wait.earlier, wait.later)
+    vms = {line.vm for line in lines}
+    restarted = {line.vm for line in between if line.event is Event.PROCESS_STARTED}
+    if len(restarted) > len(vms) / 2:
+        return f"{len(restarted)} of {len(vms)} VMs were restarted."
     vm = wait.earlier.fields.get("vm")
     for line in between:
         if vm is not None and line.event in VM_LOST and vm in (line.vm, line.fields.get("vm")):
--- a/tests/workflow/explanation/test_story.py
+++ b/tests/workflow/explanation/test_story.py
@@ -121,6 +121,15 @@
     assert told[-1] == "Cause: 6.0 s lost: side-1 was lost (agent_expired), and its work with it."
 
 
+def test_a_delay_is_put_down_to_a_restart_of_most_vms():
+    started = [
+        write(3.0, vm, Event.PROCESS_STARTED, node=vm) for vm in ("front", "side-1", "side-2")
+    ]
+    claimed = write(3.1, "front", Event.OWNER_CLAIMS, epoch=2, cause="owner was restarted")
+    told = explain(accepted(), ordered(1.1, "side-1"), *started, claimed, ordered(4.0, "side-2"))
+    assert told[-1] == "Cause: 2.9 s lost: 3 of 3 VMs were restarted."
+
+
 def test_a_delay_is_put_down_to_the_change_of_owners():
     told = explain(
         accepted(),
