Give no work for a while to a VM that turns starts down as unhealthy

Cause: a start that an unhealthy worker turns down (429 or 503) came back as refused without any trace on its VM, which still had the most fitting room, so that the same start went there again at once.

Ways weighed: asking the worker's health page (an answer may be false either way, and each has a price); taking such VMs out for good. The start that was turned down is the evidence.

--- a/packages/workflow/briardeal_workflow/owner/_owner.py
+++ b/packages/workflow/briardeal_workflow/owner/_owner.py
@@ -21,7 +21,7 @@
     StopTask,
 )
 from briardeal_workflow.store import Fenced, FencedWriter
-from briardeal_workflow.worker import HOLD_LAPSE_S
+from briardeal_workflow.worker import HOLD_LAPSE_S, UNHEALTHY
 
 if TYPE_CHECKING:
     from briardeal_core.clock import Clock
@@ -205,6 +205,8 @@
         if settled.outcome is SettledAs.STARTED:
             self.planner.note_started(agent_id, settled.task, settled.number, now_s)
         else:
+            if settled.reason == UNHEALTHY:
+                self.planner.note_unhealthy(agent_id, now_s)
             self.planner.note_ended(agent_id, settled.task, settled.number, End.REFUSED, "", now_s)
         self.wake.set()
         self.keeper.wake.set()
--- a/packages/workflow/briardeal_workflow/planning/_planner.py
+++ b/packages/workflow/briardeal_workflow/planning/_planner.py
@@ -164,6 +164,12 @@
             attempt.advanced_s = now_s
             self.state.note_started(task)
 
+    def note_unhealthy(self, vm_id: str, now_s: float) -> None:
+        """Note that a VM takes no starts because it considers itself unhealthy."""
+        vm = self.state.vms.get(vm_id)
+        if vm is not None:
+            self.endings.note_failure(vm, now_s, to_blame=True)
+
     def note_running(
         self, vm_id: str, rows: Iterable[RunningTask], now_s: float, age_s: float = 0.0
     ) -> None:
--- a/packages/workflow/briardeal_workflow/worker/__init__.py
+++ b/packages/workflow/briardeal_workflow/worker/__init__.py
@@ -2,6 +2,7 @@
 
 from briardeal_workflow.worker._agent import HOLD_LAPSE_S, WorkerAgent
 from briardeal_workflow.worker._port import (
+    UNHEALTHY,
     Listing,
     NoAnswer,
     Refused,
@@ -14,6 +15,7 @@
 
 __all__ = [
     "HOLD_LAPSE_S",
+    "UNHEALTHY",
     "Listing",
     "NoAnswer",
     "Refused",
--- a/packages/workflow/briardeal_workflow/worker/_port.py
+++ b/packages/workflow/briardeal_workflow/worker/_port.py
@@ -10,6 +10,10 @@
     from briardeal_workflow.model import TaskId
 
 
+UNHEALTHY = "unhealthy"
+"""Reason of a worker that takes no starts because it considers itself unhealthy."""
+
+
 @dataclass(frozen=True)
 class Started:
     """The task runs; `clock_s` is the worker's clock when it said so."""
--- a/tests/workflow/planning/test_planner.py
+++ b/tests/workflow/planning/test_planner.py
@@ -230,6 +230,17 @@
     assert {each.vm_id for each in site.starts(after_s=1.0)} == {start.vm_id}
 
 
+def test_a_vm_that_turns_starts_down_as_unhealthy_gets_none_for_a_while():
+    site = Site(vms=2)
+    site.submit(small_step())
+    start = site.starts()[0]
+    site.planner.note_unhealthy(start.vm_id, site.now_s)
+    site.end(start, End.REFUSED)
+    (again,) = site.starts()
+    assert again.vm_id != start.vm_id
+    assert site.planner.state.works[start.task.job_id].progress().failures == ()
+
+
 def test_a_vm_that_fails_again_gets_no_work_for_longer():
     site = Site(vms=2)
     pauses_s = []
