--- a/packages/workflow/briardeal_workflow/planning/_placement.py
+++ b/packages/workflow/briardeal_workflow/planning/_placement.py
@@ -194,6 +194,8 @@
     """Return the VMs that may take a group; distrusted ones only where the others can't hold it."""
     suited = [vm for vm in vms if vm.open and _suits(vm, group)]
     trusted = [vm for vm in suited if vm.is_trusted(now_s)]
+    if len(trusted) == len(suited):
+        return suited
     if group.step.gang:
         able = _holds_when_empty(trusted, group)
     else:
