--- a/packages/workflow/briardeal_workflow/planning/_planner.py
+++ b/packages/workflow/briardeal_workflow/planning/_planner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 import attrs
@@ -275,7 +276,7 @@
                 if work is None:
                     continue
                 group = work.groups[attempt.task.group]
-                if is_stuck(attempt, group, known_s, work.spare_s(group, wall_s)):
+                if is_stuck(attempt, group, known_s, partial(work.spare_s, group, wall_s)):
                     self.endings.note_failure(vm, now_s)
                     for each in self.state.companions(attempt):
                         silent_s = round(known_s - each.advanced_s, 3)
--- a/packages/workflow/briardeal_workflow/planning/_progress.py
+++ b/packages/workflow/briardeal_workflow/planning/_progress.py
@@ -7,6 +7,8 @@
 from briardeal_workflow.planning._attempts import Phase
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from briardeal_workflow.planning._attempts import Attempt
     from briardeal_workflow.planning._work import Group
 
@@ -28,7 +30,7 @@
 """Percentage that a task tells whose own part is done."""
 
 
-def is_stuck(attempt: Attempt, group: Group, now_s: float, spare_s: float) -> bool:
+def is_stuck(attempt: Attempt, group: Group, now_s: float, spare_s: Callable[[], float]) -> bool:
     """Return whether a start stands still, by what it did before.
 
     Most pauses end by themselves. Waiting for as long as a new start would take to come as far
@@ -41,20 +43,22 @@
     now_s
         Time up to which its VM was heard, on the loop's clock.
     spare_s
-        Time for which a new start may still wait, in seconds.
+        Returns for how long a new start may still wait, in seconds.
     """
+    silent_s = now_s - attempt.advanced_s
+    if silent_s <= PAUSE_LIMIT_S:
+        return False
     if attempt.phase is not Phase.RUNNING or group.step.lasting:
         return False
     left_percent = WHOLE_PERCENT - attempt.percent
     if group.step.gang and left_percent <= 0:
         # Its own part is done; it ends together with the slowest member.
         return False
-    silent_s = now_s - attempt.advanced_s
-    patience_s = min(attempt.repeated_s(), spare_s)
+    patience_s = min(attempt.repeated_s(), spare_s())
     if silent_s > max(SILENCE_LIMIT_S, SILENCE_SHARE * group.step.estimate_s, patience_s):
         return True
     worked_s = attempt.worked_s()
-    if silent_s <= max(PAUSE_LIMIT_S, patience_s) or worked_s <= 0:
+    if silent_s <= patience_s or worked_s <= 0:
         return False
     rate = (attempt.percent - attempt.first_percent) / worked_s
     return min(rate * silent_s, left_percent) >= PAUSE_PERCENT
