--- a/packages/workflow/briardeal_workflow/explanation/_causes.py
+++ b/packages/workflow/briardeal_workflow/explanation/_causes.py
@@ -19,6 +19,10 @@
 ON_TIME_S = 1.1
 """Longest wait that needs no cause; urgent work starts within it."""
 
+TAKEOVER_S = 11.6
+"""Longest time for which a change of owners holds back starts: the right of the owner before and the
+hold of its agents."""
+
 STORE_TROUBLE = (Event.LOG_UNAVAILABLE, Event.STORE_DETOUR)
 VM_LOST = (Event.AGENT_EXPIRED, Event.WORKER_GONE, Event.WORKER_REPLACED, Event.PROCESS_STARTED)
 REFUSALS = (Event.JOB_REFUSED, Event.REQUEST_REFUSED)
@@ -135,8 +139,8 @@
             return f"it was stopped: {line.fields.get('cause')}."
         if line.event is Event.TASK_ENDED and line.fields.get("task") == task:
             return f"its start on {vm} ended: {line.fields.get('end')}."
-    claim = next((line for line in between if line.event is Event.OWNER_CLAIMS), None)
-    if claim is not None:
+    claim = next((line for line in reversed(between) if line.event is Event.OWNER_CLAIMS), None)
+    if claim is not None and wait.later.time_s - claim.time_s <= TAKEOVER_S:
         return f"the owner was replaced ({claim.fields.get('cause', 'cause unknown')})."
     if any(line.event in STORE_TROUBLE for line in between):
         return "the store was out of reach."
--- a/tests/workflow/explanation/test_story.py
+++ b/tests/workflow/explanation/test_story.py
@@ -141,6 +141,16 @@
     assert any("epoch 2" in sentence for sentence in told)
 
 
+def test_a_long_delay_is_not_put_down_to_a_change_of_owners_long_before():
+    told = explain(
+        accepted(),
+        write(2.0, "front-2", Event.OWNER_CLAIMS, epoch=2, cause="owner is gone"),
+        ordered(3.0, "side-1", job_id=OTHER),
+        ordered(30.0, "side-1"),
+    )
+    assert told[-1] == "Cause: 29.0 s lost: there was no room; 1 starts were ordered meanwhile."
+
+
 def test_a_delay_without_trouble_is_put_down_to_room():
     told = explain(accepted(), ordered(2.0, "side-1", job_id=OTHER), ordered(4.0, "side-1"))
     assert told[-1] == "Cause: 3.0 s lost: there was no room; 1 starts were ordered meanwhile."
