--- a/packages/workflow/briardeal_workflow/explanation/_causes.py
+++ b/packages/workflow/briardeal_workflow/explanation/_causes.py
@@ -20,8 +20,8 @@
 """Longest wait that needs no cause; urgent work starts within it."""
 
 TAKEOVER_S = 11.6
-"""Longest time for which a change of owners holds back starts: the right of the owner before and the
-hold of its agents."""
+"""Longest time for which a change of owners holds back starts: the right of the owner before and
+the hold of its agents."""
 
 STORE_TROUBLE = (Event.LOG_UNAVAILABLE, Event.STORE_DETOUR)
 VM_LOST = (Event.AGENT_EXPIRED, Event.WORKER_GONE, Event.WORKER_REPLACED, Event.PROCESS_STARTED)
