--- a/packages/workflow/briardeal_workflow/planning/_placement.py
+++ b/packages/workflow/briardeal_workflow/planning/_placement.py
@@ -91,7 +91,7 @@
     The VMs of a gang that is sensitive to racks are on one rack where any rack can hold it.
     """
     best: Placement | None = None
-    for pool in _pools(vms, group, now_s):
+    for pool in find_pools(vms, group, now_s):
         rooms = Rooms(pool, lambda vm: vm.room())
         chosen: dict[int, str] = {}
         for index in indices:
@@ -109,28 +109,6 @@
     return best
 
 
-def place_by_preemption(
-    vms: Sequence[Vm],
-    group: Group,
-    indices: Sequence[int],
-    now_s: float,
-    victims_of: Callable[[Attempt], tuple[Attempt, ...] | None],
-) -> Placement | None:
-    """Return VMs for the tasks and the starts to stop there, losing little work.
-
-    Parameters
-    ----------
-    victims_of
-        Returns what ends along with a start, itself included; `None` where it must go on.
-    """
-    best: Placement | None = None
-    for pool in _pools(vms, group, now_s):
-        placement = _preempt_in(pool, group, indices, now_s, victims_of)
-        if placement is not None and (best is None or placement.rank < best.rank):
-            best = placement
-    return best
-
-
 def place_on_soonest(
     vms: Sequence[Vm],
     group: Group,
@@ -146,7 +124,7 @@
         Returns for how long a start will run on, in seconds.
     """
     best: tuple[float, Placement] | None = None
-    for pool in _pools(vms, group, now_s):
+    for pool in find_pools(vms, group, now_s):
         rooms = Rooms(pool, lambda vm: vm.room())
         waits_s = {vm.vm_id: _time_to_room(rooms, vm, group, left_s) for vm in pool}
         chosen: dict[int, str] = {}
@@ -164,12 +142,7 @@
     return None if best is None else best[1]
 
 
-def fits_somewhere(vms: Iterable[Vm], group: Group) -> bool:
-    """Return whether some VM could hold a task of a group if it were empty."""
-    return any(_suits(vm, group) and group.need.within(vm.shape.capacity) for vm in vms)
-
-
-def _pools(vms: Sequence[Vm], group: Group, now_s: float) -> list[list[Vm]]:
+def find_pools(vms: Sequence[Vm], group: Group, now_s: float) -> list[list[Vm]]:
     """Return the sets of VMs to try, the best first."""
     step = group.step
     suited = _trusted(vms, group, now_s)
@@ -224,12 +197,13 @@
         for vm_id, vm in rooms.vms.items()
         if group.need.within(rooms.rooms[vm_id]) and rooms.within_limit(group, vm)
     ]
-    return min(fitting, key=lambda vm: _preference(rooms, group, index, vm, now_s), default=None)
+    return min(fitting, key=lambda vm: prefer(rooms, group, index, vm, now_s), default=None)
 
 
-def _preference(
+def prefer(
     rooms: Rooms, group: Group, index: int, vm: Vm, now_s: float
 ) -> tuple[bool, bool, int, float, str]:
+    """Return where a VM stands among those with room for a task, the best first."""
     left = rooms.rooms[vm.vm_id].minus(group.need)
     distrusted = not vm.is_trusted(now_s)
     failed_here = vm.vm_id in group.failed_on.get(index, ())
@@ -250,81 +224,3 @@
         if group.need.within(room):
             return ends_s
     return math.inf
-
-
-def _preempt_in(
-    pool: Sequence[Vm],
-    group: Group,
-    indices: Sequence[int],
-    now_s: float,
-    victims_of: Callable[[Attempt], tuple[Attempt, ...] | None],
-) -> Placement | None:
-    rooms = Rooms(pool, lambda vm: vm.room_to_come())
-    chosen: dict[int, str] = {}
-    for index in indices:
-        choices = [
-            (victims, vm)
-            for vm in pool
-            if rooms.within_limit(group, vm)
-            and (victims := _victims_on(rooms, vm, group, now_s, victims_of)) is not None
-        ]
-        if not choices:
-            return None
-        victims, vm = min(
-            choices,
-            key=lambda choice: (
-                not choice[1].is_trusted(now_s),
-                _rank(choice[0], now_s),
-                _preference(rooms, group, index, choice[1], now_s),
-            ),
-        )
-        rooms.free_up(victims)
-        rooms.take(group, vm.vm_id)
-        chosen[index] = vm.vm_id
-    stopped = tuple(rooms.victims.values())
-    return Placement(chosen, stopped, _cost(stopped, now_s))
-
-
-def _victims_on(
-    rooms: Rooms,
-    vm: Vm,
-    group: Group,
-    now_s: float,
-    victims_of: Callable[[Attempt], tuple[Attempt, ...] | None],
-) -> tuple[Attempt, ...] | None:
-    """Return what to stop so that one more task fits on a VM; nothing where it fits already."""
-    room = rooms.rooms[vm.vm_id]
-    if group.need.within(room):
-        return ()
-    options = []
-    for attempt in vm.attempts.values():
-        if id(attempt) in rooms.victims:
-            continue
-        ending = victims_of(attempt)
-        if ending is not None:
-            options.append((_rank(ending, now_s), attempt, ending))
-    options.sort(key=lambda option: option[0])
-    taken = []
-    for option in options:
-        if group.need.within(room):
-            break
-        room = room.plus(option[1].need)
-        taken.append(option)
-    if not group.need.within(room):
-        return None
-    # The cheapest ones were taken first; those that turned out not to be needed go on.
-    for option in taken[::-1]:
-        without = room.minus(option[1].need)
-        if group.need.within(without):
-            room = without
-            taken.remove(option)
-    return tuple(attempt for _, _, ending in taken for attempt in ending)
-
-
-def _rank(attempts: Iterable[Attempt], now_s: float) -> tuple[bool, float]:
-    """Return how soon starts are stopped; urgent ones last, else those that lose least first."""
-    return any(attempt.urgent for attempt in attempts), _cost(attempts, now_s)
-
-
-def _cost(attempts: Iterable[Attempt], now_s: float) -> float:
-    return sum(attempt.unsaved_work(now_s) for attempt in attempts)
--- a/packages/workflow/briardeal_workflow/planning/_starts.py
+++ b/packages/workflow/briardeal_workflow/planning/_starts.py
@@ -6,11 +6,8 @@
 
 from briardeal_workflow.planning._attempts import URGENT, Attempt, Phase
 from briardeal_workflow.planning._orders import StartTask
-from briardeal_workflow.planning._placement import (
-    place_by_preemption,
-    place_in_room,
-    place_on_soonest,
-)
+from briardeal_workflow.planning._placement import place_in_room, place_on_soonest
+from briardeal_workflow.planning._preemption import place_by_preemption
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/tests/docs/test_operations.py
+++ b/tests/docs/test_operations.py
@@ -5,6 +5,7 @@
 import asyncio
 import re
 import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -19,7 +20,7 @@
 ROOT = PAGE.parents[1]
 JOB_NAME = re.compile(r"\b[0-9a-f]{16}\b")
 PROGRAMS = ("grep ", "briardeal ")
-BRIARDEAL = f"{ROOT}/.venv/bin/python -m briardeal "
+BRIARDEAL = f"{sys.executable} -m briardeal "
 
 
 def commands_of(heading: str) -> list[str]:
