Measure the time from the last end of a job to its state being shown

Counted by the owner when the final state is kept, by state. A test reads it from the page of metrics.

--- a/packages/workflow/briardeal_workflow/metrics/_metrics.py
+++ b/packages/workflow/briardeal_workflow/metrics/_metrics.py
@@ -29,9 +29,9 @@
     ----------
     events
         Events by name and outcome.
-    acceptance_s, first_start_s, store_call_s, takeover_s
-        Times of a submission, from acceptance to first start, of calls to the store, and from a
-        claim to the first decision.
+    acceptance_s, first_start_s, end_shown_s, store_call_s, takeover_s
+        Times of a submission, from acceptance to first start, from the last end of a job to its
+        final state being kept, of calls to the store, and from a claim to the first decision.
     """
 
     def __init__(self) -> None:
@@ -45,6 +45,11 @@
             "Time from the acceptance of a job to its first start.",
             START_BOUNDS_S,
         )
+        self.end_shown_s = self.histogram(
+            "briardeal_end_shown_seconds",
+            "Time from the last end of a job to its final state being kept and shown.",
+            CALL_BOUNDS_S,
+        )
         self.store_call_s = self.histogram(
             "briardeal_store_call_seconds", "Time of calls to the store by outcome.", CALL_BOUNDS_S
         )
--- a/packages/workflow/briardeal_workflow/owner/_keeper.py
+++ b/packages/workflow/briardeal_workflow/owner/_keeper.py
@@ -12,8 +12,9 @@
 
 if TYPE_CHECKING:
     from briardeal_workflow.book import JobBook
+    from briardeal_workflow.metrics import WorkflowMetrics
     from briardeal_workflow.owner._members import Member
-    from briardeal_workflow.planning import State
+    from briardeal_workflow.planning import State, Work
     from briardeal_workflow.store import FencedWriter
 
 RETENTION_S = 600.0
@@ -39,6 +40,8 @@
     ----------
     writer, state, book, members
         Where to write, whose progress, what is kept, and whose ends follow from it.
+    metrics
+        What it counts.
 
     Attributes
     ----------
@@ -47,8 +50,14 @@
     """
 
     def __init__(
-        self, writer: FencedWriter, state: State, book: JobBook, members: dict[str, Member]
+        self,
+        writer: FencedWriter,
+        state: State,
+        book: JobBook,
+        members: dict[str, Member],
+        metrics: WorkflowMetrics,
     ) -> None:
+        self.metrics = metrics
         self.writer = writer
         self.state = state
         self.book = book
@@ -91,18 +100,27 @@
                 agent_id: (member.incarnation, member.ends_taken)
                 for agent_id, member in self.members.items()
             }
-            records = self._take_changes()
+            changed = self._take_changes()
+            records = self._encode(changed)
+            ended = self._ended(changed)
             if records and isinstance(await self.writer.append(records), Fenced):
                 return
+            for work in ended:
+                self.metrics.end_shown_s.observe({"state": work.state}, loop_time() - work.ended_s)
             for agent_id, (incarnation, ends_taken) in taken.items():
                 member = self.members[agent_id]
                 if member.incarnation == incarnation:
                     member.ends_kept = max(member.ends_kept, ends_taken)
 
-    def _take_changes(self) -> list[Record]:
+    def _take_changes(self) -> set[str]:
         changed, self.state.changed = self.state.changed, set()
         self.state.advanced -= changed
-        return self._encode(changed)
+        return changed
+
+    def _ended(self, job_ids: set[str]) -> list[Work]:
+        """Return the jobs whose final state is kept for the first time."""
+        works = [self.state.works[job_id] for job_id in job_ids & self.state.works.keys()]
+        return [work for work in works if work.ended_s is not None]
 
     def _encode(self, job_ids: set[str]) -> list[Record]:
         """Return the progress of those jobs that are not forgotten."""
--- a/packages/workflow/briardeal_workflow/owner/_owner.py
+++ b/packages/workflow/briardeal_workflow/owner/_owner.py
@@ -112,7 +112,7 @@
         self.lapse_s = right_s + HOLD_LAPSE_S
         self.loaded = False
         self.wake = asyncio.Event()
-        self.keeper = Keeper(self.writer, self.planner.state, book, self.members)
+        self.keeper = Keeper(self.writer, self.planner.state, book, self.members, metrics)
 
     @property
     def right_left_s(self) -> float:
--- a/packages/workflow/briardeal_workflow/planning/__init__.py
+++ b/packages/workflow/briardeal_workflow/planning/__init__.py
@@ -5,6 +5,7 @@
 from briardeal_workflow.planning._planner import Planner, RunningTask
 from briardeal_workflow.planning._state import State
 from briardeal_workflow.planning._vms import Need, Shape, Vm
+from briardeal_workflow.planning._work import Work
 
 __all__ = [
     "Attempt",
@@ -18,5 +19,6 @@
     "StartTask",
     "State",
     "StopTask",
+    "Work",
     "Vm",
 ]
--- a/packages/workflow/briardeal_workflow/planning/_endings.py
+++ b/packages/workflow/briardeal_workflow/planning/_endings.py
@@ -52,7 +52,7 @@
             running.remove(attempt)
         if end is End.FAILED:
             group.failed_on.setdefault(task.index, set()).add(vm.vm_id)
-        self.count(task, attempt.number, end, checkpoint)
+        self.count(task, attempt.number, end, checkpoint, now_s)
 
     def note_failure(self, vm: Vm, now_s: float, *, to_blame: bool = False) -> None:
         """Note that a task failed on a VM, or stood still there."""
@@ -64,7 +64,7 @@
                 for_s=round(vm.distrusted_until_s - now_s, 3),
             )
 
-    def count(self, task: TaskId, number: int, end: End, checkpoint: str) -> None:
+    def count(self, task: TaskId, number: int, end: End, checkpoint: str, now_s: float) -> None:
         """Note what an end means for its task and job."""
         work = self.state.work_of(task)
         if work is None or work.over:
@@ -72,10 +72,10 @@
         group = work.groups[task.group]
         self.state.keep_checkpoint(task, checkpoint, ended=True)
         if end is End.DONE and not group.step.lasting:
-            self._note_done(work, group, task)
+            self._note_done(work, group, task, now_s)
             return
         if end is End.FAILED and not group.step.lasting and task.index not in group.done:
-            self._count_failure(work, group, task.index, number)
+            self._count_failure(work, group, task.index, number, now_s)
         if group.step.gang and not work.over and not group.complete:
             for attempt in list(group.running()):
                 if attempt.number == number:
@@ -101,7 +101,7 @@
         others = (self.state.vms.get(name) for name in work.failed_early_on - {vm.vm_id})
         return not any(each is not None and each.failed_jobs == {job_id} for each in others)
 
-    def _note_done(self, work: Work, group: Group, task: TaskId) -> None:
+    def _note_done(self, work: Work, group: Group, task: TaskId, now_s: float) -> None:
         group.done.update(range(group.step.tasks) if group.step.gang else (task.index,))
         group.checkpoints.pop(group.counted_index(task.index), None)
         self.state.drop_claims(group, list(group.done))
@@ -110,9 +110,11 @@
                 self.state.stop(attempt, "another copy is done")
         self.state.changed.add(work.job.job_id)
         if all(each.complete for each in work.groups.values()):
-            self._end_job(work, "completed", "all tasks are done")
+            self._end_job(work, "completed", "all tasks are done", now_s)
 
-    def _count_failure(self, work: Work, group: Group, index: int, number: int) -> None:
+    def _count_failure(
+        self, work: Work, group: Group, index: int, number: int, now_s: float
+    ) -> None:
         counted = group.counted_index(index)
         if number <= group.failed_numbers.get(counted, 0):
             return
@@ -122,9 +124,10 @@
         if group.failures[counted] >= work.queue.failure_limit:
             vms = sorted(group.failed_on.get(index, ()))
             cause = f"{group.task(index)} failed {group.failures[counted]} times"
-            self._end_job(work, "failed", cause, vms=vms)
+            self._end_job(work, "failed", cause, now_s, vms=vms)
             self.end_work(work, "failed too often")
 
-    def _end_job(self, work: Work, state: str, cause: str, **inputs: object) -> None:
+    def _end_job(self, work: Work, state: str, cause: str, now_s: float, **inputs: object) -> None:
         work.state = state
+        work.ended_s = now_s
         log_event(Event.JOB_ENDED, job_id=work.job.job_id, state=state, cause=cause, **inputs)
--- a/packages/workflow/briardeal_workflow/planning/_planner.py
+++ b/packages/workflow/briardeal_workflow/planning/_planner.py
@@ -197,7 +197,7 @@
             self.endings.end_attempt(self.state.vms[vm_id], attempt, end, checkpoint, now_s)
         else:
             # A start that was taken for lost, or that an earlier owner has ordered.
-            self.endings.count(task, number, end, checkpoint)
+            self.endings.count(task, number, end, checkpoint, now_s)
 
     def decide(self, now_s: float, wall_s: float) -> list[Order]:
         """Return what is to be done now, in this order."""
--- a/packages/workflow/briardeal_workflow/planning/_work.py
+++ b/packages/workflow/briardeal_workflow/planning/_work.py
@@ -133,6 +133,8 @@
         Whether its caller wants it no more.
     added_s
         When this process learnt of it, on the loop's clock.
+    ended_s
+        When its end was told, on the loop's clock; `None` before, and for one that is cancelled.
     failed_early_on
         VMs on which a task of it failed right after its start.
     """
@@ -144,6 +146,7 @@
     state: str = ""
     cancelled: bool = False
     added_s: float = 0.0
+    ended_s: float | None = None
     failed_early_on: set[str] = attrs.field(factory=set)
 
     @classmethod
--- a/tests/workflow/structure/test_entry.py
+++ b/tests/workflow/structure/test_entry.py
@@ -455,3 +455,12 @@
         while not await site.cancel(urgent.job_id, site.entry_names[0]):
             await asyncio.sleep(0.1)
         assert await site.wait_for_state(job.job_id, "completed", 20.0) < 9.0
+
+
+async def test_the_time_until_the_end_of_a_job_is_shown_is_measured():
+    async with run_site() as site:
+        job = make_job(small_step(2))
+        await site.submit(job, Plan(1.0))
+        await site.wait_for_state(job.job_id, "completed", 5.0)
+        page = site.entry(site.owner_name()).metrics.render().decode()
+    assert 'briardeal_end_shown_seconds_count{state="completed"} 1' in page
