Log when the store answers an entry itself again

The detour of an entry around the store had a line at its begin only. The new one tells how long it took; a test on the emulator asks for both.

--- a/packages/core/briardeal_core/events/_catalogue.py
+++ b/packages/core/briardeal_core/events/_catalogue.py
@@ -63,6 +63,7 @@
     LOG_UNAVAILABLE = (500, "The log can't be reached or does not answer.")
     LOG_RECOVERED = (501, "The log answers again.")
     STORE_DETOUR = (503, "The store fails this entry, which goes through another one for a while.")
+    STORE_REGAINED = (504, "The store answers this entry itself again.")
     RECORD_UNKNOWN = (510, "A record of a newer version was left out; upgrade this process.")
     RECORD_BROKEN = (511, "A record on the log can't be read and was left out.")
     LOG_GAP_FOUND = (512, "Records that this process had not read are gone from the log.")
--- a/packages/workflow/briardeal_workflow/explanation/_story.py
+++ b/packages/workflow/briardeal_workflow/explanation/_story.py
@@ -32,6 +32,7 @@
         Event.LOG_UNAVAILABLE,
         Event.LOG_RECOVERED,
         Event.STORE_DETOUR,
+        Event.STORE_REGAINED,
     }
 )
 """Events that concern every job."""
--- a/packages/workflow/briardeal_workflow/relay/_client.py
+++ b/packages/workflow/briardeal_workflow/relay/_client.py
@@ -63,6 +63,7 @@
         self.peers = peers
         self.detour_until_s = float("-inf")
         self.direct_works = True
+        self.failing_since_s = float("-inf")
         self._links: dict[str, tuple[Link, asyncio.Task[object]]] = {}
         self._connecting: dict[str, asyncio.Lock] = {}
 
@@ -122,6 +123,9 @@
         failed = isinstance(outcome, NotStored | Unconfirmed | OutOfReach)
         if failed and self.direct_works:
             log_event(Event.STORE_DETOUR, detail=outcome.detail)
+            self.failing_since_s = loop_time()
+        if not failed and not self.direct_works:
+            log_event(Event.STORE_REGAINED, after_s=round(loop_time() - self.failing_since_s, 3))
         if failed:
             self.detour_until_s = loop_time() + DETOUR_S
         self.direct_works = not failed
--- a/tests/workflow/relay/test_client.py
+++ b/tests/workflow/relay/test_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from briardeal_protocol.connections import MemoryNetwork
@@ -11,12 +12,28 @@
 from briardeal_workflow.control import CONTROL_LINES
 from briardeal_workflow.relay import RelayedStore, RelayServer
 from briardeal_workflow.store import Appended, Record
+from tests.workflow.sites import run_site
 
 pytestmark = pytest.mark.looptime
 
 ADDRESS = "entry-1:7000"
 
 
+async def test_the_store_is_told_lost_and_regained():
+    async with run_site() as site:
+        site.store.faults["entry-0"] = StoreFault.REFUSES
+        await asyncio.sleep(3.0)
+        site.store.faults.clear()
+        await asyncio.sleep(3.0)
+    names = [
+        msgspec.json.decode(line.partition("{")[1] + line.partition("{")[2])["message_type"]
+        for line in site.logs.lines
+        if line.split()[1] == "entry-0"
+    ]
+    told = [name for name in names if name in ("store_detour", "store_regained")]
+    assert told == ["store_detour", "store_regained"]
+
+
 async def test_calls_at_the_same_time_share_a_connection():
     store = MemoryStore()
     store.faults["entry-0"] = StoreFault.REFUSES
