Log what tasks wait for and what preemptions cost each queue

The lines and metrics could not tell the hypotheses about bulk jobs apart: none said what a job that is not started waits for, whether a stopped task had been stopped before, whether a job ended late, or to which queue a call belonged that was refused for an old configuration.

Counters by queue: jobs and what became of them, preempted tasks (first or repeated), work lost.

No decision changes.

--- a/packages/workflow/briardeal_workflow/explanation/_causes.py
+++ b/packages/workflow/briardeal_workflow/explanation/_causes.py
@@ -159,4 +159,16 @@
     if any(line.event in STORE_FAILURES for line in between):
         return "the store was unreachable."
     orders = sum(line.event is Event.TASK_ORDERED for line in between)
-    return f"no capacity was free; {orders} starts were ordered meanwhile."
+    obstacle = next(
+        (
+            line.fields.get("cause")
+            for line in reversed(between)
+            if line.event is Event.JOB_WAITS and line.fields.get("job_id") == _job_of(wait.later)
+        ),
+        "no capacity was free",
+    )
+    return f"{obstacle}; {orders} starts were ordered meanwhile."
+
+
+def _job_of(line: LogLine) -> str:
+    return str(line.fields.get("job_id", ""))
--- a/packages/workflow/briardeal_workflow/explanation/_timeline.py
+++ b/packages/workflow/briardeal_workflow/explanation/_timeline.py
@@ -59,6 +59,9 @@
         f"refused: {line['reason']}, reported as {line.get('run_state', 'unknown job')}"
     ),
     Event.REQUEST_REFUSED: lambda line: f"refused with {line['status']}: {line['detail']}",
+    Event.JOB_WAITS: lambda line: (
+        f"{line['tasks']} tasks of step {line['step']} wait: {line['cause']}"
+    ),
     Event.TASK_ORDERED: lambda line: (
         f"attempt {line['number']} of {line['task']} ordered on {line['vm']}: {line['cause']}"
     ),
--- a/packages/workflow/briardeal_workflow/metrics/_metrics.py
+++ b/packages/workflow/briardeal_workflow/metrics/_metrics.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
+from briardeal_core.events import Event
 from briardeal_core.metrics import Metrics
 
-if TYPE_CHECKING:
-    from briardeal_core.events import Event
-
 CALL_BOUNDS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0)
 """Histogram bounds for calls; a healthy store answers within 10 ms."""
 
@@ -38,6 +36,12 @@
         Time from the end of the last task of a job until its final state is stored, in seconds.
     store_call_s
         Duration of calls to the store, in seconds.
+    jobs
+        Number of jobs by queue and what became of them.
+    preempted_tasks
+        Number of preempted tasks by queue, and by whether that task was preempted before.
+    preempted_core_s
+        Work lost by preemptions by queue, in core-seconds.
     takeover_s
         Time from a claim of ownership to the first decision of the owner, in seconds.
     """
@@ -45,6 +49,17 @@
     def __init__(self) -> None:
         super().__init__()
         self.events = self.counter("briardeal_events_total", "Events by name and outcome.")
+        self.jobs = self.counter(
+            "briardeal_queue_jobs_total", "Jobs by queue and what became of them."
+        )
+        self.preempted_tasks = self.counter(
+            "briardeal_preempted_tasks_total",
+            "Tasks stopped for other work, by queue and whether for the first time.",
+        )
+        self.preempted_core_s = self.counter(
+            "briardeal_preempted_core_seconds_total",
+            "Work lost by tasks stopped for other work, by queue.",
+        )
         self.acceptance_s = self.histogram(
             "briardeal_acceptance_seconds",
             "Time to accept or refuse a job.",
@@ -78,3 +93,21 @@
         if outcome.startswith(PREEMPTION_PREFIX):
             outcome = PREEMPTION_PREFIX
         self.events.inc({"event": event.name.lower(), "outcome": outcome})
+        if "queue" in fields:
+            self._count_by_queue(event, fields)
+
+    def _count_by_queue(self, event: Event, fields: dict[str, Any]) -> None:
+        queue = fields["queue"]
+        if event is Event.JOB_ACCEPTED and not fields["known"]:
+            self.jobs.inc({"queue": queue, "outcome": "accepted"})
+        elif event is Event.JOB_REFUSED:
+            self.jobs.inc({"queue": queue, "outcome": fields["reason"]})
+        elif event is Event.REQUEST_REFUSED:
+            self.jobs.inc({"queue": queue, "outcome": str(fields["status"])})
+        elif event is Event.JOB_ENDED:
+            late = fields["took_s"] > fields["objective_s"]
+            self.jobs.inc({"queue": queue, "outcome": f"{fields['state']}{' late' * late}"})
+        elif event is Event.TASK_STOPPED:
+            repeated = "yes" if fields["earlier_preemptions"] else "no"
+            self.preempted_tasks.inc({"queue": queue, "repeated": repeated})
+            self.preempted_core_s.add({"queue": queue}, fields["lost_core_s"])
--- a/packages/workflow/briardeal_workflow/planning/_active_jobs.py
+++ b/packages/workflow/briardeal_workflow/planning/_active_jobs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from typing import TYPE_CHECKING
 
 import attrs
@@ -18,6 +19,31 @@
     from briardeal_workflow.planning._attempts import Attempt
 
 
+class WaitCause(enum.StrEnum):
+    """What the tasks of a group wait for."""
+
+    TAKEOVER = "tasks of an earlier owner might still run"
+    CAPACITY = "no capacity was free"
+    NO_VICTIMS = "no capacity was free, and other work could not be stopped"
+    COSTS_MORE = "making room would have lost more work than it brought"
+
+
+@attrs.define
+class PreemptionHistory:
+    """Earlier preemptions of a task.
+
+    Attributes
+    ----------
+    count
+        Number of preemptions.
+    lost_core_s
+        Work lost by them, in core-seconds.
+    """
+
+    count: int = 0
+    lost_core_s: float = 0.0
+
+
 READY_PERCENT = 100
 """Percentage that a long-running task reports once its startup is complete."""
 
@@ -54,6 +80,10 @@
         Work of other jobs lost so far by preemptions for this group, in core-seconds.
     reserved_until_s
         Until when VMs without enough free capacity are reserved for the group.
+    preemptions
+        Earlier preemptions by task index, since this owner has known the group.
+    wait_cause
+        What the unplaced tasks waited for when that was last logged; `None` if none wait.
     """
 
     group_id: TaskGroupId
@@ -71,6 +101,8 @@
     takeover_pending: bool = False
     preempted_core_s: float = 0.0
     reserved_until_s: float = float("-inf")
+    preemptions: dict[int, PreemptionHistory] = attrs.field(factory=dict)
+    wait_cause: WaitCause | None = None
 
     @property
     def complete(self) -> bool:
@@ -180,6 +212,15 @@
         """Whether no task of the job may start any more."""
         return self.cancelled or bool(self.state)
 
+    @property
+    def preemption_count(self) -> int:
+        """Number of preemptions of its tasks that this owner has ordered."""
+        return sum(
+            history.count
+            for group in self.groups.values()
+            for history in group.preemptions.values()
+        )
+
     @property
     def first_step_accelerators(self) -> int:
         """Number of accelerators that all tasks of the first step need."""
--- a/packages/workflow/briardeal_workflow/planning/_completions.py
+++ b/packages/workflow/briardeal_workflow/planning/_completions.py
@@ -145,4 +145,15 @@
     ) -> None:
         active_job.state = state
         active_job.ended_s = now_s
-        log_event(Event.JOB_ENDED, job_id=active_job.job.job_id, state=state, cause=cause, **inputs)
+        due_s = active_job.job.due_s(active_job.job.occurrence_count - 1)
+        log_event(
+            Event.JOB_ENDED,
+            job_id=active_job.job.job_id,
+            state=state,
+            cause=cause,
+            queue=active_job.queue.name,
+            took_s=round(now_s + self.state.wall_offset_s - due_s, 3),
+            objective_s=round(active_job.objective_s(), 3),
+            preemptions=active_job.preemption_count,
+            **inputs,
+        )
--- a/packages/workflow/briardeal_workflow/planning/_planner.py
+++ b/packages/workflow/briardeal_workflow/planning/_planner.py
@@ -215,6 +215,7 @@
 
     def decide(self, now_s: float, wall_s: float) -> list[Order]:
         """Return the orders to send now, in sequence."""
+        self.state.wall_offset_s = wall_s - now_s
         self._remove_expired_vms(now_s)
         self._evacuate_leaving_vms()
         self._stop_stuck_tasks(now_s, wall_s)
--- a/packages/workflow/briardeal_workflow/planning/_state.py
+++ b/packages/workflow/briardeal_workflow/planning/_state.py
@@ -7,6 +7,7 @@
 import attrs
 
 from briardeal_workflow.model import Configuration
+from briardeal_workflow.planning._active_jobs import PreemptionHistory
 from briardeal_workflow.planning._attempts import AttemptPhase
 from briardeal_workflow.planning._orders import StopTask
 
@@ -44,6 +45,8 @@
         Orders that have not been returned yet.
     claimed_since_s
         When groups claimed VMs that do not have enough free capacity yet.
+    wall_offset_s
+        Time of day at the newest planning round, less the time on the loop's clock.
     """
 
     first_attempt_number: int
@@ -55,6 +58,7 @@
     finished_jobs: set[str] = attrs.field(factory=set)
     orders: list[Order] = attrs.field(factory=list)
     claimed_since_s: dict[TaskGroupId, float] = attrs.field(factory=dict)
+    wall_offset_s: float = 0.0
 
     def job_of(self, task: TaskId) -> ActiveJob | None:
         """Return the job of a task; `None` if the job is unknown or has no such task."""
@@ -72,6 +76,25 @@
             attempt.phase = AttemptPhase.STOPPING
             self.orders.append(StopTask(attempt.vm_id, attempt.task, attempt.number, cause, inputs))
 
+    def preempt(self, attempt: Attempt, cause: str, now_s: float, **inputs: object) -> None:
+        """Order an attempt to stop for other work, and record what its task loses."""
+        group = self.group_of(attempt.task)
+        if group is None or attempt.phase is AttemptPhase.STOPPING:
+            return
+        history = group.preemptions.setdefault(attempt.task.index, PreemptionHistory())
+        lost_core_s = attempt.unsaved_core_s(now_s)
+        self.stop(
+            attempt,
+            cause,
+            queue=self.active_jobs[attempt.task.job_id].queue.name,
+            lost_core_s=round(lost_core_s, 1),
+            earlier_preemptions=history.count,
+            earlier_lost_core_s=round(history.lost_core_s, 1),
+            **inputs,
+        )
+        history.count += 1
+        history.lost_core_s += lost_core_s
+
     def stopped_together(self, attempt: Attempt) -> tuple[Attempt, ...]:
         """Return the attempts to stop together: the members of the gang, or this attempt alone."""
         group = self.group_of(attempt.task)
--- a/packages/workflow/briardeal_workflow/planning/_task_starter.py
+++ b/packages/workflow/briardeal_workflow/planning/_task_starter.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from briardeal_core.events import Event, log_event
+from briardeal_workflow.planning._active_jobs import WaitCause
 from briardeal_workflow.planning._attempts import URGENT, Attempt, AttemptPhase
 from briardeal_workflow.planning._orders import StartTask
 from briardeal_workflow.planning._placement import place_on_free_capacity, place_on_soonest_free
@@ -29,6 +31,9 @@
 """Time after which the VMs to reserve are chosen again by the attempts that run then; VMs report
 their task lists every second."""
 
+WAIT_LOG_DELAY_S = 1.1
+"""Wait of tasks that is not logged; the usual time for a preemption, or for a task to end."""
+
 STOP_S = 0.4
 """Time within which workers stop a task, guaranteed by the platform."""
 
@@ -48,9 +53,11 @@
     def start_or_preempt(self, active_job: ActiveJob, group: TaskGroup, now_s: float) -> None:
         """Start tasks that fit into free capacity; for urgent ones, preempt or reserve VMs."""
         if group.takeover_pending:
+            self._record_wait(active_job, group, WaitCause.TAKEOVER, now_s)
             return
         indices = group.unplaced_indices()
         if not indices or (group.step.gang and len(indices) < group.step.tasks):
+            group.wait_cause = None
             return
         vms = [
             vm for vm in self.state.vms.values() if vm.description.service == active_job.job.service
@@ -61,11 +68,17 @@
             self._claim(group, placement, now_s)
             self._start_claimed_tasks(active_job, group, "room", now_s)
         unplaced = [index for index in indices if placement is None or index not in placement.vms]
-        if not unplaced or active_job.queue.priority != URGENT:
+        if not unplaced:
+            group.wait_cause = None
+            return
+        if active_job.queue.priority != URGENT:
+            self._record_wait(active_job, group, WaitCause.CAPACITY, now_s)
             return
         if now_s - group.ready_s < PREEMPTION_DELAY_S:
             return
-        if not self._preempt_for(active_job, group, unplaced, vms, now_s):
+        obstacle = self._preempt_for(active_job, group, unplaced, vms, now_s)
+        if obstacle is not None:
+            self._record_wait(active_job, group, obstacle, now_s)
             self._reserve(group, unplaced, unreserved, now_s)
 
     def start_claimed(self, now_s: float) -> None:
@@ -114,8 +127,8 @@
         indices: Sequence[int],
         vms: Sequence[Vm],
         now_s: float,
-    ) -> bool:
-        """Preempt other attempts for some tasks and return whether that is possible and allowed.
+    ) -> WaitCause | None:
+        """Preempt other attempts for some tasks, or return why that is impossible or not allowed.
 
         It is not allowed if more work is lost than the tasks need, unless the customer is within
         its guarantee.
@@ -136,7 +149,7 @@
 
         placement = place_by_preemption(vms, group, indices, now_s, victims_of)
         if placement is None:
-            return False
+            return WaitCause.NO_VICTIMS
         within_guarantee = active_job.job.customer in guaranteed
         requested_core_s = _requested_core_s(group, indices)
         # Earlier preemptions for the group count too, even if its tasks did not start after them;
@@ -145,18 +158,36 @@
             not within_guarantee
             and group.preempted_core_s + placement.lost_core_s > requested_core_s
         ):
-            return False
+            return WaitCause.COSTS_MORE
         group.preempted_core_s += placement.lost_core_s
         for attempt in placement.victims:
-            self.state.stop(
+            self.state.preempt(
                 attempt,
                 f"makes room for {active_job.job.job_id}",
+                now_s,
                 guaranteed=within_guarantee,
-                lost_core_s=round(attempt.unsaved_core_s(now_s), 1),
                 brought_core_s=round(requested_core_s, 1),
             )
         self._claim(group, placement, now_s)
-        return True
+        return None
+
+    def _record_wait(
+        self, active_job: ActiveJob, group: TaskGroup, cause: WaitCause, now_s: float
+    ) -> None:
+        """Log what the tasks of a group wait for, once for each change."""
+        waited_s = now_s - (now_s if group.ready_s is None else group.ready_s)
+        if waited_s < WAIT_LOG_DELAY_S or cause is group.wait_cause:
+            return
+        group.wait_cause = cause
+        log_event(
+            Event.JOB_WAITS,
+            job_id=active_job.job.job_id,
+            queue=active_job.queue.name,
+            step=group.group_id.step,
+            tasks=len(group.unplaced_indices()),
+            cause=cause,
+            ready_for_s=round(waited_s, 3),
+        )
 
     def _reserve(
         self, group: TaskGroup, indices: Sequence[int], vms: Sequence[Vm], now_s: float
--- /dev/null
+++ b/tests/workflow/planning/test_waiting.py
@@ -0,0 +1,74 @@
+"""The log says what the tasks of a job wait for, once for each change."""
+
+from __future__ import annotations
+
+import pytest
+
+from briardeal_core.events import add_log_destination, remove_log_destination
+from briardeal_workflow.planning import AttemptOutcome
+from tests.workflow.planning.harness import PlannerHarness
+from tests.workflow.samples import whole_vm_step
+
+
+@pytest.fixture
+def lines():
+    collected = []
+    add_log_destination(collected.append)
+    yield collected
+    remove_log_destination(collected.append)
+
+
+def find_waits(lines):
+    return [
+        (line["job_id"], line["cause"]) for line in lines if line["message_type"] == "job_waits"
+    ]
+
+
+def test_wait_for_capacity_is_logged_once(lines):
+    harness = PlannerHarness(vms=1)
+    harness.submit(whole_vm_step())
+    (running,) = harness.start_orders()
+    waiting = harness.submit(whole_vm_step())
+    for _ in range(4):
+        harness.report_running([running])
+        harness.decide(after_s=0.5)
+    assert find_waits(lines) == [(waiting.job_id, "no capacity was free")]
+    harness.report_outcome(running, AttemptOutcome.DONE)
+    assert len(harness.start_orders()) == 1
+
+
+def test_urgent_job_that_may_not_preempt_logs_why(lines):
+    harness = PlannerHarness(vms=1)
+    harness.submit(whole_vm_step(estimate_s=100.0))
+    starts = harness.start_orders()
+    harness.decide(after_s=50.0)
+    harness.report_running(starts, percent=50)
+    urgent = harness.submit(whole_vm_step(estimate_s=1.0), queue="urgent", customer="nobody")
+    harness.decide()
+    harness.decide(after_s=1.2)
+    cause = "making room would have lost more work than it brought"
+    assert find_waits(lines) == [(urgent.job_id, cause)]
+
+
+def test_wait_for_the_tasks_of_an_earlier_owner_is_logged(lines):
+    harness = PlannerHarness(vms=1, takeover_complete=False)
+    job = harness.submit(whole_vm_step(), takeover_pending=True)
+    harness.decide()
+    harness.decide(after_s=1.2)
+    assert find_waits(lines) == [(job.job_id, "tasks of an earlier owner might still run")]
+
+
+def test_stop_order_says_what_earlier_preemptions_cost_the_task():
+    harness = PlannerHarness(vms=1)
+    harness.submit(whole_vm_step(estimate_s=100.0), customer="south")
+    stops = []
+    for _ in range(2):
+        harness.report_running(harness.start_orders(after_s=0.1))
+        harness.submit(whole_vm_step(), queue="urgent", customer="north")
+        stops += harness.decide_after_preemption_delay()
+        harness.report_outcome(stops[-1], AttemptOutcome.STOPPED)
+        (urgent,) = harness.start_orders(after_s=0.1)
+        harness.report_outcome(urgent, AttemptOutcome.DONE)
+    assert [stop.inputs["earlier_preemptions"] for stop in stops] == [0, 1]
+    assert stops[0].inputs["earlier_lost_core_s"] == 0.0
+    assert stops[1].inputs["earlier_lost_core_s"] == stops[0].inputs["lost_core_s"] > 0.0
