Show that urgent jobs stop the same bulk job until it is late

Workers of the emulator gave checkpoints to tasks of steps without them, so that a preemption never cost anything there, and no test or load on the emulator could show what preemptions do to bulk jobs. They now do so only for checkpointable steps.

--- a/packages/standins/briardeal_standins/emulator/_emulator.py
+++ b/packages/standins/briardeal_standins/emulator/_emulator.py
@@ -263,6 +263,7 @@
             state,
             lambda command: self.behaviors[command],
             self._gang_size,
+            lambda task: self.checker.jobs[task.job_id].steps[task.step].checkpointable,
             self.vm_by_attempt,
             self.checker,
         )
--- a/packages/standins/briardeal_standins/emulator/_worker.py
+++ b/packages/standins/briardeal_standins/emulator/_worker.py
@@ -101,6 +101,8 @@
         Returns the behavior of a task by its command.
     get_gang_size
         Returns how many tasks must run together; 1 for a task outside a gang.
+    is_checkpointable
+        Returns whether a task writes checkpoints.
     vm_by_attempt
         VM of every running attempt, shared by all VMs to check gangs.
     checker
@@ -128,6 +130,7 @@
         state: VmState,
         get_behavior: Callable[[str], TaskBehavior],
         get_gang_size: Callable[[TaskId], int],
+        is_checkpointable: Callable[[TaskId], bool],
         vm_by_attempt: dict[tuple[TaskId, int], StandinVm],
         checker: Checker,
     ) -> None:
@@ -135,6 +138,7 @@
         self.state = state
         self.get_behavior = get_behavior
         self.get_gang_size = get_gang_size
+        self.is_checkpointable = is_checkpointable
         self.vm_by_attempt = vm_by_attempt
         self.checker = checker
         self.registration = Registration()
@@ -347,6 +351,8 @@
                     vm._finish(vm.attempts[task, number], "done" if end == "done" else "broken")
 
     def _checkpoint(self, attempt: _Attempt) -> str:
+        if not self.is_checkpointable(attempt.task):
+            return ""
         checkpoint_s = int(attempt.progress_s / CHECKPOINT_INTERVAL_S) * CHECKPOINT_INTERVAL_S
         return f"{checkpoint_s:.1f}" if checkpoint_s else ""
 
--- /dev/null
+++ b/tests/workflow/entry/test_preemption_load.py
@@ -0,0 +1,58 @@
+"""Urgent jobs preempt bulk jobs without making the same ones late.
+
+Guards against bulk jobs that miss their objective because the task that was restarted last, which
+has the least work to lose, is always the one that is stopped.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from briardeal_standins.emulator import CONFIGURATION, TaskBehavior
+from tests.workflow.samples import make_job, small_step, whole_vm_step
+from tests.workflow.sites import run_site
+
+pytestmark = pytest.mark.looptime
+
+BULK = CONFIGURATION.queues_by_name["bulk"]
+URGENT = CONFIGURATION.queues_by_name["urgent"]
+
+
+async def submit_urgent_jobs(site, count, interval_s, run_s, vms=1):
+    """Submit urgent jobs of whole VMs within the guarantee, and return them."""
+    jobs = []
+    for _ in range(count):
+        await asyncio.sleep(interval_s)
+        job = make_job(whole_vm_step(vms, estimate_s=run_s), queue="urgent", customer="north")
+        jobs.append(job)
+        await site.submit(job, TaskBehavior(run_s))
+    return jobs
+
+
+def took_s(site, job):
+    """Return the time from the acceptance of a job to the end of its last task."""
+    return site.checker.done_s.get(job.job_id, float("inf")) - site.checker.accepted[job.job_id]
+
+
+def objective_s(queue, run_s):
+    return queue.stretch_limit * run_s + queue.latency_target_s
+
+
+async def test_urgent_jobs_do_not_stop_the_same_bulk_job_until_it_is_late():
+    async with run_site(vms=4) as site:
+        long_jobs = [make_job(small_step(8, estimate_s=30.0), customer="south") for _ in range(3)]
+        for job in long_jobs:
+            await site.submit(job, TaskBehavior(30.0))
+        await asyncio.sleep(0.5)
+        short_job = make_job(small_step(8, estimate_s=10.0), customer="south")
+        await site.submit(short_job, TaskBehavior(10.0))
+        urgent_jobs = await submit_urgent_jobs(site, count=20, interval_s=4.0, run_s=1.0)
+        await asyncio.sleep(60.0)
+        assert took_s(site, short_job) <= objective_s(BULK, 10.0)
+        for job in long_jobs:
+            assert took_s(site, job) <= objective_s(BULK, 30.0)
+        for job in urgent_jobs:
+            first_start_s = site.checker.first_start_s[job.job_id]
+            assert first_start_s - site.checker.accepted[job.job_id] < 1.1
