Count what earlier preemptions lost in the cost of stopping a task

Cause: the choice of what to stop weighed only the work since the start of the attempt. A task that has just been restarted has next to none, so it was the cheapest one each time, while tasks beside it that had more to spare were never stopped; and an urgent job beyond its guarantee may stop what costs less than it brings, which such tasks always did. Class of fault: starvation, a choice of victims without memory.

Change: what preemptions of a task have lost before is counted, twice over, in the cost of stopping it, both for whom to stop and for whether to stop anything beyond a guarantee. Counted once it is not enough: a task that is stopped repeatedly has lost as much as others hold.

--- a/packages/workflow/briardeal_workflow/planning/_active_jobs.py
+++ b/packages/workflow/briardeal_workflow/planning/_active_jobs.py
@@ -118,6 +118,11 @@
         """Return the index under which failures and checkpoints of a task are recorded."""
         return 0 if self.step.gang else index
 
+    def earlier_lost_core_s(self, index: int) -> float:
+        """Return the work that earlier preemptions of a task lost, in core-seconds."""
+        history = self.preemptions.get(index)
+        return 0.0 if history is None else history.lost_core_s
+
     def unplaced_indices(self) -> list[int]:
         """Return the tasks that are not completed, have no attempt, and have claimed no VM."""
         return [
--- a/packages/workflow/briardeal_workflow/planning/_attempts.py
+++ b/packages/workflow/briardeal_workflow/planning/_attempts.py
@@ -16,6 +16,11 @@
 """Time lost by a restart from a checkpoint: stopping, restoring, and the delay of the orders."""
 
 
+EARLIER_LOSS_FACTOR = 2.0
+"""Weight of the work that earlier preemptions of a task lost. A task that is stopped repeatedly has
+lost about as much as others hold that run all the while; only above 1 are these stopped instead."""
+
+
 URGENT = 0
 """Priority of the most urgent class; higher numbers are less urgent."""
 
@@ -74,6 +79,8 @@
         in which the VM reported nothing.
     checkpoint
         Newest checkpoint that the VM has reported.
+    earlier_lost_core_s
+        Work that earlier preemptions of the task lost, in core-seconds.
     """
 
     task: TaskId
@@ -90,6 +97,7 @@
     first_listed_s: float | None = None
     last_progress_s: float = 0.0
     checkpoint: str = ""
+    earlier_lost_core_s: float = 0.0
 
     @property
     def urgent(self) -> bool:
@@ -104,6 +112,15 @@
         lost_s = RESTART_S if self.checkpointable else max(0.0, now_s - self.ordered_s)
         return lost_s * self.resources.core_equivalents
 
+    def preemption_cost_core_s(self, now_s: float) -> float:
+        """Return the cost of a preemption, in core-seconds: the work lost now and earlier.
+
+        By the work lost now alone, a task that has just been restarted would always be the cheapest
+        one to stop.
+        """
+        earlier_core_s = EARLIER_LOSS_FACTOR * self.earlier_lost_core_s
+        return self.unsaved_core_s(now_s) + earlier_core_s
+
     def exclude_gap(self, gap_s: float, now_s: float) -> None:
         """Exclude a gap in which the VM reported nothing from the observed times."""
         self.last_progress_s = min(self.last_progress_s + gap_s, now_s)
--- a/packages/workflow/briardeal_workflow/planning/_placement.py
+++ b/packages/workflow/briardeal_workflow/planning/_placement.py
@@ -29,13 +29,13 @@
         VM of each task, by task index.
     victims
         Attempts that have to be stopped first.
-    lost_core_s
-        Work lost by stopping the victims, in core-seconds.
+    cost_core_s
+        Cost of stopping the victims, in core-seconds.
     """
 
     vms: dict[int, str]
     victims: tuple[Attempt, ...] = ()
-    lost_core_s: float = 0.0
+    cost_core_s: float = 0.0
 
     @property
     def rank(self) -> tuple[bool, float]:
@@ -44,7 +44,7 @@
         Stopped urgent tasks would preempt other tasks in turn, so placements that stop only less
         urgent tasks rank first.
         """
-        return any(attempt.urgent for attempt in self.victims), self.lost_core_s
+        return any(attempt.urgent for attempt in self.victims), self.cost_core_s
 
 
 class TentativeCapacity:
--- a/packages/workflow/briardeal_workflow/planning/_preemption.py
+++ b/packages/workflow/briardeal_workflow/planning/_preemption.py
@@ -26,7 +26,7 @@
     now_s: float,
     victims_of: Callable[[Attempt], tuple[Attempt, ...] | None],
 ) -> Placement | None:
-    """Return VMs for the tasks and the attempts to stop there, with little work lost.
+    """Return VMs for the tasks and the attempts to stop there, at a low cost.
 
     Parameters
     ----------
@@ -72,7 +72,7 @@
         capacity.place(group, vm.vm_id)
         chosen[index] = vm.vm_id
     stopped = tuple(capacity.victims.values())
-    return Placement(chosen, stopped, _lost_core_s(stopped, now_s))
+    return Placement(chosen, stopped, _cost_core_s(stopped, now_s))
 
 
 def _victims_on(
@@ -112,9 +112,9 @@
 
 
 def _rank(attempts: Iterable[Attempt], now_s: float) -> tuple[bool, float]:
-    """Return the sort key for stopping: urgent attempts last, then by the work lost."""
-    return any(attempt.urgent for attempt in attempts), _lost_core_s(attempts, now_s)
+    """Return the sort key for stopping: urgent attempts last, then by the cost."""
+    return any(attempt.urgent for attempt in attempts), _cost_core_s(attempts, now_s)
 
 
-def _lost_core_s(attempts: Iterable[Attempt], now_s: float) -> float:
-    return sum(attempt.unsaved_core_s(now_s) for attempt in attempts)
+def _cost_core_s(attempts: Iterable[Attempt], now_s: float) -> float:
+    return sum(attempt.preemption_cost_core_s(now_s) for attempt in attempts)
--- a/packages/workflow/briardeal_workflow/planning/_task_starter.py
+++ b/packages/workflow/briardeal_workflow/planning/_task_starter.py
@@ -114,6 +114,7 @@
             checkpointable=group.step.checkpointable,
             ordered_s=now_s,
             last_progress_s=now_s,
+            earlier_lost_core_s=group.earlier_lost_core_s(task.index),
         )
         vm.attempts[task, number] = attempt
         group.attempts.setdefault(task.index, []).append(attempt)
@@ -130,7 +131,7 @@
     ) -> WaitCause | None:
         """Preempt other attempts for some tasks, or return why that is impossible or not allowed.
 
-        It is not allowed if more work is lost than the tasks need, unless the customer is within
+        It is not allowed if it costs more than the work of the tasks, unless the customer is within
         its guarantee.
         """
         guaranteed = self._guaranteed_customers()
@@ -156,10 +157,10 @@
         # otherwise the group could preempt others without limit.
         if (
             not within_guarantee
-            and group.preempted_core_s + placement.lost_core_s > requested_core_s
+            and group.preempted_core_s + placement.cost_core_s > requested_core_s
         ):
             return WaitCause.COSTS_MORE
-        group.preempted_core_s += placement.lost_core_s
+        group.preempted_core_s += placement.cost_core_s
         for attempt in placement.victims:
             self.state.preempt(
                 attempt,
