Store what preemptions of a task have lost

A new owner knew nothing of earlier preemptions, so that after each takeover the tasks that had been stopped most were the cheapest to stop again.

Change: the progress of a job has the number of preemptions of each incomplete task and the work lost by them.

Test: a second owner that reads the record knows count and loss; before, it knew none.

--- a/packages/workflow/briardeal_workflow/job_table/_records.py
+++ b/packages/workflow/briardeal_workflow/job_table/_records.py
@@ -34,6 +34,9 @@
         attempt number of the newest failure.
     checkpoints
         Newest checkpoints of incomplete tasks, as occurrence, step, index and checkpoint.
+    preemptions
+        Preemptions of incomplete tasks, as occurrence, step, index, number of preemptions, and work
+        lost by them in core-seconds.
     """
 
     started: bool = False
@@ -41,6 +44,7 @@
     done: tuple[tuple[int, int, int], ...] = ()
     failures: tuple[tuple[int, int, int, int, int], ...] = ()
     checkpoints: tuple[tuple[int, int, int, str], ...] = ()
+    preemptions: tuple[tuple[int, int, int, int, int], ...] = ()
 
     def done_tasks(self, job_id: str) -> Iterable[TaskId]:
         """Return the completed tasks."""
--- a/packages/workflow/briardeal_workflow/planning/_active_jobs.py
+++ b/packages/workflow/briardeal_workflow/planning/_active_jobs.py
@@ -81,7 +81,7 @@
     reserved_until_s
         Until when VMs without enough free capacity are reserved for the group.
     preemptions
-        Earlier preemptions by task index, since this owner has known the group.
+        Earlier preemptions by task index.
     wait_cause
         What the unplaced tasks waited for when that was last logged; `None` if none wait.
     """
@@ -210,6 +210,9 @@
             group.last_failed_numbers[index] = number
         for occurrence, step, index, checkpoint in progress.checkpoints:
             groups[TaskGroupId(job.job_id, occurrence, step)].checkpoints[index] = checkpoint
+        for occurrence, step, index, count, lost_core_s in progress.preemptions:
+            group = groups[TaskGroupId(job.job_id, occurrence, step)]
+            group.preemptions[index] = PreemptionHistory(count, lost_core_s)
         return active_job
 
     @property
@@ -219,7 +222,7 @@
 
     @property
     def preemption_count(self) -> int:
-        """Number of preemptions of its tasks that this owner has ordered."""
+        """Number of preemptions of its tasks, without those completed under earlier owners."""
         return sum(
             history.count
             for group in self.groups.values()
@@ -252,6 +255,12 @@
                 for group in open_groups
                 for index, checkpoint in group.checkpoints.items()
             ),
+            preemptions=tuple(
+                (*group.group_id[1:], index, history.count, round(history.lost_core_s))
+                for group in open_groups
+                for index, history in group.preemptions.items()
+                if index not in group.done
+            ),
         )
 
     def ready_groups(self, wall_s: float, now_s: float) -> Iterator[TaskGroup]:
--- a/packages/workflow/briardeal_workflow/planning/_state.py
+++ b/packages/workflow/briardeal_workflow/planning/_state.py
@@ -38,7 +38,7 @@
     unsaved_jobs
         Jobs whose progress has to be written to the store.
     unsaved_checkpoints
-        Jobs with new checkpoints of running tasks; these may be written later.
+        Jobs with new checkpoints of running tasks or new preemptions; these may be written later.
     finished_jobs
         Jobs that finished under this owner.
     orders
@@ -94,6 +94,7 @@
         )
         history.count += 1
         history.lost_core_s += lost_core_s
+        self.unsaved_checkpoints.add(attempt.task.job_id)
 
     def stopped_together(self, attempt: Attempt) -> tuple[Attempt, ...]:
         """Return the attempts to stop together: the members of the gang, or this attempt alone."""
--- a/tests/workflow/planning/test_preemption.py
+++ b/tests/workflow/planning/test_preemption.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import msgspec
+import pytest
+
+from briardeal_workflow.job_table import Progress, encode_record
 from briardeal_workflow.planning import AttemptOutcome, StopTask
 from tests.workflow.planning.harness import PlannerHarness
 from tests.workflow.samples import small_step, whole_vm_step
@@ -102,6 +106,24 @@
     assert stops == 1
 
 
+def test_new_owner_knows_what_earlier_preemptions_cost_a_task():
+    harness = PlannerHarness(vms=1)
+    job = harness.submit(whole_vm_step(estimate_s=100.0), customer="south")
+    bulk = harness.start_orders()
+    harness.report_running(bulk)
+    harness.decide(after_s=4.0)
+    harness.submit(whole_vm_step(), queue="urgent", customer="north")
+    (stop,) = harness.decide_after_preemption_delay()
+    assert harness.planner.state.unsaved_checkpoints == {job.job_id}
+    record = encode_record(harness.planner.state.active_jobs[job.job_id].progress())
+    later = PlannerHarness(vms=1, epoch=2)
+    later.planner.add_job(job, msgspec.msgpack.decode(record, type=Progress), later.now_s)
+    (start,) = later.start_orders()
+    history = later.planner.state.group_of(start.task).preemptions[0]
+    assert history.count == 1
+    assert history.lost_core_s == pytest.approx(stop.inputs["lost_core_s"], abs=0.5)
+
+
 def test_reservation_keeps_small_tasks_off_the_vm_for_a_large_urgent_task():
     harness = PlannerHarness(vms=3)
     harness.submit(small_step(500, estimate_s=16.0))
