Count earlier preemptions in the cost of preempting a job in scheduling/

The same cause as in the planner of workflows: borrowed VMs were reclaimed from the job that loses least since its start, so that the one restarted last was preempted each time: six urgent jobs outside guarantees preempted three equal jobs 6, 0 and 0 times.

Change: run time that earlier stops of a job lost counts twice in its cost, as in workflow/planning. Evidence: test_urgent_jobs_outside_guarantees_do_not_stop_the_same_job_each_time failed before with [6, 0, 0] and passes.

Within a guarantee the urgent job takes the VM that is booked for it, whatever stands there, and the same job is still preempted each time.

--- a/packages/scheduling/briardeal_scheduling/queue/_job.py
+++ b/packages/scheduling/briardeal_scheduling/queue/_job.py
@@ -79,6 +79,8 @@
         When preemptions for it were last planned.
     preemptions
         Number of its preemptions.
+    lost_run_s
+        Run time that its preemptions lost.
     cancelled
         Whether its customer cancelled it while it ran.
     pinned
@@ -103,6 +105,7 @@
     reservation: Reservation | None = None
     preemption_tried_s: float = float("-inf")
     preemptions: int = 0
+    lost_run_s: float = 0.0
     cancelled: bool = False
     pinned: bool = False
     record: DecisionRecord = attrs.field(factory=DecisionRecord)
--- a/packages/scheduling/briardeal_scheduling/rounds/_job_placer.py
+++ b/packages/scheduling/briardeal_scheduling/rounds/_job_placer.py
@@ -159,6 +159,8 @@
             job.preempted_at_s = self.now_s
             job.preemptions += 1
             self.state.fleet.count_leaving(job.placement)
+        if mode is PreemptMode.STOP and job.preempt_mode is not PreemptMode.STOP:
+            job.lost_run_s += job.unsaved_s(self.now_s)
         job.preempt_mode = mode
         job.checkpoint_deadline_s = checkpoint_deadline_s
         self.state.table.reindex(job)
--- a/packages/scheduling/briardeal_scheduling/rounds/_preemption_costs.py
+++ b/packages/scheduling/briardeal_scheduling/rounds/_preemption_costs.py
@@ -19,6 +19,10 @@
 MAX_MIN_RUN_DOUBLINGS = 3
 """Most doublings of `MIN_RUN_S`, which doubles with each preemption of the job."""
 
+EARLIER_LOSS_FACTOR = 2.0
+"""Weight of the run time that earlier preemptions of a job lost. A job that is preempted repeatedly
+has lost about as much as others hold that run on; only above 1 are these preempted instead."""
+
 LONGER_REMAINING_FACTOR = 3.0
 """Ratio of remaining run times above which a job as large as a gang is preempted for it."""
 
@@ -41,11 +45,16 @@
         self.victims: dict[str, _GangVictim | None] = {}
 
     def for_guarantee(self, job_id: str) -> float | None:
-        """Return the cost of reclaiming borrowed VMs from a job: the unsaved work it loses."""
+        """Return the cost of reclaiming borrowed VMs from a job: the work lost now and earlier.
+
+        By the work lost now alone, a job that has just been restarted would always be the cheapest
+        one to preempt.
+        """
         job = self.state.table.jobs[job_id]
         if not self._is_borrowing(job):
             return None
-        return job.unsaved_s(self.now_s) * job.accelerators
+        lost_s = job.unsaved_s(self.now_s) + EARLIER_LOSS_FACTOR * job.lost_run_s
+        return lost_s * job.accelerators
 
     def for_urgent(self, job_id: str) -> float | None:
         """Return the cost of preempting a job for an urgent one outside any guarantee."""
--- a/tests/scheduling/rounds/test_reclaim.py
+++ b/tests/scheduling/rounds/test_reclaim.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from briardeal_scheduling import Preempt, PreemptMode, Start, Stopped
+from briardeal_scheduling import Finished, Preempt, PreemptMode, Start, Stopped
 from tests.scheduling.cluster import cluster, guarantee, run_all, submit
 
 URGENT = (guarantee("urgent", 1, 8),)
@@ -75,3 +75,29 @@
     scheduler.worker_down(start.placement.workers[0], 5.0)
     assert "may not run twice" in run_all(scheduler, 5.0)["draw"].explanation
     assert not scheduler.state.table.jobs
+
+
+def count_preemptions(scheduler) -> list[int]:
+    """Play six urgent jobs in turn on a full cluster; return the preemptions of each other job."""
+    for _ in range(3):
+        scheduler.state.history.record_checkpoint("anna", "nightly", 20.0)
+    for number in range(3):
+        submit(scheduler, f"lent{number}")
+    run_all(scheduler)
+    for number in range(6):
+        now_s = 100.0 * (number + 1)
+        submit(scheduler, f"ask{number}", now_s, customer="carol", job_class="urgent")
+        (victim,) = run_all(scheduler, now_s)
+        scheduler.report_ended(victim, Stopped(), now_s + 0.2)
+        run_all(scheduler, now_s + 0.2)
+        scheduler.report_ended(f"ask{number}", Finished(), now_s + 10.0)
+        run_all(scheduler, now_s + 10.0)
+    return [scheduler.state.table.jobs[f"lent{number}"].preemptions for number in range(3)]
+
+
+def test_urgent_jobs_outside_guarantees_do_not_stop_the_same_job_each_time() -> None:
+    assert count_preemptions(cluster(vms=3, carol=())) == [2, 2, 2]
+
+
+def test_urgent_jobs_within_a_guarantee_do_not_stop_the_same_job_each_time() -> None:
+    assert count_preemptions(cluster(vms=3, carol=URGENT)) == [2, 2, 2]
