Name the logged cause of a wait in explanations, and date ends before the first round

`briardeal explain` names the cause that `job_waits` gives instead of the want of capacity. An end that a new owner learns of before its first round had a time without the time of day; the owner now sets it when it loads the jobs. The outcome `late` is spelled out, and the sentence on costs says costs, since earlier losses count.

--- a/packages/workflow/briardeal_workflow/explanation/_causes.py
+++ b/packages/workflow/briardeal_workflow/explanation/_causes.py
@@ -159,16 +159,11 @@
     if any(line.event in STORE_FAILURES for line in between):
         return "the store was unreachable."
     orders = sum(line.event is Event.TASK_ORDERED for line in between)
-    obstacle = next(
-        (
-            line.fields.get("cause")
-            for line in reversed(between)
-            if line.event is Event.JOB_WAITS and line.fields.get("job_id") == _job_of(wait.later)
-        ),
-        "no capacity was free",
+    job_id = wait.later.fields.get("job_id")
+    logged_causes = (
+        line.fields.get("cause")
+        for line in reversed(between)
+        if line.event is Event.JOB_WAITS and line.fields.get("job_id") == job_id
     )
-    return f"{obstacle}; {orders} starts were ordered meanwhile."
-
-
-def _job_of(line: LogLine) -> str:
-    return str(line.fields.get("job_id", ""))
+    cause = next(logged_causes, "no capacity was free")
+    return f"{cause}; {orders} starts were ordered meanwhile."
--- a/packages/workflow/briardeal_workflow/metrics/_metrics.py
+++ b/packages/workflow/briardeal_workflow/metrics/_metrics.py
@@ -105,8 +105,9 @@
         elif event is Event.REQUEST_REFUSED:
             self.jobs.inc({"queue": queue, "outcome": str(fields["status"])})
         elif event is Event.JOB_ENDED:
-            late = fields["took_s"] > fields["objective_s"]
-            self.jobs.inc({"queue": queue, "outcome": f"{fields['state']}{' late' * late}"})
+            in_time = fields["took_s"] <= fields["objective_s"]
+            outcome = fields["state"] if in_time else f"{fields['state']} late"
+            self.jobs.inc({"queue": queue, "outcome": outcome})
         elif event is Event.TASK_STOPPED:
             repeated = "yes" if fields["earlier_preemptions"] else "no"
             self.preempted_tasks.inc({"queue": queue, "repeated": repeated})
--- a/packages/workflow/briardeal_workflow/owner/_owner.py
+++ b/packages/workflow/briardeal_workflow/owner/_owner.py
@@ -241,6 +241,7 @@
     def _load(self, configuration: Configuration) -> None:
         self.planner.configure(configuration)
         now_s = loop_time()
+        self.planner.state.wall_offset_s = self.clock.now_s() - now_s
         for job_status in self.job_table.jobs.values():
             if job_status.job is not None and not job_status.finished:
                 self.planner.add_job(
--- a/packages/workflow/briardeal_workflow/planning/_active_jobs.py
+++ b/packages/workflow/briardeal_workflow/planning/_active_jobs.py
@@ -25,7 +25,7 @@
     TAKEOVER = "tasks of an earlier owner might still run"
     CAPACITY = "no capacity was free"
     NO_VICTIMS = "no capacity was free, and other work could not be stopped"
-    COSTS_MORE = "making room would have lost more work than it brought"
+    COSTS_MORE = "making room would have cost more work than it brought"
 
 
 @attrs.define
--- a/packages/workflow/briardeal_workflow/planning/_state.py
+++ b/packages/workflow/briardeal_workflow/planning/_state.py
@@ -46,7 +46,7 @@
     claimed_since_s
         When groups claimed VMs that do not have enough free capacity yet.
     wall_offset_s
-        Time of day at the newest planning round, less the time on the loop's clock.
+        Time of day less the time on the loop's clock, at the newest planning round.
     """
 
     first_attempt_number: int
--- a/tests/workflow/explanation/test_explain_job.py
+++ b/tests/workflow/explanation/test_explain_job.py
@@ -223,3 +223,20 @@
     result = CliRunner().invoke(cli, ["explain", JOB, "--log", str(first), "--log", str(second)])
     assert result.exit_code == 0, result.output
     assert result.output.splitlines()[-1] == "Cause: its caller cancelled it."
+
+
+def test_cause_of_a_wait_is_the_one_that_the_owner_logged():
+    waits = format_line(
+        4.0,
+        "front",
+        Event.JOB_WAITS,
+        job_id=JOB,
+        queue="q",
+        step=0,
+        tasks=1,
+        cause="making room would have cost more work than it brought",
+        ready_for_s=3.0,
+    )
+    sentences = explain(accepted_line(1.0), waits, ordered_line(9.0, "side"))
+    assert "4.00 front: 1 tasks of step 0 wait: making room would have cost" in sentences[2]
+    assert "making room would have cost more work than it brought" in sentences[-1]
--- a/tests/workflow/planning/test_waiting.py
+++ b/tests/workflow/planning/test_waiting.py
@@ -46,7 +46,7 @@
     urgent = harness.submit(whole_vm_step(estimate_s=1.0), queue="urgent", customer="nobody")
     harness.decide()
     harness.decide(after_s=1.2)
-    cause = "making room would have lost more work than it brought"
+    cause = "making room would have cost more work than it brought"
     assert find_waits(lines) == [(urgent.job_id, cause)]
 
 
