--- a/tests/workflow/entry/test_preemption_load.py
+++ b/tests/workflow/entry/test_preemption_load.py
@@ -37,6 +37,7 @@
 
 
 def objective_s(queue, run_s):
+    """Return the objective of a job of one step, in seconds after its acceptance."""
     return queue.stretch_limit * run_s + queue.latency_target_s
 
 
