Check that every test in KNOWN-RED.txt exists

An entry whose test was renamed would be passed over in silence. With a wrong name in the list the new test fails; with the list as it is it passes.

--- a/tests/bench/test_known_red.py
+++ b/tests/bench/test_known_red.py
@@ -6,7 +6,7 @@
 
 from bench import __main__ as bench_main
 from bench.figures import Bound, Figure
-from bench.known_red import KnownRed, load_known_red
+from bench.known_red import KNOWN_RED_FILE, KnownRed, load_known_red
 
 RED = Figure("jobs", "double starts", 1, "count", Bound("==", 0))
 GREEN = Figure("jobs", "double starts", 0, "count", Bound("==", 0))
@@ -34,3 +34,11 @@
     path.write_text("- check: a\n  command: b\n  seed: c\n  seen: d\n")
     with pytest.raises(Exception, match="question"):
         load_known_red(path)
+
+
+def test_every_listed_test_exists():
+    for check in load_known_red():
+        if check.startswith(("bench: ", "users' bench: ")):
+            continue
+        path, _, name = check.partition("::")
+        assert f"def {name}(" in (KNOWN_RED_FILE.parent / path).read_text(), check
