Keep the capacity of each task of a finished job until that task has ended

Cause: a new owner stops the tasks that it finds running for a job that has finished or been cancelled. It counted all the unclaimed capacity of the VM for the first of them and what was left, nothing, for the others. When the first one had ended, the whole VM looked free while the others still stopped. Class of fault: a sum of parts that is booked on one part.

Change: each such task counts for itself until its end is known, with the size that the stored job gives. If the job has been deleted, or has no such step, the size is unknown, and each task counts as the whole VM. Weighed: counting the whole VM for all of them needs no stored job, but closes a VM to other work for the time of the stop, also where one small task is left of a cancelled job; the stored job alone doesn't cover deleted ones.

The emulator had hidden the fault: all its tasks took 0.2 s to stop, so that all were told in one list. They now take 0.05 to 0.2 s.

Looked at and right as they are: jobs cancelled or finished under the owner that stops them (they stay until their last attempt has ended), attempts of earlier owners for jobs that go on (counted by their step), VMs without a report under the new owner (not known to the planner at all).

--- a/bench/workflow.py
+++ b/bench/workflow.py
@@ -194,7 +194,7 @@
 
 
 def _measure_round_ms(vms: int) -> float:
-    planner = Planner(1)
+    planner = Planner(1, {}.get)
     planner.configure(CONFIGURATION)
     planner.complete_takeover()
     for number in range(vms):
--- a/packages/standins/briardeal_standins/emulator/_worker.py
+++ b/packages/standins/briardeal_standins/emulator/_worker.py
@@ -29,7 +29,8 @@
 
 TICK_S = 0.05
 LATENCY_S = 0.001
-STOP_DURATION_S = 0.2
+STOP_DURATIONS_S = (0.05, 0.1, 0.15, 0.2)
+"""Time until a stopped task has ended, by its index in turn."""
 GANG_TIMEOUT_S = 3.0
 ANNOUNCE_INTERVAL_S = 1.5
 CHECKPOINT_INTERVAL_S = 0.5
@@ -298,7 +299,8 @@
         self.closed_numbers[task] = max(number, self.closed_numbers.get(task, 0))
         attempt = self.attempts.get((task, number))
         if attempt is not None and attempt.stops_at_s is None:
-            attempt.stops_at_s = loop_time() + STOP_DURATION_S
+            duration_s = STOP_DURATIONS_S[task.index % len(STOP_DURATIONS_S)]
+            attempt.stops_at_s = loop_time() + duration_s
 
     def _advance(self, attempt: _Attempt, now_s: float) -> None:
         if now_s > self.lease_end_clock_s:
--- a/packages/workflow/briardeal_workflow/job_table/_job_table.py
+++ b/packages/workflow/briardeal_workflow/job_table/_job_table.py
@@ -118,6 +118,11 @@
         status = self.jobs.get(job_id)
         return status if status is not None and status.job is not None else None
 
+    def find_job(self, job_id: str) -> Job | None:
+        """Return a job as it was submitted; `None` if its record has not been read."""
+        status = self.jobs.get(job_id)
+        return None if status is None else status.job
+
     def count_pending(self, queue: str) -> int:
         """Return how many jobs of a queue wait for their first task to start."""
         return sum(
--- a/packages/workflow/briardeal_workflow/owner/_owner.py
+++ b/packages/workflow/briardeal_workflow/owner/_owner.py
@@ -104,7 +104,7 @@
         self.follower = follower
         self.clock = clock
         self.epoch = election.epoch
-        self.planner = Planner(self.epoch)
+        self.planner = Planner(self.epoch, job_table.find_job)
         self.writer = FencedWriter(store, JOBS_TOPIC, ROLE, self.epoch)
         self.agent_states: dict[str, AgentState] = {}
         self.pending_agents: set[str] = set(election.owner.agents if election.owner else ())
--- a/packages/workflow/briardeal_workflow/planning/_planner.py
+++ b/packages/workflow/briardeal_workflow/planning/_planner.py
@@ -10,18 +10,18 @@
 from briardeal_core.events import Event, log_event
 from briardeal_workflow.model import Queue
 from briardeal_workflow.planning._active_jobs import ActiveJob
-from briardeal_workflow.planning._attempts import Attempt, AttemptOutcome, AttemptPhase
+from briardeal_workflow.planning._attempts import URGENT, Attempt, AttemptOutcome, AttemptPhase
 from briardeal_workflow.planning._completions import CompletionHandler
 from briardeal_workflow.planning._state import PlannerState
 from briardeal_workflow.planning._stuck_tasks import is_stuck
 from briardeal_workflow.planning._task_starter import TaskStarter
-from briardeal_workflow.planning._vms import LIST_INTERVAL_S, Vm
+from briardeal_workflow.planning._vms import LIST_INTERVAL_S, Resources, Vm
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from briardeal_workflow.job_table import Progress
-    from briardeal_workflow.model import Configuration, Job, TaskId
+    from briardeal_workflow.model import Configuration, Job, Step, TaskId
     from briardeal_workflow.planning._orders import Order
     from briardeal_workflow.planning._vms import VmDescription
 
@@ -71,6 +71,8 @@
     ----------
     epoch
         Fencing token of the owner; its attempt numbers are higher than those of lower epochs.
+    find_job
+        Returns a job by its ID, whether it has finished or not; `None` if it is not stored.
 
     Attributes
     ----------
@@ -80,7 +82,8 @@
         Whether all tasks that an earlier owner may have started are known.
     """
 
-    def __init__(self, epoch: int) -> None:
+    def __init__(self, epoch: int, find_job: Callable[[str], Job | None]) -> None:
+        self.find_job = find_job
         self.state = PlannerState((epoch - 1) * ATTEMPT_NUMBERS_PER_EPOCH + 1)
         self.starter = TaskStarter(self.state)
         self.completions = CompletionHandler(self.state)
@@ -239,18 +242,7 @@
         """Adopt an attempt of an earlier owner; stop it if its job or task has finished."""
         active_job = self.state.job_of(running_task.task)
         if active_job is None:
-            attempt = Attempt(
-                running_task.task,
-                running_task.number,
-                vm.vm_id,
-                vm.unclaimed_capacity(),
-                0,
-                "",
-                ordered_s=now_s,
-            )
-            vm.attempts[running_task.task, running_task.number] = attempt
-            self.state.stop(attempt, "job is over")
-            return attempt
+            return self._stop_leftover_attempt(vm, running_task, now_s)
         group = active_job.groups[running_task.task.group]
         attempt = self.starter.add_attempt(
             active_job, group, vm, running_task.task, running_task.number, now_s
@@ -267,6 +259,24 @@
         )
         return attempt
 
+    def _stop_leftover_attempt(self, vm: Vm, running_task: RunningTask, now_s: float) -> Attempt:
+        """Stop an attempt of a job that has finished; it occupies its capacity until it has ended.
+
+        If the job is no longer stored, the size of its tasks is unknown, and each may occupy the
+        whole VM.
+        """
+        task, number = running_task.task, running_task.number
+        step = self._find_step(task)
+        resources = vm.description.capacity if step is None else Resources.of_task(step)
+        attempt = Attempt(task, number, vm.vm_id, resources, URGENT, "", ordered_s=now_s)
+        vm.attempts[task, number] = attempt
+        self.state.stop(attempt, "job is over")
+        return attempt
+
+    def _find_step(self, task: TaskId) -> Step | None:
+        job = self.find_job(task.job_id)
+        return job.steps[task.step] if job is not None and task.step < len(job.steps) else None
+
     def _record_progress(self, attempt: Attempt, running_task: RunningTask, now_s: float) -> None:
         if attempt.phase is AttemptPhase.ORDERED:
             attempt.phase = AttemptPhase.RUNNING
--- a/tests/workflow/entry/test_takeovers.py
+++ b/tests/workflow/entry/test_takeovers.py
@@ -142,6 +142,20 @@
         assert site.checker.start_count == 3
 
 
+async def test_tasks_of_a_cancelled_job_occupy_their_vm_until_they_end_after_a_takeover():
+    async with run_site(vms=1) as site:
+        job = make_job(small_step(8, estimate_s=60.0))
+        await site.submit(job, TaskBehavior(60.0))
+        await site.wait_for_state(job.job_id, "running", 5.0)
+        owner = await site.wait_for_owner()
+        other = next(name for name in site.entry_names if name != owner)
+        await site.kill(owner)
+        assert await site.cancel(job.job_id, other)
+        later = make_job(small_step(8))
+        assert await site.submit(later, TaskBehavior(1.0), other)
+        assert await site.wait_for_state(later.job_id, "completed", 10.0) < 5.0
+
+
 async def test_tasks_resume_from_checkpoints_after_all_vms_lose_power():
     async with run_site() as site:
         job = make_job(whole_vm_step(2, checkpointable=True))
--- a/tests/workflow/planning/harness.py
+++ b/tests/workflow/planning/harness.py
@@ -11,10 +11,17 @@
 
 
 class PlannerHarness:
-    """Planner with VMs of eight accelerators each, three VMs to a rack."""
+    """Planner with VMs of eight accelerators each, three VMs to a rack.
+
+    Attributes
+    ----------
+    stored_jobs
+        Finished jobs whose records are still stored, by ID.
+    """
 
     def __init__(self, vms=6, epoch=1, takeover_complete=True):
-        self.planner = Planner(epoch)
+        self.stored_jobs = {}
+        self.planner = Planner(epoch, self.stored_jobs.get)
         self.planner.configure(CONFIGURATION)
         self.now_s = 0.0
         self.wall_s = WALL_S
--- /dev/null
+++ b/tests/workflow/planning/test_adoption.py
@@ -0,0 +1,66 @@
+"""Tasks that an earlier owner started occupy their capacity until they have ended."""
+
+from __future__ import annotations
+
+import pytest
+
+from briardeal_workflow.model import TaskId
+from briardeal_workflow.planning import AttemptOutcome, RunningTask, StopTask
+from tests.workflow.planning.harness import PlannerHarness
+from tests.workflow.samples import make_job, small_step, whole_vm_step
+
+
+@pytest.fixture
+def harness():
+    return PlannerHarness(vms=1, epoch=2)
+
+
+def test_tasks_of_a_deleted_job_occupy_their_vm_until_the_last_has_ended(harness):
+    stops = adopt(harness, make_job(small_step(4)))
+    harness.submit(small_step(8))
+    for stop in stops[:-1]:
+        harness.report_outcome(stop, AttemptOutcome.STOPPED)
+        assert harness.start_orders() == []
+    harness.report_outcome(stops[-1], AttemptOutcome.STOPPED)
+    assert len(harness.start_orders()) == 8
+
+
+def test_each_task_of_a_finished_job_occupies_its_own_capacity_until_its_end(harness):
+    finished_job = make_job(small_step(6))
+    harness.stored_jobs[finished_job.job_id] = finished_job
+    stops = adopt(harness, finished_job)
+    harness.submit(small_step(8))
+    assert len(harness.start_orders()) == 2
+    for stop in stops:
+        harness.report_outcome(stop, AttemptOutcome.STOPPED)
+        assert len(harness.start_orders()) == 1
+
+
+def test_task_of_an_unknown_step_of_a_stored_job_occupies_its_vm(harness):
+    finished_job = make_job(small_step(1))
+    harness.stored_jobs[finished_job.job_id] = finished_job
+    (stop,) = adopt(harness, finished_job, step=3)
+    harness.submit(small_step(8))
+    assert harness.start_orders() == []
+    harness.report_outcome(stop, AttemptOutcome.STOPPED)
+    assert len(harness.start_orders()) == 8
+
+
+def test_urgent_job_starts_only_after_all_tasks_of_a_deleted_job_have_ended(harness):
+    stops = adopt(harness, make_job(small_step(2)))
+    harness.submit(whole_vm_step(), queue="urgent")
+    assert harness.decide_after_preemption_delay() == []
+    harness.report_outcome(stops[0], AttemptOutcome.STOPPED)
+    assert harness.start_orders() == []
+    harness.report_outcome(stops[1], AttemptOutcome.STOPPED)
+    assert len(harness.start_orders()) == 1
+
+
+def adopt(harness, job, step=0):
+    """Let the VM list all tasks of a job that has finished, and return the orders to stop them."""
+    tasks = [TaskId(job.job_id, 0, step, index) for index in range(job.steps[0].tasks)]
+    rows = [RunningTask(task, 1) for task in tasks]
+    harness.planner.record_task_list("vm-0", rows, harness.now_s)
+    stops = harness.decide()
+    assert [type(each) for each in stops] == [StopTask] * len(rows)
+    return stops
