Count adopted jobs on VMs that come up after the adoption

Cause: Scheduler.adopt counted the tasks of a running job only on the VMs that were up. After the restart of an owner, the agents connect one by one; a VM that came up later looked free although a task of the adopted job runs on it. The next gang was placed there, and the agent rejected it, since its accelerators were held; the job lost an attempt, and the load of the VM was wrong by the time the adopted job was stopped (leaving became negative).

Change: the fleet remembers the jobs on VMs that are not up, and counts them, with what is pinned or being stopped, when the VM comes up.

--- a/packages/scheduling/briardeal_scheduling/_scheduler.py
+++ b/packages/scheduling/briardeal_scheduling/_scheduler.py
@@ -63,8 +63,7 @@
         """Add a VM; if one of the same name is up, it is replaced and its jobs are lost."""
         if shape.worker_id in self.state.fleet.workers:
             self.worker_down(shape.worker_id, now_s)
-        self.state.fleet.add(shape)
-        self.state.ledger.mark_capacity_freed()
+        self.state.add_worker(shape)
 
     def worker_down(self, worker_id: str, now_s: float) -> list[str]:
         """Remove a VM and return the jobs that had tasks on it.
@@ -113,7 +112,7 @@
         job
             The job.
         placement
-            Its VMs. Tasks on a VM that is not up are not counted as load.
+            Its VMs. Tasks on a VM that is not up count as load as soon as it comes up.
         started_s
             When the attempt began to run, in seconds.
         attempt
--- a/packages/scheduling/briardeal_scheduling/fleet/_fleet.py
+++ b/packages/scheduling/briardeal_scheduling/fleet/_fleet.py
@@ -34,6 +34,8 @@
         Shapes of lost VMs, which may come back.
     shapes_version
         Number that changes when a VM comes up that is new or has another shape than before.
+    jobs_on_missing
+        Jobs that occupy VMs which are not up, by VM.
     """
 
     workers: dict[str, Worker] = attrs.field(factory=dict)
@@ -44,6 +46,7 @@
     slots: CapacityIndex = attrs.field(factory=CapacityIndex)
     lost_shapes: dict[str, WorkerShape] = attrs.field(factory=dict)
     shapes_version: int = 0
+    jobs_on_missing: dict[str, set[str]] = attrs.field(factory=dict)
 
     def add(self, shape: WorkerShape) -> None:
         """Add a VM that came up."""
@@ -114,6 +117,7 @@
         for worker_id in placement.workers:
             worker = self.workers.get(worker_id)
             if worker is None:
+                self._update_missing(worker_id, job_id, sign)
                 continue
             if sign > 0:
                 worker.tasks[job_id] = placement.accelerators
@@ -123,3 +127,12 @@
             worker.slots_used += sign * (placement.accelerators == 0)
             worker.pinned += sign * placement.accelerators * pinned
             self.refresh(worker_id)
+
+    def _update_missing(self, worker_id: str, job_id: str, sign: int) -> None:
+        if sign > 0:
+            self.jobs_on_missing.setdefault(worker_id, set()).add(job_id)
+            return
+        jobs = self.jobs_on_missing.get(worker_id, set())
+        jobs.discard(job_id)
+        if not jobs:
+            self.jobs_on_missing.pop(worker_id, None)
--- a/packages/scheduling/briardeal_scheduling/rounds/_state.py
+++ b/packages/scheduling/briardeal_scheduling/rounds/_state.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from briardeal_core.configuration import Customer
+    from briardeal_core.jobs import WorkerShape
     from briardeal_scheduling.decisions import DecisionRecord, Placement
     from briardeal_scheduling.queue import Job
 
@@ -101,6 +102,17 @@
             and not (harmless and not workers[worker_id].tasks)
         }
 
+    def add_worker(self, shape: WorkerShape) -> None:
+        """Add a VM that came up, with the jobs that were adopted on it before."""
+        self.fleet.add(shape)
+        for job_id in self.fleet.jobs_on_missing.pop(shape.worker_id, ()):
+            job = self.table.jobs[job_id]
+            placement = attrs.evolve(job.placement, workers=(shape.worker_id,))
+            self.fleet.occupy(job_id, placement, job.pinned)
+            if job.preempt_mode:
+                self.fleet.count_leaving(placement)
+        self.ledger.mark_capacity_freed()
+
     def occupy(self, job: Job, placement: Placement) -> None:
         """Place a job on VMs that are free."""
         self.table.count_quota(job)
