Move a guarantee's booking off a VM whose jobs were preempted before

Cause: within a guarantee, the jobs on the VM that is booked for it were the only ones that could be preempted.

Change: if a victim has been preempted before, the placer compares the cost of clearing other VMs of the same group that have no bookings, at most 32 of them, and moves the booking to the cheapest one. A booking still moves only where the group and the failure margin keep their VMs.

--- a/packages/scheduling/briardeal_scheduling/rounds/_guarantee_placer.py
+++ b/packages/scheduling/briardeal_scheduling/rounds/_guarantee_placer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from itertools import chain, islice
 from typing import TYPE_CHECKING
 
 from briardeal_scheduling.decisions import Cause
@@ -16,6 +17,9 @@
     from briardeal_scheduling.rounds._reservations import RoundReservations
     from briardeal_scheduling.rounds._state import SchedulerState
 
+SWAP_CANDIDATES = 32
+"""Most VMs examined to replace a booked one whose jobs have been preempted before."""
+
 
 class GuaranteePlacer:
     """Places jobs on booked VMs and reclaims those that are lent to other jobs."""
@@ -42,6 +46,7 @@
             return False
         if plan.victims:
             plan = self._swap_in_free_workers(job, booking, plan)
+            plan = self._spare_preempted_jobs(job, booking, plan)
         self.state.ledger.assign_job(job.job_id, booking, tuple(plan.workers))
         cause = Cause.PREEMPTED_FOR_URGENT if job.urgent else Cause.PREEMPTED_FOR_GUARANTEE
         self.placer.place(job, plan.workers, Cause.STARTED_IN_GUARANTEE, plan.victims, cause)
@@ -59,12 +64,13 @@
         self._requeue_borrowers(workers)
         return self._plan_preemptions(job, workers)
 
-    def _plan_preemptions(self, job: Job, workers: list[str]) -> PreemptionPlan | None:
+    def _plan_preemptions(
+        self, job: Job, workers: list[str], tasks: int | None = None
+    ) -> PreemptionPlan | None:
         request = job.request
+        tasks = request.tasks if tasks is None else tasks
         need = request.accelerators_per_task
-        return plan_preemptions(
-            self.state.fleet, workers, request.tasks, need, self.costs.for_guarantee
-        )
+        return plan_preemptions(self.state.fleet, workers, tasks, need, self.costs.for_guarantee)
 
     def _requeue_borrowers(self, workers: list[str]) -> None:
         """Requeue jobs outside guarantees that wait to borrow one of the VMs.
@@ -96,3 +102,44 @@
             if target and self.state.ledger.move_booking(fleet, booking, source, target):
                 workers[position] = target
         return self._plan_preemptions(job, workers)
+
+    def _spare_preempted_jobs(
+        self, job: Job, booking: Booking, plan: PreemptionPlan
+    ) -> PreemptionPlan:
+        """Move a booking to a VM with cheaper victims if its own were preempted before.
+
+        Otherwise the jobs that borrow this VM would be preempted each time.
+        """
+        jobs = self.state.table.jobs
+        if not any(jobs[victim].lost_run_s for victim in plan.victims):
+            return plan
+        workers = list(plan.workers)
+        for position, source in enumerate(workers):
+            target = self._find_cheaper_worker(job, booking, source)
+            if target and self.state.ledger.move_booking(self.state.fleet, booking, source, target):
+                workers[position] = target
+        return self._plan_preemptions(job, workers)
+
+    def _find_cheaper_worker(self, job: Job, booking: Booking, source: str) -> str | None:
+        """Return the VM without bookings where preemption costs least, if less than on `source`."""
+        fleet = self.state.fleet
+        group = fleet.groups[source][booking.guarantee.adjacency]
+        closed = self.reservations.workers_closed_to(job)
+        buckets = fleet.spare.ascending(group, booking.guarantee.accelerators_per_vm)
+        candidates = list(
+            islice(chain.from_iterable(bucket for _, bucket in buckets), SWAP_CANDIDATES)
+        )
+        fleet.spare.examined += len(candidates)
+        best, lowest_cost = None, self._preemption_cost(job, source)
+        for worker_id in candidates:
+            if worker_id in closed or fleet.workers[worker_id].pending:
+                continue
+            cost = self._preemption_cost(job, worker_id)
+            if cost < lowest_cost:
+                best, lowest_cost = worker_id, cost
+        return best
+
+    def _preemption_cost(self, job: Job, worker_id: str) -> float:
+        """Return the cost of clearing one VM for a task; infinity if that is forbidden."""
+        plan = self._plan_preemptions(job, [worker_id], tasks=1)
+        return float("inf") if plan is None else plan.cost
