Keep one copy of the weight of earlier preemptions

Its value and reason stood in workflow/ and in scheduling/ alike; both take it from core now. No decision changes; the tests of both pass unchanged.

--- a/packages/scheduling/briardeal_scheduling/rounds/_preemption_costs.py
+++ b/packages/scheduling/briardeal_scheduling/rounds/_preemption_costs.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from briardeal_core.jobs import EARLIER_LOSS_FACTOR
 from briardeal_scheduling.queue import JobPhase
 from briardeal_scheduling.rounds._job_placer import CHECKPOINT_LIMIT_S
 
@@ -19,10 +20,6 @@
 MAX_MIN_RUN_DOUBLINGS = 3
 """Most doublings of `MIN_RUN_S`, which doubles with each preemption of the job."""
 
-EARLIER_LOSS_FACTOR = 2.0
-"""Weight of the run time that earlier preemptions of a job lost. A job that is preempted repeatedly
-has lost about as much as others hold that run on; only above 1 are these preempted instead."""
-
 LONGER_REMAINING_FACTOR = 3.0
 """Ratio of remaining run times above which a job as large as a gang is preempted for it."""
 
--- a/packages/workflow/briardeal_workflow/planning/_attempts.py
+++ b/packages/workflow/briardeal_workflow/planning/_attempts.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from briardeal_core.jobs import EARLIER_LOSS_FACTOR
+
 if TYPE_CHECKING:
     from briardeal_workflow.model import TaskId
     from briardeal_workflow.planning._vms import Resources
@@ -16,11 +18,6 @@
 """Time lost by a restart from a checkpoint: stopping, restoring, and the delay of the orders."""
 
 
-EARLIER_LOSS_FACTOR = 2.0
-"""Weight of the work that earlier preemptions of a task lost. A task that is stopped repeatedly has
-lost about as much as others hold that run all the while; only above 1 are these stopped instead."""
-
-
 URGENT = 0
 """Priority of the most urgent class; higher numbers are less urgent."""
 
