Log that tasks wait for capacity reserved for more urgent work

job_waits and the explanations said "no capacity was free" also where VMs had free capacity that was reserved for a larger urgent job, so that operators who looked at the free accelerators of these VMs saw a contradiction. Such waits have a cause of their own now.

The case fails before the change: test_wait_beside_a_reserved_vm_is_logged_as_such got "no capacity was free".

--- a/packages/workflow/briardeal_workflow/planning/_active_jobs.py
+++ b/packages/workflow/briardeal_workflow/planning/_active_jobs.py
@@ -24,6 +24,7 @@
 
     TAKEOVER = "tasks of an earlier owner might still run"
     CAPACITY = "no capacity was free"
+    RESERVED = "free capacity was reserved for more urgent work"
     NO_VICTIMS = "no capacity was free, and other work could not be stopped"
     COSTS_MORE = "making room would have cost more work than it brought"
 
--- a/packages/workflow/briardeal_workflow/planning/_task_starter.py
+++ b/packages/workflow/briardeal_workflow/planning/_task_starter.py
@@ -79,7 +79,13 @@
             group.wait_cause = None
             return
         if active_job.queue.priority != URGENT:
-            self._record_wait(active_job, group, WaitCause.CAPACITY, now_s)
+            # Only VMs reserved for other groups can still have enough free capacity.
+            is_reserved = (
+                len(unreserved) < len(vms)
+                and place_on_free_capacity(vms, group, unplaced, now_s) is not None
+            )
+            cause = WaitCause.RESERVED if is_reserved else WaitCause.CAPACITY
+            self._record_wait(active_job, group, cause, now_s)
             return
         preemption_s = group.ready_s + PREEMPTION_DELAY_S
         if now_s < preemption_s:
--- a/tests/workflow/planning/test_waiting.py
+++ b/tests/workflow/planning/test_waiting.py
@@ -7,7 +7,7 @@
 from briardeal_core.events import add_log_destination, remove_log_destination
 from briardeal_workflow.planning import AttemptOutcome
 from tests.workflow.planning.harness import PlannerHarness
-from tests.workflow.samples import whole_vm_step
+from tests.workflow.samples import small_step, whole_vm_step
 
 
 @pytest.fixture
@@ -50,6 +50,22 @@
     assert find_waits(lines) == [(urgent.job_id, cause)]
 
 
+def test_wait_beside_a_reserved_vm_is_logged_as_such(lines):
+    harness = PlannerHarness(vms=1)
+    harness.submit(small_step(8, estimate_s=16.0))
+    running = harness.start_orders()
+    harness.report_running(running)
+    harness.submit(whole_vm_step(estimate_s=0.1), queue="urgent", customer="nobody")
+    assert harness.decide_after_preemption_delay() == []
+    waiting = harness.submit(small_step())
+    harness.report_outcome(running[0], AttemptOutcome.DONE)
+    for _ in range(4):
+        harness.report_running(running[1:])
+        assert harness.start_orders(after_s=0.5) == []
+    waits = [cause for job_id, cause in find_waits(lines) if job_id == waiting.job_id]
+    assert waits == ["free capacity was reserved for more urgent work"]
+
+
 def test_wait_for_the_tasks_of_an_earlier_owner_is_logged(lines):
     harness = PlannerHarness(vms=1, takeover_complete=False)
     job = harness.submit(whole_vm_step(), takeover_pending=True)
