Restore a job whose stored progress names a step that it has not

ActiveJob.from_progress raised KeyError for failures, checkpoints and preemptions of a step that the job doesn't have. The owner raised it while it loaded the jobs, so that each entry in turn would have failed to take over, with all jobs, for one bad record. Such entries are ignored and logged as a broken record, as done tasks of unknown steps were, without a line.

test_progress_of_steps_that_the_job_has_not_is_ignored failed before with the KeyError.

--- a/packages/workflow/briardeal_workflow/planning/_active_jobs.py
+++ b/packages/workflow/briardeal_workflow/planning/_active_jobs.py
@@ -7,7 +7,8 @@
 
 import attrs
 
-from briardeal_workflow.job_table import Progress
+from briardeal_core.events import Event, log_event
+from briardeal_workflow.job_table import Progress, progress_key
 from briardeal_workflow.model import TaskGroupId, TaskId
 from briardeal_workflow.planning._attempts import AttemptPhase
 from briardeal_workflow.planning._vms import Resources
@@ -202,18 +203,7 @@
                 group_id = TaskGroupId(job.job_id, occurrence, number)
                 groups[group_id] = TaskGroup(group_id, step, Resources.of_task(step))
         active_job = cls(job, queue, groups, progress.started, progress.state, added_s=now_s)
-        for task in progress.done_tasks(job.job_id):
-            if task.group in groups:
-                groups[task.group].done.add(task.index)
-        for occurrence, step, index, count, number in progress.failures:
-            group = groups[TaskGroupId(job.job_id, occurrence, step)]
-            group.failures[index] = count
-            group.last_failed_numbers[index] = number
-        for occurrence, step, index, checkpoint in progress.checkpoints:
-            groups[TaskGroupId(job.job_id, occurrence, step)].checkpoints[index] = checkpoint
-        for occurrence, step, index, count, lost_core_s in progress.preemptions:
-            group = groups[TaskGroupId(job.job_id, occurrence, step)]
-            group.preemptions[index] = PreemptionHistory(count, lost_core_s)
+        active_job._restore(progress)
         return active_job
 
     @property
@@ -292,6 +282,32 @@
         before_s = ends[group.group_id.step] - group.step.estimate_s
         return base_s + self.objective_s() - wall_s - (max(ends) - before_s)
 
+    def _restore(self, progress: Progress) -> None:
+        for task in progress.done_tasks(self.job.job_id):
+            if (group := self._find_recorded_group(task.occurrence, task.step)) is not None:
+                group.done.add(task.index)
+        for occurrence, step, index, count, number in progress.failures:
+            if (group := self._find_recorded_group(occurrence, step)) is not None:
+                group.failures[index] = count
+                group.last_failed_numbers[index] = number
+        for occurrence, step, index, checkpoint in progress.checkpoints:
+            if (group := self._find_recorded_group(occurrence, step)) is not None:
+                group.checkpoints[index] = checkpoint
+        for occurrence, step, index, count, lost_core_s in progress.preemptions:
+            if (group := self._find_recorded_group(occurrence, step)) is not None:
+                group.preemptions[index] = PreemptionHistory(count, lost_core_s)
+
+    def _find_recorded_group(self, occurrence: int, step: int) -> TaskGroup | None:
+        """Return a group that stored progress names; `None`, with a log line, if there is none."""
+        group = self.groups.get(TaskGroupId(self.job.job_id, occurrence, step))
+        if group is None:
+            log_event(
+                Event.RECORD_BROKEN,
+                key=progress_key(self.job.job_id),
+                detail=f"the job has no step {step} of occurrence {occurrence}",
+            )
+        return group
+
     def _step_end_times_s(self) -> list[float]:
         """Return when each step ends by the declared run times, in seconds after the job begins."""
         ends: list[float] = []
