Forget when orders were sent once their attempts have ended

The owner kept the time of the newest order of each attempt for as long as it lasted, about 100 bytes for each start, though only those of attempts that go on are used. The memory of an owner on a calm site grew without bound.

test_owner_forgets_the_orders_of_ended_attempts failed before, with twelve entries after three jobs of four tasks each.

--- a/packages/workflow/briardeal_workflow/owner/_agents.py
+++ b/packages/workflow/briardeal_workflow/owner/_agents.py
@@ -2,8 +2,15 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import attrs
 
+if TYPE_CHECKING:
+    from collections.abc import Set
+
+    from briardeal_workflow.model import TaskId
+
 
 @attrs.define(eq=False)
 class AgentState:
@@ -23,7 +30,8 @@
     worker_reachable
         Whether the agent can reach its worker.
     order_sent_s
-        When the newest order was sent, by task and attempt number.
+        When the newest order was sent, by task and attempt number, for attempts that have not
+        ended.
     """
 
     incarnation: str = ""
@@ -32,4 +40,9 @@
     last_received_s: float = 0.0
     reported: bool = False
     worker_reachable: bool = False
-    order_sent_s: dict[tuple[object, int], float] = attrs.field(factory=dict)
+    order_sent_s: dict[tuple[TaskId, int], float] = attrs.field(factory=dict)
+
+    def forget_orders(self, active: Set[tuple[TaskId, int]]) -> None:
+        """Forget when orders were sent for attempts other than the given ones."""
+        for key in self.order_sent_s.keys() - active:
+            del self.order_sent_s[key]
--- a/packages/workflow/briardeal_workflow/owner/_owner.py
+++ b/packages/workflow/briardeal_workflow/owner/_owner.py
@@ -286,6 +286,7 @@
     ) -> None:
         """Queue orders again that show no effect in a report; they may have been lost."""
         vm = self.planner.state.vms[agent_id]
+        agent.forget_orders(vm.attempts.keys())
         for key, attempt in find_attempts_without_effect(vm, report):
             if now_s - agent.order_sent_s.get(key, now_s) > RESEND_TIMEOUT_S:
                 self.planner.state.orders.append(self._rebuild_order(attempt))
--- a/tests/workflow/entry/test_job_lifecycle.py
+++ b/tests/workflow/entry/test_job_lifecycle.py
@@ -101,3 +101,14 @@
         await site.wait_for_state(job.job_id, "completed", 5.0)
         page = site.entry(site.owner_name()).metrics.render().decode()
     assert 'briardeal_end_shown_seconds_count{state="completed"} 1' in page
+
+
+async def test_owner_forgets_the_orders_of_ended_attempts():
+    async with run_site(vms=1) as site:
+        for _ in range(3):
+            job = make_job(small_step(4))
+            await site.submit(job, TaskBehavior(0.5))
+            await site.wait_for_state(job.job_id, "completed", 5.0)
+        await asyncio.sleep(1.5)
+        owner = site.entry(await site.wait_for_owner()).owner
+        assert not owner.agent_states["vm-0"].order_sent_s
