Treat an unreadable list of tasks as an unavailable worker

HttpWorker.tasks raised msgspec.DecodeError where the platform's API answered with anything but a list of tasks (a proxy's page, a cut body, a newer field type). The agent's task that polls the worker ended with it. The answer counts as WorkerUnavailable now, with the reason, as a failed call does.

test_unreadable_list_of_tasks_counts_as_an_unavailable_worker failed before for all four bodies.

--- a/packages/agent/briardeal_agent/workers/_http.py
+++ b/packages/agent/briardeal_agent/workers/_http.py
@@ -47,7 +47,10 @@
         body = await self._send("GET", "/v1/tasks")
         if isinstance(body, WorkerUnavailable):
             return body
-        return msgspec.json.decode(body, type=list[PlatformTask])
+        try:
+            return msgspec.json.decode(body, type=list[PlatformTask])
+        except msgspec.DecodeError as error:
+            return WorkerUnavailable(f"unreadable list of tasks: {error}")
 
     async def _send(self, method: str, path: str, body: bytes = b"") -> bytes | WorkerUnavailable:
         reply = await fetch(method, self.address, path, body, timeout_s=TIMEOUT_S)
