Return an error for a configuration file that is nested too deeply

load_configuration raised RecursionError for it, in the YAML parser, though it promises all errors as values; the command that checks a file ended with a traceback. Both new cases of test_malformed_file_returns_errors failed before.

--- a/packages/core/briardeal_core/configuration/document/_load.py
+++ b/packages/core/briardeal_core/configuration/document/_load.py
@@ -53,6 +53,8 @@
         )
     except yaml.YAMLError as error:
         return _make_errors(f"The file is not valid YAML: {error}.")
+    except RecursionError:
+        return _make_errors("The file is nested too deeply.")
     if root is None:
         return _make_errors("The file is empty.")
     return _read(root, workers)
--- a/tests/core/configuration/test_document.py
+++ b/tests/core/configuration/test_document.py
@@ -98,6 +98,9 @@
     assert message in str(outcome)
 
 
-@pytest.mark.parametrize("text", ["", "- 1", "a: &a [*a]", "\x00", "x" * 600_000, "{{}: 1}"])
+@pytest.mark.parametrize(
+    "text",
+    ["", "- 1", "a: &a [*a]", "\x00", "x" * 600_000, "{{}: 1}", "[" * 5000, "a: " + "{b: " * 900],
+)
 def test_malformed_file_returns_errors(text):
     assert isinstance(load_configuration(text), ConfigurationErrors)
