--- a/packages/standins/briardeal_standins/emulator/_worker.py
+++ b/packages/standins/briardeal_standins/emulator/_worker.py
@@ -30,7 +30,7 @@
 TICK_S = 0.05
 LATENCY_S = 0.001
 STOP_DURATIONS_S = (0.1, 0.2, 0.3, 0.4)
-"""Time until a stopped task has ended, by its index in turn."""
+"""Seconds until a stopped task has ended; tasks take them in turn by their index."""
 GANG_TIMEOUT_S = 3.0
 ANNOUNCE_INTERVAL_S = 1.5
 CHECKPOINT_INTERVAL_S = 0.5
