Let earlier preemptions decide what to stop, not whether an urgent task starts

Cause: since what earlier preemptions of a task had lost counted twice in the cost of stopping it, both in the choice of what to stop and in the limit for urgent work beyond its guarantee. That work is lost whatever is decided, so that it is no reason to let the urgent task wait; and where all running tasks had been preempted before, none could be stopped at all.

Change: the limit counts only the work that is lost now. The tasks to stop are still chosen by what earlier preemptions cost them; if those would lose more than the limit allows, the ones that lose least now are stopped instead, as before.

--- a/packages/workflow/briardeal_workflow/planning/_placement.py
+++ b/packages/workflow/briardeal_workflow/planning/_placement.py
@@ -31,11 +31,14 @@
         Attempts that have to be stopped first.
     cost_core_s
         Cost of stopping the victims, in core-seconds.
+    lost_core_s
+        Work that the victims lose now, in core-seconds.
     """
 
     vms: dict[int, str]
     victims: tuple[Attempt, ...] = ()
     cost_core_s: float = 0.0
+    lost_core_s: float = 0.0
 
     @property
     def rank(self) -> tuple[bool, float]:
--- a/packages/workflow/briardeal_workflow/planning/_preemption.py
+++ b/packages/workflow/briardeal_workflow/planning/_preemption.py
@@ -12,7 +12,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Sequence
+    from collections.abc import Callable, Collection, Sequence
 
     from briardeal_workflow.planning._active_jobs import TaskGroup
     from briardeal_workflow.planning._attempts import Attempt
@@ -25,6 +25,7 @@
     indices: Sequence[int],
     now_s: float,
     victims_of: Callable[[Attempt], tuple[Attempt, ...] | None],
+    cost_of: Callable[[Attempt], float],
 ) -> Placement | None:
     """Return VMs for the tasks and the attempts to stop there, at a low cost.
 
@@ -33,10 +34,12 @@
     victims_of
         Returns all attempts that stop together with an attempt, including itself; `None` if the
         attempt must not be stopped.
+    cost_of
+        Returns the cost of stopping an attempt, in core-seconds.
     """
     best: Placement | None = None
     for pool in find_pools(vms, group, now_s):
-        placement = _preempt_in(pool, group, indices, now_s, victims_of)
+        placement = _preempt_in(pool, group, indices, now_s, victims_of, cost_of)
         if placement is not None and (best is None or placement.rank < best.rank):
             best = placement
     return best
@@ -48,6 +51,7 @@
     indices: Sequence[int],
     now_s: float,
     victims_of: Callable[[Attempt], tuple[Attempt, ...] | None],
+    cost_of: Callable[[Attempt], float],
 ) -> Placement | None:
     capacity = TentativeCapacity(pool, lambda vm: vm.expected_capacity())
     chosen: dict[int, str] = {}
@@ -56,7 +60,7 @@
             (victims, vm)
             for vm in pool
             if capacity.allows_one_more(group, vm)
-            and (victims := _victims_on(capacity, vm, group, now_s, victims_of)) is not None
+            and (victims := _victims_on(capacity, vm, group, victims_of, cost_of)) is not None
         ]
         if not choices:
             return None
@@ -64,7 +68,7 @@
             choices,
             key=lambda choice: (
                 not choice[1].is_healthy(now_s),
-                _rank(choice[0], now_s),
+                _rank(choice[0], cost_of),
                 vm_preference(capacity, group, index, choice[1], now_s),
             ),
         )
@@ -72,15 +76,16 @@
         capacity.place(group, vm.vm_id)
         chosen[index] = vm.vm_id
     stopped = tuple(capacity.victims.values())
-    return Placement(chosen, stopped, _cost_core_s(stopped, now_s))
+    lost_core_s = sum(attempt.unsaved_core_s(now_s) for attempt in stopped)
+    return Placement(chosen, stopped, sum(map(cost_of, stopped)), lost_core_s)
 
 
 def _victims_on(
     capacity: TentativeCapacity,
     vm: Vm,
     group: TaskGroup,
-    now_s: float,
     victims_of: Callable[[Attempt], tuple[Attempt, ...] | None],
+    cost_of: Callable[[Attempt], float],
 ) -> tuple[Attempt, ...] | None:
     """Return the attempts to stop so that one more task fits on a VM; none if it fits already."""
     free = capacity.free[vm.vm_id]
@@ -92,7 +97,7 @@
             continue
         victims = victims_of(attempt)
         if victims is not None:
-            options.append((_rank(victims, now_s), attempt, victims))
+            options.append((_rank(victims, cost_of), attempt, victims))
     options.sort(key=lambda option: option[0])
     selected = []
     for option in options:
@@ -111,10 +116,6 @@
     return tuple(attempt for _, _, victims in selected for attempt in victims)
 
 
-def _rank(attempts: Iterable[Attempt], now_s: float) -> tuple[bool, float]:
+def _rank(attempts: Collection[Attempt], cost_of: Callable[[Attempt], float]) -> tuple[bool, float]:
     """Return the sort key for stopping: urgent attempts last, then by the cost."""
-    return any(attempt.urgent for attempt in attempts), _cost_core_s(attempts, now_s)
-
-
-def _cost_core_s(attempts: Iterable[Attempt], now_s: float) -> float:
-    return sum(attempt.preemption_cost_core_s(now_s) for attempt in attempts)
+    return any(attempt.urgent for attempt in attempts), sum(map(cost_of, attempts))
--- a/packages/workflow/briardeal_workflow/planning/_task_starter.py
+++ b/packages/workflow/briardeal_workflow/planning/_task_starter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 from briardeal_core.events import Event, log_event
@@ -146,8 +147,9 @@
     ) -> WaitCause | None:
         """Preempt other attempts for some tasks, or return why that is impossible or not allowed.
 
-        It is not allowed if it costs more than the work of the tasks, unless the customer is within
-        its guarantee.
+        It is not allowed if it loses more work than the tasks bring, unless the customer is within
+        its guarantee. What earlier preemptions lost decides what to stop, but keeps no task waiting
+        that may stop something else.
         """
         guaranteed = self._guaranteed_customers()
 
@@ -163,19 +165,22 @@
                 self.state.stopped_together(attempt) if lower_priority or beyond_guarantee else None
             )
 
-        placement = place_by_preemption(vms, group, indices, now_s, victims_of)
-        if placement is None:
-            return WaitCause.NO_VICTIMS
         within_guarantee = active_job.job.customer in guaranteed
         requested_core_s = _requested_core_s(group, indices)
         # Earlier preemptions for the group count too, even if its tasks did not start after them;
         # otherwise the group could preempt others without limit.
-        if (
-            not within_guarantee
-            and group.preempted_core_s + placement.cost_core_s > requested_core_s
-        ):
+        allowed_core_s = requested_core_s - group.preempted_core_s
+        for cost_of in (Attempt.preemption_cost_core_s, Attempt.unsaved_core_s):
+            placement = place_by_preemption(
+                vms, group, indices, now_s, victims_of, partial(cost_of, now_s=now_s)
+            )
+            if placement is None:
+                return WaitCause.NO_VICTIMS
+            if within_guarantee or placement.lost_core_s <= allowed_core_s:
+                break
+        else:
             return WaitCause.COSTS_MORE
-        group.preempted_core_s += placement.cost_core_s
+        group.preempted_core_s += placement.lost_core_s
         for attempt in placement.victims:
             self.state.preempt(
                 attempt,
--- a/tests/workflow/planning/test_preemption.py
+++ b/tests/workflow/planning/test_preemption.py
@@ -106,6 +106,38 @@
     assert stops == 1
 
 
+def test_earlier_preemptions_of_other_tasks_do_not_keep_an_urgent_task_waiting():
+    harness = PlannerHarness(vms=1)
+    harness.submit(whole_vm_step(estimate_s=100.0), customer="south")
+    for customer in ("north", "nobody"):
+        bulk = harness.start_orders(after_s=0.1)
+        harness.report_running(bulk)
+        harness.decide(after_s=4.0)
+        harness.submit(whole_vm_step(estimate_s=9.0), queue="urgent", customer=customer)
+        stops = harness.decide_after_preemption_delay()
+        assert [stop.task for stop in stops] == [bulk[0].task]
+        harness.report_outcome(stops[0], AttemptOutcome.STOPPED)
+        (urgent,) = harness.start_orders(after_s=0.1)
+        harness.report_outcome(urgent, AttemptOutcome.DONE)
+
+
+def test_urgent_task_stops_a_task_preempted_before_if_others_would_lose_too_much():
+    harness = PlannerHarness(vms=2)
+    harness.submit(whole_vm_step(2, estimate_s=100.0), customer="south")
+    running = harness.start_orders()
+    harness.report_running(running)
+    harness.decide(after_s=3.0)
+    harness.submit(whole_vm_step(estimate_s=0.5), queue="urgent", customer="north")
+    (first,) = harness.decide_after_preemption_delay()
+    harness.report_outcome(first, AttemptOutcome.STOPPED)
+    (urgent,) = harness.start_orders(after_s=0.1)
+    harness.report_outcome(urgent, AttemptOutcome.DONE)
+    harness.report_running(harness.start_orders(after_s=0.1))
+    harness.submit(whole_vm_step(estimate_s=3.0), queue="urgent", customer="nobody")
+    (second,) = harness.decide_after_preemption_delay()
+    assert second.task == first.task
+
+
 def test_next_preemption_is_due_when_the_urgent_task_has_waited_long_enough():
     harness = PlannerHarness(vms=1)
     assert harness.planner.next_preemption_s == float("inf")
