Count failures in whatever order agents report them after a takeover

Cause: a failure counted only if its attempt number was higher than that of the newest counted one. Agents report the ends that no owner has acknowledged to the new owner in any order; of 1003, 1001, 1002 it counted one. Class of fault: an order assumed between messages of several senders.

Change: the numbers of failed attempts are stored with the progress of a job, and each counts once. Earlier versions ignore the new field and go on to read the newest number; records without it are read as before.

--- a/packages/workflow/briardeal_workflow/job_table/_records.py
+++ b/packages/workflow/briardeal_workflow/job_table/_records.py
@@ -32,6 +32,8 @@
     failures
         Failed attempts of incomplete tasks, as occurrence, step, index, number of failures, and
         attempt number of the newest failure.
+    failed_numbers
+        Failed attempts of incomplete tasks, as occurrence, step, index, and their attempt numbers.
     checkpoints
         Newest checkpoints of incomplete tasks, as occurrence, step, index and checkpoint.
     preemptions
@@ -45,6 +47,7 @@
     failures: tuple[tuple[int, int, int, int, int], ...] = ()
     checkpoints: tuple[tuple[int, int, int, str], ...] = ()
     preemptions: tuple[tuple[int, int, int, int, int], ...] = ()
+    failed_numbers: tuple[tuple[int, int, int, tuple[int, ...]], ...] = ()
 
     def done_tasks(self, job_id: str) -> Iterable[TaskId]:
         """Return the completed tasks."""
--- a/packages/workflow/briardeal_workflow/planning/_active_jobs.py
+++ b/packages/workflow/briardeal_workflow/planning/_active_jobs.py
@@ -74,8 +74,8 @@
         VMs on which tasks start as soon as capacity is free, by task index.
     ready_s
         When the group became ready to start; `None` before.
-    last_failed_numbers
-        Number of the newest failed attempt by task index, so that no failure counts twice.
+    failed_numbers
+        Numbers of the failed attempts by task index, so that no failure counts twice.
     takeover_pending
         Whether tasks that an earlier owner started may run without having been reported.
     preempted_core_s
@@ -99,7 +99,7 @@
     failed_vms: dict[int, set[str]] = attrs.field(factory=dict)
     claimed_vms: dict[int, str] = attrs.field(factory=dict)
     ready_s: float | None = None
-    last_failed_numbers: dict[int, int] = attrs.field(factory=dict)
+    failed_numbers: dict[int, set[int]] = attrs.field(factory=dict)
     takeover_pending: bool = False
     preempted_core_s: float = 0.0
     reserved_until_s: float = float("-inf")
@@ -237,10 +237,15 @@
                 for index in sorted(group.done)
             ),
             failures=tuple(
-                (*group.group_id[1:], index, count, group.last_failed_numbers[index])
+                (*group.group_id[1:], index, count, max(group.failed_numbers[index]))
                 for group in open_groups
                 for index, count in group.failures.items()
             ),
+            failed_numbers=tuple(
+                (*group.group_id[1:], index, tuple(sorted(numbers)))
+                for group in open_groups
+                for index, numbers in group.failed_numbers.items()
+            ),
             checkpoints=tuple(
                 (*group.group_id[1:], index, checkpoint)
                 for group in open_groups
@@ -286,10 +291,13 @@
         for task in progress.done_tasks(self.job.job_id):
             if (group := self._find_recorded_group(task.occurrence, task.step)) is not None:
                 group.done.add(task.index)
+        # Earlier versions stored only the number of the newest failed attempt.
+        failed_numbers = {tuple(place): numbers for *place, numbers in progress.failed_numbers}
         for occurrence, step, index, count, number in progress.failures:
             if (group := self._find_recorded_group(occurrence, step)) is not None:
                 group.failures[index] = count
-                group.last_failed_numbers[index] = number
+                numbers = failed_numbers.get((occurrence, step, index), (number,))
+                group.failed_numbers[index] = set(numbers)
         for occurrence, step, index, checkpoint in progress.checkpoints:
             if (group := self._find_recorded_group(occurrence, step)) is not None:
                 group.checkpoints[index] = checkpoint
--- a/packages/workflow/briardeal_workflow/planning/_completions.py
+++ b/packages/workflow/briardeal_workflow/planning/_completions.py
@@ -129,9 +129,11 @@
         self, active_job: ActiveJob, group: TaskGroup, index: int, number: int, now_s: float
     ) -> None:
         counted = group.recorded_index(index)
-        if number <= group.last_failed_numbers.get(counted, 0):
+        # After a takeover, agents report the ends of several attempts in any order.
+        numbers = group.failed_numbers.setdefault(counted, set())
+        if number in numbers:
             return
-        group.last_failed_numbers[counted] = number
+        numbers.add(number)
         group.failures[counted] = group.failures.get(counted, 0) + 1
         self.state.unsaved_jobs.add(active_job.job.job_id)
         if group.failures[counted] >= active_job.queue.failure_limit:
--- a/tests/workflow/planning/test_adoption.py
+++ b/tests/workflow/planning/test_adoption.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+
 import pytest
 
 from briardeal_workflow.model import TaskId
@@ -64,3 +66,16 @@
     stops = harness.decide()
     assert [type(each) for each in stops] == [StopTask] * len(rows)
     return stops
+
+
+@pytest.mark.parametrize("numbers", list(itertools.permutations((1, 2, 3))))
+def test_failures_that_an_earlier_owner_did_not_store_count_in_any_order(numbers):
+    harness = PlannerHarness(vms=3, epoch=2, takeover_complete=False)
+    job = harness.submit(small_step(), takeover_pending=True)
+    task = TaskId(job.job_id, 0, 0, 0)
+    for vm, number in enumerate(numbers):
+        harness.planner.record_outcome(
+            f"vm-{vm}", task, number, AttemptOutcome.FAILED, "", harness.now_s
+        )
+    harness.planner.complete_takeover()
+    assert harness.start_orders() == []
