Let a paused task of a late job wait as long as a restart would repeat

Cause: the allowed pause ends earlier as the slack of the job runs out. The slack was negative, as a new attempt would have been late already, so that the pause was cut short although no restart could bring the job back in time.

The slack now limits the pause only while a new attempt can still be in time. test_paused_task_is_not_restarted_early_if_a_new_attempt_would_be_late_too failed before (2 s instead of 8 s). The case (36.0, 2) of the test on the objective expected such a restart; it moves to the new test, and (30.0, 2) takes its place, where the slack is still positive.

--- a/packages/workflow/briardeal_workflow/planning/_stuck_tasks.py
+++ b/packages/workflow/briardeal_workflow/planning/_stuck_tasks.py
@@ -38,7 +38,7 @@
 
     Most pauses end by themselves. Waiting for as long as a new attempt would take to catch up costs
     at most twice the best choice in hindsight. The wait ends earlier where a later new attempt
-    would make the job miss its objective.
+    would make the job miss its objective, unless a new attempt would be late in any case.
 
     Parameters
     ----------
@@ -47,7 +47,8 @@
     now_s
         Time until which the VM is known to have reported, on the event loop's clock.
     slack_s
-        Returns how long a new attempt may still be delayed, in seconds.
+        Returns how long a new attempt may still be delayed, in seconds; negative if it would be
+        late already.
     """
     silent_s = now_s - attempt.last_progress_s
     if silent_s <= PAUSE_LIMIT_S:
@@ -58,7 +59,10 @@
     if group.step.gang and remaining_percent <= 0:
         # The member has completed its own part and waits for the slowest member.
         return False
-    patience_s = min(attempt.catch_up_s(), slack_s())
+    remaining_slack_s = slack_s()
+    patience_s = attempt.catch_up_s()
+    if remaining_slack_s >= 0:
+        patience_s = min(patience_s, remaining_slack_s)
     if silent_s > max(STALL_LIMIT_S, STALL_SHARE * group.step.estimate_s, patience_s):
         return True
     observed_run_s = attempt.observed_run_s()
