Play false health, flapping, moving callers, short notice and configuration storms

Each is a seeded scenario under a mixed load now, alone and all at once, with the checker on. The checker also looks for jobs that are reported as failed before a task has reached its failure limit.

The first runs found a fault of the emulator: the end of a gang of three or more tasks ended each member once for each other member, and the KeyError ended the stand-in worker without a word, so that such a VM stood still for the rest of a run. Members are ended once, and Emulator.stop raises what ended a worker.

--- a/packages/standins/briardeal_standins/emulator/__init__.py
+++ b/packages/standins/briardeal_standins/emulator/__init__.py
@@ -2,6 +2,11 @@
 
 from briardeal_standins.emulator._checker import Checker, Violation
 from briardeal_standins.emulator._emulator import CONFIGURATION, Emulator
+from briardeal_standins.emulator._scenarios import (
+    Disruption,
+    run_disruption,
+    run_scenario,
+)
 from briardeal_standins.emulator._store import MemoryStore, StoreClient, StoreFault
 from briardeal_standins.emulator._worker import StandinVm, TaskBehavior, VmFault
 
@@ -9,6 +14,7 @@
     "CONFIGURATION",
     "Violation",
     "Checker",
+    "Disruption",
     "Emulator",
     "MemoryStore",
     "TaskBehavior",
@@ -16,4 +22,6 @@
     "StoreClient",
     "StoreFault",
     "VmFault",
+    "run_disruption",
+    "run_scenario",
 ]
--- a/packages/standins/briardeal_standins/emulator/_checker.py
+++ b/packages/standins/briardeal_standins/emulator/_checker.py
@@ -33,6 +33,7 @@
     FAILURE_LIMIT = "no task starts after it has reached its failure limit"
     JOBS_STORED = "no accepted job is lost"
     COMPLETED_STATE = "no job is reported as completed while one of its tasks runs"
+    FAILED_STATE = "no job is reported as failed before a task has reached its failure limit"
 
 
 @attrs.frozen
@@ -65,6 +66,8 @@
         Number of failed attempts of each task.
     failure_limit
         Number of failed attempts after which a task may not start again.
+    failure_limits
+        Failed attempts after which a task and its job fail, by queue.
     first_start_s
         When the first task of each job started, on the loop's clock.
     done_s
@@ -86,6 +89,7 @@
         self.done_tasks: set[TaskId] = set()
         self.failures: dict[TaskId, int] = {}
         self.failure_limit = 1000
+        self.failure_limits: dict[str, int] = {}
         self.first_start_s: dict[str, float] = {}
         self.done_s: dict[str, float] = {}
         self.end_counts: dict[str, int] = {}
@@ -139,12 +143,23 @@
         )
         if state == "completed" and any(self.running.get(task) for task in tasks):
             self._add_violation(Invariant.COMPLETED_STATE, f"{job_id} has running tasks")
+        if state == "failed" and self._failure_count(job) < self.failure_limits[job.queue]:
+            self._add_violation(Invariant.FAILED_STATE, f"{job_id} failed too early")
 
     def check_unknown(self, job_id: str) -> None:
         """Check that an entry may still report a job as unknown."""
         if loop_time() - self.accepted.get(job_id, float("inf")) > VISIBLE_LIMIT_S:
             self._add_violation(Invariant.JOBS_STORED, job_id)
 
+    def _failure_count(self, job: Job) -> int:
+        """Return the number of failed attempts of the task, or gang, that failed most often."""
+        counts: dict[tuple[object, ...], int] = {}
+        for task, count in self.failures.items():
+            if task.job_id == job.job_id:
+                key = task.group if job.steps[task.step].gang else task
+                counts[key] = counts.get(key, 0) + count
+        return max(counts.values(), default=0)
+
     def _check_order(self, task: TaskId, attempt: str) -> None:
         job = self.jobs.get(task.job_id)
         if job is None:
--- a/packages/standins/briardeal_standins/emulator/_emulator.py
+++ b/packages/standins/briardeal_standins/emulator/_emulator.py
@@ -93,6 +93,9 @@
         self.network = MemoryNetwork(codec=CONTROL_CODEC)
         self.clock = WallClock(1_000_000.0)
         self.checker = Checker()
+        self.checker.failure_limits = {
+            queue.name: queue.failure_limit for queue in configuration.queues
+        }
         self.logs = LogCollector()
         self.behaviors: dict[str, TaskBehavior] = {}
         self.vm_by_attempt: dict[tuple[TaskId, int], StandinVm] = {}
@@ -112,7 +115,14 @@
             self.start_process(name)
 
     async def stop(self) -> None:
-        """Stop all processes and workers."""
+        """Stop all processes and workers.
+
+        Raises
+        ------
+        Exception
+            If a worker has ended by itself because of that exception.
+        """
+        ended_workers = [task for task in self._vm_tasks if task.done()]
         for name in list(self.processes):
             await self.kill(name)
         remaining = [*self._vm_tasks, *self.network.tasks]
@@ -120,6 +130,8 @@
             task.cancel()
         await asyncio.gather(*remaining, return_exceptions=True)
         self.logs.stop()
+        for task in ended_workers:
+            task.result()
 
     def start_process(self, name: str) -> None:
         """Start an entry or an agent without earlier state."""
@@ -141,6 +153,13 @@
         with self.logs.attribute_to(name):
             self.processes[name] = _Process(program, self._spawn(program.run()))
 
+    def configure(self, configuration: Configuration) -> None:
+        """Put a configuration into force on all entries."""
+        self.configuration = configuration
+        for name in self.entry_names:
+            if name in self.processes:
+                self.entry(name).configure(configuration)
+
     async def kill(self, name: str) -> None:
         """Kill a process and reset its connections."""
         process = self.processes.pop(name)
--- /dev/null
+++ b/packages/standins/briardeal_standins/emulator/_scenarios.py
@@ -0,0 +1,245 @@
+"""Seeded scenarios: callers submit jobs while disruptions of several kinds go on."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+from typing import TYPE_CHECKING
+
+import attrs
+import msgspec
+
+from briardeal_core.clock import loop_time
+from briardeal_standins.emulator._worker import TaskBehavior, VmFault
+from briardeal_workflow.model import Job, Queue, Step
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from briardeal_standins.emulator._emulator import Emulator
+
+FAULT_S = 5.0
+"""Seconds for which a group of VMs has a fault."""
+
+FAULTY_SHARE = 0.25
+"""Share of the VMs that have a fault at the same time."""
+
+FLAP_INTERVAL_S = 1.4
+"""Seconds between two changes of a VM that goes down and up by turns."""
+
+NOTICE_S = 2.0
+"""Seconds between the announcement that a VM leaves and its end."""
+
+REPLACEMENT_S = 4.0
+"""Seconds after the end of a VM until another one takes its place."""
+
+CONFIGURATION_INTERVAL_S = 0.33
+"""Seconds between two configurations of a storm."""
+
+SUBMIT_INTERVAL_S = 0.8
+"""Average seconds between two jobs of the load."""
+
+RETRY_PAUSE_S = 0.3
+"""Seconds after which a caller repeats a call that was refused or not answered."""
+
+CANCELLED_SHARE = 0.1
+"""Share of the jobs that their callers cancel."""
+
+CANCEL_DELAYS_S = (0.1, 4.0)
+"""Range of the seconds after which a caller cancels its job."""
+
+FINISH_LIMIT_S = 60.0
+"""Seconds after the last submission within which all jobs must have ended."""
+
+
+class Disruption(enum.Enum):
+    """Kinds of disruption."""
+
+    FALSE_HEALTH = "false health"
+    """VMs seem healthy and fail or stall all tasks, or seem unhealthy and are not."""
+    FLAPPING = "flapping"
+    """VMs go down and up by turns."""
+    MOVING_CALLERS = "moving callers"
+    """Callers move to entries of another failure domain."""
+    SHORT_NOTICE = "short notice"
+    """VMs are taken away soon after they announce it, and others take their place later."""
+    CONFIGURATION_STORM = "configuration storm"
+    """Configurations change in quick succession."""
+
+
+@attrs.define(eq=False)
+class Callers:
+    """Callers who submit and cancel jobs at entries of one failure domain.
+
+    Attributes
+    ----------
+    entries
+        Names of the entries that they call.
+    pending
+        Jobs that have been accepted and not cancelled, by job ID.
+    """
+
+    entries: Sequence[str]
+    pending: dict[str, Job] = attrs.field(factory=dict)
+
+
+async def run_scenario(
+    site: Emulator, disruptions: Sequence[Disruption], duration_s: float
+) -> None:
+    """Submit a mixed load while all given disruptions go on, and wait until all jobs have ended.
+
+    Raises
+    ------
+    TimeoutError
+        If a job has not ended in time.
+    """
+    callers = Callers(site.entry_names)
+    async with asyncio.TaskGroup() as tasks:
+        for disruption in disruptions:
+            tasks.create_task(run_disruption(site, disruption, callers, duration_s))
+        tasks.create_task(_submit_jobs(site, callers, duration_s))
+    async with asyncio.timeout(FINISH_LIMIT_S):
+        while not all(_has_ended(site, job_id) for job_id in callers.pending):
+            await asyncio.sleep(RETRY_PAUSE_S)
+
+
+async def run_disruption(
+    site: Emulator, disruption: Disruption, callers: Callers, duration_s: float
+) -> None:
+    """Cause disruptions of one kind for some time, then end them."""
+    end_s = loop_time() + duration_s
+    while loop_time() < end_s:
+        if disruption is Disruption.FALSE_HEALTH:
+            await _falsify_health(site)
+        elif disruption is Disruption.FLAPPING:
+            await _flap(site)
+        elif disruption is Disruption.MOVING_CALLERS:
+            await asyncio.sleep(site.rng.uniform(0.5, FAULT_S))
+            callers.entries = site.rng.sample(site.entry_names, k=1)
+        elif disruption is Disruption.SHORT_NOTICE:
+            await _take_away(site)
+        else:
+            await asyncio.sleep(CONFIGURATION_INTERVAL_S)
+            _change_configuration(site)
+
+
+async def _submit_jobs(site: Emulator, callers: Callers, duration_s: float) -> None:
+    end_s = loop_time() + duration_s
+    async with asyncio.TaskGroup() as tasks:
+        while loop_time() < end_s:
+            await asyncio.sleep(site.rng.expovariate(1.0 / SUBMIT_INTERVAL_S))
+            tasks.create_task(_submit_job(site, callers))
+
+
+async def _submit_job(site: Emulator, callers: Callers) -> None:
+    """Submit one job until it is accepted; cancel some of the jobs."""
+    job, behavior = _make_job(site)
+    while not await site.submit(job, behavior, site.rng.choice(callers.entries)):
+        await asyncio.sleep(RETRY_PAUSE_S)
+    if site.rng.random() >= CANCELLED_SHARE:
+        callers.pending[job.job_id] = job
+        return
+    await asyncio.sleep(site.rng.uniform(*CANCEL_DELAYS_S))
+    while not await site.cancel(job.job_id, site.rng.choice(callers.entries)):
+        await asyncio.sleep(RETRY_PAUSE_S)
+
+
+def _has_ended(site: Emulator, job_id: str) -> bool:
+    """Return whether all running entries report a job as completed or failed."""
+    running = [name for name in site.entry_names if name in site.processes]
+    return all(site.state(job_id, name) in ("completed", "failed") for name in running)
+
+
+def _make_job(site: Emulator) -> tuple[Job, TaskBehavior]:
+    """Return a random job: single tasks, a gang, or an urgent gang of whole VMs."""
+    rng = site.rng
+    job_id = f"{rng.getrandbits(64):016x}"
+    run_s = rng.uniform(1.0, 4.0)
+    queue, step = rng.choice(
+        (
+            ("bulk", Step(rng.randint(1, 12), 1000, 1000, 1, run_s, checkpointable=True)),
+            ("bulk", Step(rng.randint(1, 12), 1000, 1000, 1, run_s)),
+            ("batch", Step(rng.randint(2, 4), 1000, 1000, 4, run_s, gang=True)),
+            ("urgent", Step(rng.randint(1, 3), 1000, 1000, 8, run_s, gang=True)),
+        )
+    )
+    steps = (step,) if rng.random() < 0.7 else (step, msgspec.structs.replace(step, after=(0,)))
+    job = Job(
+        job_id,
+        queue,
+        _service(site),
+        rng.choice(("north", "south")),
+        f"run {job_id}",
+        steps,
+        accepted_s=site.clock.now_s(),
+    )
+    return job, TaskBehavior(run_s)
+
+
+def _service(site: Emulator) -> str:
+    return site.configuration.services[0].name
+
+
+async def _falsify_health(site: Emulator) -> None:
+    kinds = (VmFault.FAILS_ALL, VmFault.NO_PROGRESS, VmFault.REJECTS_STARTS)
+    vms = _pick_vms(site)
+    for name in vms:
+        site.vms[name].fault = site.rng.choice(kinds)
+    await asyncio.sleep(FAULT_S)
+    for name in vms:
+        if site.vms[name].fault in kinds:
+            site.vms[name].fault = VmFault.NONE
+    await asyncio.sleep(site.rng.uniform(0.0, FAULT_S))
+
+
+async def _flap(site: Emulator) -> None:
+    vms = _pick_vms(site)
+    for _ in range(int(FAULT_S / FLAP_INTERVAL_S)):
+        for name in vms:
+            site.vms[name].kill()
+        await asyncio.sleep(FLAP_INTERVAL_S / 2)
+        for name in vms:
+            site.vms[name].restart()
+        await asyncio.sleep(FLAP_INTERVAL_S / 2)
+    await asyncio.sleep(site.rng.uniform(0.0, FAULT_S))
+
+
+async def _take_away(site: Emulator) -> None:
+    vms = _pick_vms(site)
+    for name in vms:
+        site.vms[name].leave()
+    await asyncio.sleep(NOTICE_S)
+    for name in vms:
+        site.vms[name].kill()
+        await site.kill(name)
+    await asyncio.sleep(REPLACEMENT_S)
+    for name in vms:
+        site.vms[name].restart()
+        site.start_process(name)
+    await asyncio.sleep(site.rng.uniform(0.0, FAULT_S))
+
+
+def _change_configuration(site: Emulator) -> None:
+    """Change guarantees, targets, and queues that nobody uses."""
+    rng = site.rng
+    old = site.configuration
+    used = tuple(
+        attrs.evolve(queue, latency_target_s=queue.latency_target_s * rng.uniform(0.8, 1.25))
+        for queue in old.queues
+        if not queue.name.startswith("idle-")
+    )
+    idle = tuple(
+        Queue(f"idle-{number}", "a.example", f"/idle-{number}/", _service(site))
+        for number in range(rng.randint(0, 40))
+    )
+    customers = tuple(
+        attrs.evolve(customer, guaranteed_accelerators=rng.choice((0, 8, 24)))
+        for customer in old.customers
+    )
+    site.configure(
+        attrs.evolve(old, version=old.version + 1, queues=used + idle, customers=customers)
+    )
+
+
+def _pick_vms(site: Emulator) -> list[str]:
+    return site.rng.sample(list(site.vms), k=max(1, int(FAULTY_SHARE * len(site.vms))))
--- a/packages/standins/briardeal_standins/emulator/_worker.py
+++ b/packages/standins/briardeal_standins/emulator/_worker.py
@@ -12,6 +12,7 @@
 from briardeal_core.clock import loop_time
 from briardeal_workflow.control import EndedTask, ListedTask, VmState
 from briardeal_workflow.worker import (
+    UNHEALTHY,
     Listing,
     NoAnswer,
     Refused,
@@ -56,6 +57,8 @@
     """Starts tasks without answering the start orders."""
     DELAYS_ORDERS = "delays orders"
     """Does not answer orders and carries them out later."""
+    REJECTS_STARTS = "rejects starts"
+    """Rejects start orders as unhealthy, although its running tasks continue."""
 
 
 UNREACHABLE = (VmFault.SILENT, VmFault.DOWN)
@@ -158,8 +161,8 @@
     def kill(self) -> None:
         """Kill the worker process and all its running attempts."""
         self.fault = VmFault.DOWN
-        for attempt in list(self.attempts.values()):
-            self._finish(attempt, "lost")
+        while self.attempts:
+            self._finish(next(iter(self.attempts.values())), "lost")
 
     def restart(self) -> None:
         """Start the worker process again as a new incarnation without earlier state."""
@@ -182,8 +185,10 @@
             if now_s - announced_s >= ANNOUNCE_INTERVAL_S and self.fault is not VmFault.DOWN:
                 announced_s = now_s
                 self.announce()
-            for attempt in list(self.attempts.values()):
-                self._advance(attempt, now_s)
+            for key, attempt in list(self.attempts.items()):
+                # The end of one member of a gang also ends the members on the same VM.
+                if key in self.attempts:
+                    self._advance(attempt, now_s)
             await asyncio.sleep(TICK_S)
 
     def announce(self) -> None:
@@ -212,6 +217,8 @@
         await asyncio.sleep(LATENCY_S)
         if self.fault in UNREACHABLE:
             return await self._no_answer()
+        if self.fault is VmFault.REJECTS_STARTS and (task, number) not in self.attempts:
+            return Refused(UNHEALTHY)
         arguments = (task, number, command, checkpoint, epoch, lease_end_clock_s)
         if self.fault is VmFault.DELAYS_ORDERS:
             self._carry_out_later(self._start, *arguments)
@@ -349,7 +356,9 @@
         self.attempt_ended.set()
         if self.get_gang_size(attempt.task) > 1:
             for (task, number), vm in list(self.vm_by_attempt.items()):
-                if task.group == attempt.task.group and number == attempt.number:
+                is_member = task.group == attempt.task.group and number == attempt.number
+                # The end of the first member found ends the others in turn.
+                if is_member and (task, number) in vm.attempts:
                     vm._finish(vm.attempts[task, number], "done" if end == "done" else "broken")
 
     def _checkpoint(self, attempt: _Attempt) -> str:
