Expect running tasks to end by their pace only, before urgent tasks wait

Run times are off by 0.2 to 0.9, and a list comes each second, so that short tasks have no pace yet.

Only a pace that was observed counts for the wait, and a gang ends with its slowest member. Reservations, which have to choose, still fall back to declared run times. Two tests failed before: on a task that would end soon only by its declaration, and on a gang with a slow member.

--- a/packages/workflow/briardeal_workflow/planning/_attempts.py
+++ b/packages/workflow/briardeal_workflow/planning/_attempts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -131,17 +132,16 @@
         """Return the time between the first list and the last observed progress, in seconds."""
         return 0.0 if self.first_listed_s is None else self.last_progress_s - self.first_listed_s
 
-    def expected_remaining_s(self, estimate_s: float, now_s: float) -> float:
-        """Return the expected remaining run time, in seconds.
+    def remaining_by_pace_s(self, now_s: float) -> float:
+        """Return the remaining run time at the pace observed so far, in seconds.
 
-        Based on the pace of the attempt; before any progress, on the declared run time.
+        Returns infinity as long as no progress has been observed.
         """
         gained_percent = self.percent - self.first_percent
         observed_run_s = self.observed_run_s()
         if gained_percent <= 0 or observed_run_s <= 0:
-            return max(0.0, self.ordered_s + estimate_s - now_s)
-        percent_per_s = gained_percent / observed_run_s
-        remaining_s = (DONE_PERCENT - self.percent) / percent_per_s
+            return math.inf
+        remaining_s = (DONE_PERCENT - self.percent) * observed_run_s / gained_percent
         return max(0.0, self.last_progress_s + remaining_s - now_s)
 
     def catch_up_s(self) -> float:
--- a/packages/workflow/briardeal_workflow/planning/_task_starter.py
+++ b/packages/workflow/briardeal_workflow/planning/_task_starter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -143,10 +144,13 @@
     ) -> float:
         """Return from when some tasks may preempt others.
 
-        They wait only if their capacity is expected to become free by itself within the delay.
+        They wait only if their capacity is expected to become free by itself within the delay, by
+        the pace of the running tasks; declared run times are too rough for such short times.
         """
         latest_s = group.ready_s + PREEMPTION_DELAY_S
-        placement = self._place_on_soonest_free(group, indices, vms, now_s)
+        placement = place_on_soonest_free(
+            vms, group, indices, now_s, lambda attempt: self._remaining_by_pace_s(attempt, now_s)
+        )
         becomes_free = placement is not None and now_s + placement.wait_s <= latest_s
         return latest_s if becomes_free else now_s
 
@@ -229,24 +233,28 @@
         """Reserve the VMs that have capacity soonest, so that no smaller task occupies it first."""
         if group.reserved_until_s > now_s:
             return
-        placement = self._place_on_soonest_free(group, indices, vms, now_s)
+        placement = place_on_soonest_free(
+            vms, group, indices, now_s, lambda attempt: self._remaining_s(attempt, now_s)
+        )
         group.reserved_until_s = now_s + RESERVATION_S
         for vm_id in () if placement is None else placement.vms.values():
             self.state.vms[vm_id].reserve_for(group.group_id, group.reserved_until_s)
 
-    def _place_on_soonest_free(
-        self, group: TaskGroup, indices: Sequence[int], vms: Sequence[Vm], now_s: float
-    ) -> Placement | None:
-        return place_on_soonest_free(
-            vms, group, indices, now_s, lambda attempt: self._remaining_s(attempt, now_s)
-        )
-
     def _remaining_s(self, attempt: Attempt, now_s: float) -> float:
         """Return the expected remaining run time of an attempt, in seconds."""
+        remaining_s = self._remaining_by_pace_s(attempt, now_s)
+        group = self.state.group_of(attempt.task)
+        if group is None or math.isfinite(remaining_s):
+            return remaining_s
+        return max(STOP_S, attempt.ordered_s + group.step.estimate_s - now_s)
+
+    def _remaining_by_pace_s(self, attempt: Attempt, now_s: float) -> float:
+        """Return when an attempt ends at its pace, or its gang at that of its slowest member."""
         group = self.state.group_of(attempt.task)
         if attempt.phase is AttemptPhase.STOPPING or group is None:
             return STOP_S
-        return attempt.expected_remaining_s(group.step.estimate_s, now_s)
+        members = self.state.stopped_together(attempt)
+        return max(member.remaining_by_pace_s(now_s) for member in members)
 
     def _guaranteed_customers(self) -> set[str]:
         """Return the customers whose urgent jobs together stay within their guarantee."""
--- a/tests/workflow/planning/test_preemption.py
+++ b/tests/workflow/planning/test_preemption.py
@@ -15,9 +15,9 @@
     harness = PlannerHarness(vms=2)
     harness.submit(whole_vm_step(), customer="south")
     old = harness.start_orders()
-    harness.report_running(old)
-    harness.now_s = 4.0
-    harness.report_running(old, percent=98)
+    for percent in (0, 24, 48, 72, 96):
+        harness.report_running(old, percent)
+        assert harness.decide(after_s=1.0 if percent < 96 else 0.0) == []
     harness.submit(whole_vm_step(), customer="south")
     young = harness.start_orders()
     harness.report_running(young)
@@ -141,8 +141,7 @@
 def test_next_preemption_is_due_when_the_urgent_task_has_waited_long_enough():
     harness = PlannerHarness(vms=1)
     assert harness.planner.next_preemption_s == float("inf")
-    harness.submit(whole_vm_step(estimate_s=0.5))
-    harness.report_running(harness.start_orders())
+    start_task_that_ends_soon(harness)
     harness.submit(whole_vm_step(), queue="urgent")
     assert harness.decide() == []
     (stop,) = harness.decide(after_s=harness.planner.next_preemption_s - harness.now_s)
@@ -162,17 +161,44 @@
     assert [type(order) for order in harness.decide()] == [StopTask]
 
 
-def test_urgent_task_waits_for_a_task_that_will_end_soon_by_its_pace():
+def test_urgent_task_does_not_wait_for_a_task_that_would_end_soon_only_by_its_declaration():
     harness = PlannerHarness(vms=1)
-    harness.submit(whole_vm_step(estimate_s=100.0))
+    harness.submit(whole_vm_step(estimate_s=1.0))
+    harness.report_running(harness.start_orders())
+    harness.decide(after_s=0.8)
+    harness.submit(whole_vm_step(), queue="urgent")
+    assert [type(order) for order in harness.decide()] == [StopTask]
+
+
+def test_urgent_task_does_not_wait_for_a_gang_with_a_slow_member():
+    harness = PlannerHarness(vms=2)
+    harness.submit(whole_vm_step(2, gang=True, estimate_s=4.0))
     running = harness.start_orders()
     for percent in (0, 24, 48, 72, 96):
-        harness.report_running(running, percent)
+        harness.report_running(running[:1], percent)
+        harness.report_running(running[1:], percent // 4)
         assert harness.decide(after_s=1.0 if percent < 96 else 0.0) == []
+    harness.submit(whole_vm_step(), queue="urgent")
+    assert [type(order) for order in harness.decide()] == [StopTask, StopTask]
+
+
+def start_task_that_ends_soon(harness):
+    """Start a task that ends in 0.2 s at its pace, much earlier than declared; return its order."""
+    harness.submit(whole_vm_step(estimate_s=100.0))
+    (start,) = harness.start_orders()
+    for percent in (0, 24, 48, 72, 96):
+        harness.report_running([start], percent)
+        assert harness.decide(after_s=1.0 if percent < 96 else 0.0) == []
+    return start
+
+
+def test_urgent_task_waits_for_a_task_that_will_end_soon_by_its_pace():
+    harness = PlannerHarness(vms=1)
+    running = start_task_that_ends_soon(harness)
     urgent = harness.submit(whole_vm_step(), queue="urgent")
     assert harness.decide() == []
     assert harness.decide(after_s=0.2) == []
-    harness.report_outcome(running[0], AttemptOutcome.DONE)
+    harness.report_outcome(running, AttemptOutcome.DONE)
     (start,) = harness.start_orders()
     assert start.task.job_id == urgent.job_id
 
