Keep the full wait before preemptions until a takeover is complete

A new owner knows the VMs one after the other as their agents report. With the change that lets urgent tasks preempt at once, a job handed in at that moment stopped work on the VMs known so far, although others were about to report free capacity.

--- a/packages/workflow/briardeal_workflow/planning/_planner.py
+++ b/packages/workflow/briardeal_workflow/planning/_planner.py
@@ -78,8 +78,6 @@
     ----------
     state
         Jobs, VMs and configuration from which the planner decides.
-    takeover_complete
-        Whether all tasks that an earlier owner may have started are known.
     """
 
     def __init__(self, epoch: int, find_job: Callable[[str], Job | None]) -> None:
@@ -87,7 +85,11 @@
         self.state = PlannerState((epoch - 1) * ATTEMPT_NUMBERS_PER_EPOCH + 1)
         self.starter = TaskStarter(self.state)
         self.completions = CompletionHandler(self.state)
-        self.takeover_complete = False
+
+    @property
+    def takeover_complete(self) -> bool:
+        """Whether all tasks that an earlier owner may have started are known."""
+        return self.state.takeover_complete
 
     def configure(self, configuration: Configuration) -> None:
         """Apply a new configuration."""
@@ -127,7 +129,7 @@
 
     def complete_takeover(self) -> None:
         """Record that all tasks that an earlier owner may have started are known."""
-        self.takeover_complete = True
+        self.state.takeover_complete = True
         for active_job in self.state.active_jobs.values():
             for group in active_job.groups.values():
                 group.takeover_pending = False
--- a/packages/workflow/briardeal_workflow/planning/_state.py
+++ b/packages/workflow/briardeal_workflow/planning/_state.py
@@ -45,6 +45,8 @@
         Orders that have not been returned yet.
     claimed_since_s
         When groups claimed VMs that do not have enough free capacity yet.
+    takeover_complete
+        Whether all tasks that an earlier owner may have started are known.
     wall_offset_s
         Time of day less the time on the loop's clock, at the newest planning round.
     """
@@ -58,6 +60,7 @@
     finished_jobs: set[str] = attrs.field(factory=set)
     orders: list[Order] = attrs.field(factory=list)
     claimed_since_s: dict[TaskGroupId, float] = attrs.field(factory=dict)
+    takeover_complete: bool = False
     wall_offset_s: float = 0.0
 
     def job_of(self, task: TaskId) -> ActiveJob | None:
--- a/packages/workflow/briardeal_workflow/planning/_task_starter.py
+++ b/packages/workflow/briardeal_workflow/planning/_task_starter.py
@@ -145,9 +145,12 @@
         """Return from when some tasks may preempt others.
 
         They wait only if their capacity is expected to become free by itself within the delay, by
-        the pace of the running tasks; declared run times are too rough for such short times.
+        the pace of the running tasks; declared run times are too rough for such short times. Until
+        a takeover is complete, VMs that have not reported yet may have free capacity.
         """
         latest_s = group.ready_s + PREEMPTION_DELAY_S
+        if not self.state.takeover_complete:
+            return latest_s
         placement = place_on_soonest_free(
             vms, group, indices, now_s, lambda attempt: self._remaining_by_pace_s(attempt, now_s)
         )
--- a/tests/workflow/planning/test_preemption.py
+++ b/tests/workflow/planning/test_preemption.py
@@ -170,6 +170,17 @@
     assert [type(order) for order in harness.decide()] == [StopTask]
 
 
+def test_new_owner_preempts_nothing_at_once_while_vms_have_not_reported():
+    harness = PlannerHarness(vms=1, takeover_complete=False)
+    harness.submit(whole_vm_step(estimate_s=100.0))
+    harness.report_running(harness.start_orders())
+    harness.submit(whole_vm_step(), queue="urgent")
+    assert harness.decide() == []
+    harness.add_vm(1)
+    (start,) = harness.decide(after_s=0.2)
+    assert start.vm_id == "vm-1"
+
+
 def test_urgent_task_does_not_wait_for_a_gang_with_a_slow_member():
     harness = PlannerHarness(vms=2)
     harness.submit(whole_vm_step(2, gang=True, estimate_s=4.0))
