--- a/packages/standins/briardeal_standins/emulator/_scenarios.py
+++ b/packages/standins/briardeal_standins/emulator/_scenarios.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import enum
+from functools import partial
 from typing import TYPE_CHECKING
 
 import attrs
@@ -60,7 +61,7 @@
     FLAPPING = "flapping"
     """VMs go down and up by turns."""
     MOVING_CALLERS = "moving callers"
-    """Callers move to entries of another failure domain."""
+    """All callers move to the entry of one failure domain, then to that of another."""
     SHORT_NOTICE = "short notice"
     """VMs are taken away soon after they announce it, and others take their place later."""
     CONFIGURATION_STORM = "configuration storm"
@@ -69,7 +70,7 @@
 
 @attrs.define(eq=False)
 class Callers:
-    """Callers who submit and cancel jobs at entries of one failure domain.
+    """Callers who submit and cancel jobs.
 
     Attributes
     ----------
@@ -107,20 +108,16 @@
     site: Emulator, disruption: Disruption, callers: Callers, duration_s: float
 ) -> None:
     """Cause disruptions of one kind for some time, then end them."""
+    cause_next = {
+        Disruption.FALSE_HEALTH: partial(_falsify_health, site),
+        Disruption.FLAPPING: partial(_flap, site),
+        Disruption.MOVING_CALLERS: partial(_move_callers, site, callers),
+        Disruption.SHORT_NOTICE: partial(_take_away, site),
+        Disruption.CONFIGURATION_STORM: partial(_change_configuration, site),
+    }[disruption]
     end_s = loop_time() + duration_s
     while loop_time() < end_s:
-        if disruption is Disruption.FALSE_HEALTH:
-            await _falsify_health(site)
-        elif disruption is Disruption.FLAPPING:
-            await _flap(site)
-        elif disruption is Disruption.MOVING_CALLERS:
-            await asyncio.sleep(site.rng.uniform(0.5, FAULT_S))
-            callers.entries = site.rng.sample(site.entry_names, k=1)
-        elif disruption is Disruption.SHORT_NOTICE:
-            await _take_away(site)
-        else:
-            await asyncio.sleep(CONFIGURATION_INTERVAL_S)
-            _change_configuration(site)
+        await cause_next()
 
 
 async def _submit_jobs(site: Emulator, callers: Callers, duration_s: float) -> None:
@@ -204,6 +201,11 @@
     await asyncio.sleep(site.rng.uniform(0.0, FAULT_S))
 
 
+async def _move_callers(site: Emulator, callers: Callers) -> None:
+    await asyncio.sleep(site.rng.uniform(0.5, FAULT_S))
+    callers.entries = site.rng.sample(site.entry_names, k=1)
+
+
 async def _take_away(site: Emulator) -> None:
     vms = _pick_vms(site)
     for name in vms:
@@ -219,8 +221,9 @@
     await asyncio.sleep(site.rng.uniform(0.0, FAULT_S))
 
 
-def _change_configuration(site: Emulator) -> None:
+async def _change_configuration(site: Emulator) -> None:
     """Change guarantees, targets, and queues that nobody uses."""
+    await asyncio.sleep(CONFIGURATION_INTERVAL_S)
     rng = site.rng
     old = site.configuration
     used = tuple(
--- a/packages/workflow/briardeal_workflow/planning/_task_starter.py
+++ b/packages/workflow/briardeal_workflow/planning/_task_starter.py
@@ -252,7 +252,10 @@
         return max(STOP_S, attempt.ordered_s + group.step.estimate_s - now_s)
 
     def _remaining_by_pace_s(self, attempt: Attempt, now_s: float) -> float:
-        """Return when an attempt ends at its pace, or its gang at that of its slowest member."""
+        """Return in how many seconds an attempt ends, for a gang the slowest of its members.
+
+        Returns infinity if no progress has been observed.
+        """
         group = self.state.group_of(attempt.task)
         if attempt.phase is AttemptPhase.STOPPING or group is None:
             return STOP_S
