Test that the choice of attempts to preempt looks at each gang a few times only

Guards against rounds that grow with tasks x VMs x attempts x members of gangs. No product code changes.

--- a/tests/workflow/planning/test_preemption.py
+++ b/tests/workflow/planning/test_preemption.py
@@ -6,7 +6,7 @@
 import pytest
 
 from briardeal_workflow.job_table import Progress, encode_record
-from briardeal_workflow.planning import AttemptOutcome, StopTask
+from briardeal_workflow.planning import AttemptOutcome, PlannerState, StopTask
 from tests.workflow.planning.harness import PlannerHarness
 from tests.workflow.samples import small_step, whole_vm_step
 
@@ -263,3 +263,29 @@
     assert harness.start_orders() == []
     harness.planner.cancel_job(urgent.job_id)
     assert len(harness.start_orders(after_s=1.0)) == 1
+
+
+def test_members_of_a_gang_are_listed_a_few_times_a_round_however_many_tasks_are_placed(
+    monkeypatch,
+):
+    gangs = 16
+    harness = PlannerHarness(vms=16)
+    for _ in range(gangs):
+        harness.submit(small_step(8, gang=True, estimate_s=100.0), customer="south")
+    running = harness.start_orders()
+    for percent in (0, 1, 2):
+        harness.report_running(running, percent)
+        harness.decide(after_s=1.0)
+    listed = []
+    list_members = PlannerState.stopped_together
+
+    def count_calls(state, attempt):
+        listed.append(attempt)
+        return list_members(state, attempt)
+
+    monkeypatch.setattr(PlannerState, "stopped_together", count_calls)
+    harness.submit(whole_vm_step(3, gang=True), queue="urgent", customer="north")
+    stops = harness.decide()
+    assert len(stops) == 24
+    # Once each for the pace, for either cost of a preemption, and to spare.
+    assert len(listed) <= 4 * gangs
