--- a/bench/workflow.py
+++ b/bench/workflow.py
@@ -42,6 +42,13 @@
 TAKEOVER_S = 1.5
 PLANNER_VMS = (158, 315, 630)
 PLANNER_TASKS_PER_VM = 10
+LOADED_VMS = (57, 160)
+LOADED_JOB_TASKS = 40
+LOADED_SHARE = 2
+"""Work that is handed in, as a multiple of what the VMs hold at a time."""
+
+URGENT_JOBS = 3
+URGENT_TASKS = 5
 LONG_RUN_S = 10_000.0
 LOG_JOBS = 40
 LOG_TASKS = 8
@@ -53,7 +60,14 @@
 
 def parts() -> list[Callable[[], list[Figure]]]:
     """Return the measurements."""
-    return [measure_control, measure_takeover, measure_urgent, measure_rounds, measure_log]
+    return [
+        measure_control,
+        measure_takeover,
+        measure_urgent,
+        measure_rounds,
+        measure_loaded_rounds,
+        measure_log,
+    ]
 
 
 def combine(results: list[list[Figure]]) -> list[Figure]:
@@ -89,6 +103,16 @@
     return figures
 
 
+def measure_loaded_rounds() -> list[Figure]:
+    """Return the processor time of planning rounds while more work waits than the VMs hold."""
+    figures = []
+    for vms in LOADED_VMS:
+        rounds_ms = _measure_loaded_rounds_ms(vms)
+        for kind, round_ms in rounds_ms.items():
+            figures.append(Figure(GROUP, f"{kind}, {vms} VMs", round_ms, "ms"))
+    return figures
+
+
 def measure_log() -> list[Figure]:
     """Return the volume of the log and the processor time of writing it."""
     lines, size, processor_s = run_virtual(_measure_log)
@@ -194,15 +218,7 @@
 
 
 def _measure_round_ms(vms: int) -> float:
-    planner = Planner(1, {}.get)
-    planner.configure(CONFIGURATION)
-    planner.complete_takeover()
-    for number in range(vms):
-        name = f"vm-{number}"
-        description = VmDescription(
-            name, "1", SERVICE, Resources(64_000, 262_144, 16), rack=f"rack-{number // 3}"
-        )
-        planner.update_vm(description, LONG_RUN_S, 0.0)
+    planner = _make_planner(vms, accelerators=16)
     for number in range(vms):
         planner.add_job(_job(PLANNER_TASKS_PER_VM, number=number), Progress(), 0.0)
     planner.decide(0.0, 0.0)
@@ -214,6 +230,47 @@
     return statistics.median(times_s) * 1000
 
 
+def _measure_loaded_rounds_ms(vms: int) -> dict[str, float]:
+    """Return the processor time of rounds that start, wait and preempt, in milliseconds."""
+    planner = _make_planner(vms, accelerators=TASKS_PER_VM)
+    jobs = LOADED_SHARE * vms * TASKS_PER_VM // LOADED_JOB_TASKS
+    for number in range(jobs):
+        planner.add_job(_job(LOADED_JOB_TASKS, number=number), Progress(), 0.0)
+    starting_ms = _time_round_ms(planner, 0.0)
+    waiting_ms = statistics.median(_time_round_ms(planner, 1.0) for _ in range(3))
+    for number in range(URGENT_JOBS):
+        job = _job(URGENT_TASKS, accelerators=TASKS_PER_VM, queue="urgent", number=number)
+        planner.add_job(job, Progress(), 1.0)
+    return {
+        "first round, twice the work that fits": starting_ms,
+        "round while as much work waits as runs": waiting_ms,
+        f"round in which {URGENT_JOBS} urgent jobs preempt": _time_round_ms(planner, 1.0),
+    }
+
+
+def _time_round_ms(planner: Planner, now_s: float) -> float:
+    began_s = time.process_time()
+    planner.decide(now_s, now_s)
+    return (time.process_time() - began_s) * 1000
+
+
+def _make_planner(vms: int, accelerators: int) -> Planner:
+    """Return a planner with VMs of the same size, three to a rack."""
+    planner = Planner(1, {}.get)
+    planner.configure(CONFIGURATION)
+    planner.complete_takeover()
+    for number in range(vms):
+        description = VmDescription(
+            f"vm-{number}",
+            "1",
+            SERVICE,
+            Resources(64_000, 262_144, accelerators),
+            rack=f"rack-{number // 3}",
+        )
+        planner.update_vm(description, LONG_RUN_S, 0.0)
+    return planner
+
+
 def _count_agent_bytes(emulator: Emulator) -> int:
     """Return the bytes that agents have sent and received so far."""
     return sum(
