--- a/packages/workflow/briardeal_workflow/planning/_preemption.py
+++ b/packages/workflow/briardeal_workflow/planning/_preemption.py
@@ -166,9 +166,9 @@
         )
 
     def _find_choice(self, vm: Vm) -> tuple[_Rank, list[_Candidate]] | None:
-        """Return which attempts to stop so that one more task fits on a VM, with their sort key.
+        """Return the attempts to stop so that one more task fits on a VM, and their sort key.
 
-        Returns none if it fits already, and `None` if it cannot be made to fit.
+        There are no such attempts if it fits already; returns `None` if it cannot be made to fit.
         """
         capacity, task_resources = self.capacity, self.group.task_resources
         if not capacity.allows_one_more(self.group, vm):
@@ -190,5 +190,5 @@
             if task_resources.fits_in(reduced):
                 free = reduced
                 selected.remove(candidate)
-        urgent = any(is_urgent for is_urgent, _ in (each.rank for each in selected))
-        return (urgent, sum(cost for _, cost in (each.rank for each in selected))), selected
+        ranks = [each.rank for each in selected]
+        return (any(urgent for urgent, _ in ranks), sum(cost for _, cost in ranks)), selected
