Log which later jobs of its class start tasks while a job waits

While bulk jobs weren't done, job_waits said that no capacity was free, though tasks of other jobs of the class were started all the time; neither the job that got the capacity nor what was left of either could be told from the log. job_passed_over names both, with the work left and the time until their objectives; job_waits and job_ended tell them too, and job_waits counts from the acceptance as well, since a new owner counts readiness from zero.

--- a/packages/core/briardeal_core/events/_catalogue.py
+++ b/packages/core/briardeal_core/events/_catalogue.py
@@ -42,6 +42,10 @@
     JOB_ENDED = (403, "A job has finished; the state says how.")
     JOB_WAITS = (404, "Tasks of a job have waited for over a second; the cause says for what.")
     CLAIMS_RELEASED = (405, "VMs kept for tasks were given up before the tasks had started there.")
+    JOB_PASSED_OVER = (
+        406,
+        "Tasks of a job wait while jobs of its class that were accepted later start tasks.",
+    )
     OWNER_CLAIMS = (410, "This entry claims ownership of the jobs of its region.")
     OWNER_STARTED = (411, "This entry owns the jobs of its region and knows which of them run.")
     OWNER_REPLACED = (412, "Another entry now owns the jobs of the region.")
--- a/packages/workflow/briardeal_workflow/explanation/_timeline.py
+++ b/packages/workflow/briardeal_workflow/explanation/_timeline.py
@@ -63,6 +63,9 @@
     Event.JOB_WAITS: lambda line: (
         f"{line['tasks']} tasks of step {line['step']} wait: {line['cause']}"
     ),
+    Event.JOB_PASSED_OVER: lambda line: (
+        f"{line['starts']} tasks of later jobs started before its own, now of {line['started']}"
+    ),
     Event.TASK_ORDERED: lambda line: (
         f"attempt {line['number']} of {line['task']} ordered on {line['vm']}: {line['cause']}"
     ),
--- a/packages/workflow/briardeal_workflow/planning/_active_jobs.py
+++ b/packages/workflow/briardeal_workflow/planning/_active_jobs.py
@@ -129,6 +129,12 @@
         """Number of failed attempts of the task that failed most often."""
         return max(self.failures.values(), default=0)
 
+    @property
+    def work_left_core_s(self) -> float:
+        """Declared work of the tasks that are not completed, in core-seconds."""
+        left = self.step.tasks - len(self.done)
+        return left * self.step.estimate_s * self.task_resources.core_equivalents
+
     def recorded_index(self, index: int) -> int:
         """Return the index under which failures and checkpoints of a task are recorded."""
         return 0 if self.step.gang else index
@@ -219,6 +225,8 @@
         cancelled job.
     early_failure_vms
         VMs on which a task of the job failed right after its start.
+    passed_over
+        Number of tasks that jobs of its class, accepted later, have started while its own waited.
     """
 
     job: Job
@@ -230,6 +238,7 @@
     added_s: float = 0.0
     ended_s: float | None = None
     early_failure_vms: set[str] = attrs.field(factory=set)
+    passed_over: int = 0
 
     @classmethod
     def from_progress(cls, job: Job, queue: Queue, progress: Progress, now_s: float) -> ActiveJob:
@@ -248,6 +257,11 @@
         """Whether no task of the job may start any more."""
         return self.cancelled or bool(self.state)
 
+    @property
+    def waits(self) -> bool:
+        """Whether tasks of the job have waited for long enough to be logged."""
+        return any(group.wait_cause is not None for group in self.groups.values())
+
     @property
     def preemption_count(self) -> int:
         """Number of preemptions of its tasks, without those completed under earlier owners."""
@@ -314,6 +328,14 @@
         """Return the declared run time of the longest chain of steps, in seconds."""
         return max(self._step_end_times_s())
 
+    def work_left_core_s(self) -> float:
+        """Return the declared work of all tasks that are not completed, in core-seconds."""
+        return sum(group.work_left_core_s for group in self.groups.values())
+
+    def due_in_s(self, wall_s: float) -> float:
+        """Return the time until the job should complete, in seconds; negative once it is late."""
+        return self.job.accepted_s + self.objective_s() - wall_s
+
     def objective_s(self) -> float:
         """Return the time within which the job should complete, in seconds after its acceptance."""
         return self.queue.stretch_limit * self.critical_path_s() + self.queue.latency_target_s
--- a/packages/workflow/briardeal_workflow/planning/_completions.py
+++ b/packages/workflow/briardeal_workflow/planning/_completions.py
@@ -166,5 +166,6 @@
             took_s=round(now_s + self.state.wall_offset_s - due_s, 3),
             objective_s=round(active_job.objective_s(), 3),
             preemptions=active_job.preemption_count,
+            passed_over=active_job.passed_over,
             **inputs,
         )
--- a/packages/workflow/briardeal_workflow/planning/_planner.py
+++ b/packages/workflow/briardeal_workflow/planning/_planner.py
@@ -13,6 +13,7 @@
 from briardeal_workflow.planning._attempts import URGENT, Attempt, AttemptOutcome, AttemptPhase
 from briardeal_workflow.planning._completions import CompletionHandler
 from briardeal_workflow.planning._crashes import Crash, CrashHandler
+from briardeal_workflow.planning._passed_over import record_passed_over
 from briardeal_workflow.planning._state import PlannerState
 from briardeal_workflow.planning._stuck_tasks import is_stuck
 from briardeal_workflow.planning._task_starter import TaskStarter
@@ -243,6 +244,7 @@
                 continue
             for group in active_job.ready_groups(wall_s, now_s):
                 self.starter.start_or_preempt(active_job, group, now_s)
+        record_passed_over(self.state, wall_s)
         self._forget_finished_jobs()
         orders, self.state.orders = self.state.orders, []
         return orders
--- a/packages/workflow/briardeal_workflow/planning/_task_starter.py
+++ b/packages/workflow/briardeal_workflow/planning/_task_starter.py
@@ -253,6 +253,7 @@
         if waited_s < WAIT_LOG_DELAY_S or cause is group.wait_cause:
             return
         group.wait_cause = cause
+        wall_s = now_s + self.state.wall_offset_s
         log_event(
             Event.JOB_WAITS,
             job_id=active_job.job.job_id,
@@ -261,6 +262,9 @@
             tasks=len(group.unplaced_indices()),
             cause=cause,
             ready_for_s=round(waited_s, 3),
+            accepted_for_s=round(wall_s - active_job.job.accepted_s, 3),
+            due_in_s=round(active_job.due_in_s(wall_s), 3),
+            work_left_core_s=round(active_job.work_left_core_s(), 1),
         )
 
     def _reserve(
--- a/tests/workflow/planning/test_waiting.py
+++ b/tests/workflow/planning/test_waiting.py
@@ -50,6 +50,27 @@
     assert find_waits(lines) == [(urgent.job_id, cause)]
 
 
+def test_starts_of_later_jobs_of_the_class_are_logged_at_each_power_of_two(lines):
+    harness = PlannerHarness(vms=1)
+    harness.submit(small_step(8, estimate_s=10.0))
+    running = harness.start_orders()
+    waiting = harness.submit(small_step(1, estimate_s=50.0))
+    harness.decide()
+    harness.decide(after_s=1.2)
+    later = harness.submit(small_step(8, estimate_s=1.0))
+    for start in running:
+        harness.report_outcome(start, AttemptOutcome.DONE)
+        harness.decide(after_s=0.1)
+    passed = [line for line in lines if line["message_type"] == "job_passed_over"]
+    assert {line["job_id"] for line in passed} == {waiting.job_id}
+    assert {line["started"] for line in passed} == {later.job_id}
+    assert [line["starts"] for line in passed] == [1, 2, 4, 8]
+    assert passed[-1]["accepted_for_s"] == pytest.approx(2.0)
+    assert passed[-1]["due_in_s"] > passed[-1]["started_due_in_s"]
+    assert passed[-1]["work_left_core_s"] == 50.0 * (1 + 8)
+    assert passed[-1]["started_work_left_core_s"] == 8 * 1.0 * (1 + 8)
+
+
 def test_wait_beside_a_reserved_vm_is_logged_as_such(lines):
     harness = PlannerHarness(vms=1)
     harness.submit(small_step(8, estimate_s=16.0))
