Start the single tasks of jobs with less work left first within a class

Cause: within a class, jobs went by the earliest objective. The objective counts the longest chain of steps, not the number of tasks, so that a wide job with short tasks goes first, keeps all the capacity that its class gets after it can no longer be in time, and isn't completed, while jobs with one to five tasks left wait for up to 50 s. Class of fault: earliest deadline first under overload. Evidence: job_passed_over on the unchanged logic (a job with four tasks left and 23 s to go, passed over by 35 starts of one that is 10 s late).

Change: jobs of single tasks go by when the rest of them would be done, counted from their acceptance, on 1/64 of the capacity. Nothing of them is placed last for being late, so that no job waits for ever.

--- /dev/null
+++ b/packages/standins/briardeal_standins/planning_load/__init__.py
@@ -0,0 +1,16 @@
+"""Load on the planner alone: random jobs, and what becomes of them on virtual time."""
+
+from briardeal_standins.planning_load._report import ClassReport, EarliestObjective, simulate
+from briardeal_standins.planning_load._simulation import JobResult, Simulation
+from briardeal_standins.planning_load._workload import CONFIGURATION, OfferedJob, create_workload
+
+__all__ = [
+    "CONFIGURATION",
+    "ClassReport",
+    "EarliestObjective",
+    "JobResult",
+    "OfferedJob",
+    "Simulation",
+    "create_workload",
+    "simulate",
+]
--- /dev/null
+++ b/packages/standins/briardeal_standins/planning_load/_workload.py
@@ -0,0 +1,214 @@
+"""Random jobs of three classes that together need a given multiple of a fleet's capacity."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+
+from briardeal_workflow.model import Configuration, Customer, Job, Queue, Service, Step
+
+if TYPE_CHECKING:
+    from random import Random
+
+SERVICE = "sampling"
+ACCELERATORS_PER_VM = 8
+CUSTOMERS = ("north", "east", "south", "west")
+GUARANTEED_ACCELERATORS = 16
+MIN_RUN_S = 0.5
+
+
+@attrs.frozen
+class JobClass:
+    """Jobs of one queue.
+
+    Parameters
+    ----------
+    queue
+        Queue of the jobs.
+    share
+        Share of the offered work.
+    mean_tasks, max_tasks
+        Mean and largest number of tasks of a step.
+    mean_steps
+        Mean number of steps, which run one after the other.
+    run_s
+        Median run time of a task, in seconds.
+    run_spread, declared_spread
+        Standard deviations of the logarithms of the run time, and of the factor by which declared
+        run times are off.
+    accelerators
+        Accelerators of a task, one of these at random.
+    cpu_millis, memory_mb
+        Processor time and memory of a task.
+    gang
+        Whether all tasks of a step run at the same time or none.
+    checkpointable_share
+        Share of the jobs whose tasks resume from a checkpoint.
+    """
+
+    queue: Queue
+    share: float
+    mean_tasks: float
+    max_tasks: int
+    mean_steps: float
+    run_s: float
+    run_spread: float
+    declared_spread: float
+    accelerators: tuple[int, ...]
+    cpu_millis: int
+    memory_mb: int
+    gang: bool
+    checkpointable_share: float
+
+
+URGENT = JobClass(
+    queue=Queue("urgent", "a.example", "/urgent/", SERVICE, 0, 4, 1.5, 0.4),
+    share=0.25,
+    mean_tasks=3.4,
+    max_tasks=21,
+    mean_steps=1.0,
+    run_s=5.0,
+    run_spread=0.5,
+    declared_spread=0.2,
+    accelerators=(1, 2, 4, 8, 8),
+    cpu_millis=7500,
+    memory_mb=22_000,
+    gang=True,
+    checkpointable_share=0.0,
+)
+BATCH = JobClass(
+    queue=Queue("batch", "a.example", "/batch/", SERVICE, 1, 3, 3.0, 1.2),
+    share=0.55,
+    mean_tasks=1.5,
+    max_tasks=9,
+    mean_steps=1.0,
+    run_s=22.0,
+    run_spread=0.3,
+    declared_spread=0.2,
+    accelerators=(1, 2, 4, 8, 8),
+    cpu_millis=26_000,
+    memory_mb=30_000,
+    gang=True,
+    checkpointable_share=0.45,
+)
+BULK = JobClass(
+    queue=Queue("bulk", "a.example", "/bulk/", SERVICE, 2, 3, 3.0, 3.0),
+    share=0.2,
+    mean_tasks=9.2,
+    max_tasks=55,
+    mean_steps=1.3,
+    run_s=12.2,
+    run_spread=0.3,
+    declared_spread=0.5,
+    accelerators=(1,),
+    cpu_millis=5600,
+    memory_mb=29_000,
+    gang=False,
+    checkpointable_share=0.45,
+)
+CLASSES = (URGENT, BATCH, BULK)
+CONFIGURATION = Configuration(
+    1,
+    queues=tuple(each.queue for each in CLASSES),
+    services=(Service(SERVICE),),
+    customers=tuple(Customer(name, frozenset(), GUARANTEED_ACCELERATORS) for name in CUSTOMERS),
+)
+
+
+@attrs.frozen
+class OfferedJob:
+    """A job, when it is submitted, and how long its tasks run.
+
+    Parameters
+    ----------
+    job
+        Job as its caller submits it.
+    submitted_s
+        Time of its submission, in seconds after the start of the load.
+    run_s
+        Run times in seconds, by step and index; all members of a gang run equally long.
+    """
+
+    job: Job
+    submitted_s: float
+    run_s: tuple[tuple[float, ...], ...]
+
+
+def create_workload(
+    rng: Random, vms: int, load: float, duration_s: float, started_s: float
+) -> list[OfferedJob]:
+    """Return the jobs of a load, in the order of their submission.
+
+    Parameters
+    ----------
+    vms
+        Number of VMs with eight accelerators each.
+    load
+        Offered work as a multiple of what the accelerators can do.
+    duration_s
+        Time over which jobs are submitted, in seconds.
+    started_s
+        Start of the load, in seconds since 1970.
+    """
+    jobs = []
+    for job_class in CLASSES:
+        work_s = load * job_class.share * vms * ACCELERATORS_PER_VM * duration_s
+        while work_s > 0:
+            submitted_s = rng.uniform(0.0, duration_s)
+            offered = _create_job(
+                rng, job_class, vms * ACCELERATORS_PER_VM // 2, submitted_s, started_s
+            )
+            work_s -= sum(
+                sum(run_s) * step.accelerators
+                for step, run_s in zip(offered.job.steps, offered.run_s, strict=True)
+            )
+            jobs.append(offered)
+    return sorted(jobs, key=lambda each: (each.submitted_s, each.job.job_id))
+
+
+def _create_job(
+    rng: Random,
+    job_class: JobClass,
+    largest_accelerators: int,
+    submitted_s: float,
+    started_s: float,
+) -> OfferedJob:
+    steps, run_s = [], []
+    declared_factor = _draw_factor(rng, job_class.declared_spread)
+    accelerators = rng.choice(job_class.accelerators)
+    checkpointable = rng.random() < job_class.checkpointable_share
+    for number in range(1 + (rng.random() < job_class.mean_steps - 1)):
+        tasks = max(1, round(rng.expovariate(1 / job_class.mean_tasks)))
+        tasks = min(tasks, job_class.max_tasks, max(1, largest_accelerators // accelerators))
+        typical_s = max(MIN_RUN_S, job_class.run_s * _draw_factor(rng, job_class.run_spread))
+        steps.append(
+            Step(
+                tasks,
+                cpu_millis=job_class.cpu_millis,
+                memory_mb=job_class.memory_mb,
+                accelerators=accelerators,
+                estimate_s=typical_s * declared_factor,
+                after=(number - 1,) if number else (),
+                checkpointable=checkpointable,
+                gang=job_class.gang,
+            )
+        )
+        own = (1 if job_class.gang else tasks) * [typical_s]
+        varied = [each * _draw_factor(rng, 0.15) for each in own]
+        run_s.append(tuple(varied * tasks if job_class.gang else varied))
+    job = Job(
+        f"{rng.getrandbits(64):016x}",
+        job_class.queue.name,
+        SERVICE,
+        rng.choice(CUSTOMERS),
+        "run",
+        tuple(steps),
+        accepted_s=started_s + submitted_s,
+    )
+    return OfferedJob(job, submitted_s, tuple(run_s))
+
+
+def _draw_factor(rng: Random, spread: float) -> float:
+    return math.exp(rng.gauss(0.0, spread))
--- a/packages/workflow/briardeal_workflow/planning/__init__.py
+++ b/packages/workflow/briardeal_workflow/planning/__init__.py
@@ -3,6 +3,7 @@
 from briardeal_workflow.planning._active_jobs import ActiveJob
 from briardeal_workflow.planning._attempts import Attempt, AttemptOutcome, AttemptPhase
 from briardeal_workflow.planning._crashes import Crash
+from briardeal_workflow.planning._job_order import JobOrder, LeastWorkFirst
 from briardeal_workflow.planning._orders import Order, StartTask, StopTask
 from briardeal_workflow.planning._planner import Planner, RunningTask
 from briardeal_workflow.planning._state import PlannerState
@@ -14,6 +15,8 @@
     "AttemptOutcome",
     "AttemptPhase",
     "Crash",
+    "JobOrder",
+    "LeastWorkFirst",
     "Order",
     "Planner",
     "PlannerState",
--- a/packages/workflow/briardeal_workflow/planning/_active_jobs.py
+++ b/packages/workflow/briardeal_workflow/planning/_active_jobs.py
@@ -2,204 +2,21 @@
 
 from __future__ import annotations
 
-import enum
 from typing import TYPE_CHECKING
 
 import attrs
 
 from briardeal_core.events import Event, log_event
 from briardeal_workflow.job_table import Progress, progress_key
-from briardeal_workflow.model import TaskGroupId, TaskId
-from briardeal_workflow.planning._attempts import AttemptPhase
+from briardeal_workflow.model import TaskGroupId
 from briardeal_workflow.planning._crash_record import CrashRecord, CrashWeight, TaskCrash
+from briardeal_workflow.planning._task_groups import PreemptionHistory, TaskGroup
 from briardeal_workflow.planning._vms import Resources
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from briardeal_workflow.model import Job, Queue, Step
-    from briardeal_workflow.planning._attempts import Attempt
-    from briardeal_workflow.planning._claims import Claim
-
-
-class WaitCause(enum.StrEnum):
-    """What the tasks of a group wait for."""
-
-    TAKEOVER = "tasks of an earlier owner might still run"
-    CAPACITY = "no capacity was free"
-    RESERVED = "free capacity was reserved for more urgent work"
-    NO_VICTIMS = "no capacity was free, and other work could not be stopped"
-    COSTS_MORE = "making room would have cost more work than it brought"
-    ISOLATION = "its workers crashed, and no VM without other work was free"
-    VERDICT = "its workers crashed, and reports of other crashes may still arrive"
-
-
-@attrs.define
-class PreemptionHistory:
-    """Earlier preemptions of a task.
-
-    Attributes
-    ----------
-    count
-        Number of preemptions.
-    lost_core_s
-        Work lost by them, in core-seconds.
-    """
-
-    count: int = 0
-    lost_core_s: float = 0.0
-
-
-ISOLATION_WAIT_S = 3.0
-"""Time after a crash for which its suspects wait for a VM without other work."""
-
-READY_PERCENT = 100
-"""Percentage that a long-running task reports once its startup is complete."""
-
-
-@attrs.define(eq=False)
-class TaskGroup:
-    """Tasks of one occurrence of one step.
-
-    Attributes
-    ----------
-    group_id, step, task_resources
-        Identity of the group, its step, and the resources of each task.
-    done
-        Indices of completed tasks.
-    failures
-        Number of failed attempts by task index; a gang counts all of them under index 0.
-    attempts
-        Attempts that have not ended, by task index.
-    checkpoints
-        Newest checkpoint by task index; a gang stores its checkpoint under index 0.
-    attempt_numbers
-        Number of the newest attempt by task index.
-    failed_vms
-        VMs on which a task failed, by task index.
-    claims
-        Claims on VMs on which tasks start as soon as capacity is free, by task index.
-    ready_s
-        When the group became ready to start; `None` before.
-    failed_numbers
-        Numbers of the failed attempts by task index, so that no failure counts twice.
-    takeover_pending
-        Whether tasks that an earlier owner started may run without having been reported.
-    preemption_due_s
-        From when the group may preempt others; `None` until its tasks first have to wait.
-    preempted_core_s
-        Work of other jobs lost so far by preemptions for this group, in core-seconds.
-    reserved_until_s
-        Until when VMs without enough free capacity are reserved for the group.
-    preemptions
-        Earlier preemptions by task index.
-    crash_records
-        Worker crashes that are counted, or may be, by task index.
-    wait_cause
-        What the unplaced tasks waited for when that was last logged; `None` if none wait.
-    """
-
-    group_id: TaskGroupId
-    step: Step
-    task_resources: Resources
-    done: set[int] = attrs.field(factory=set)
-    failures: dict[int, int] = attrs.field(factory=dict)
-    attempts: dict[int, list[Attempt]] = attrs.field(factory=dict)
-    checkpoints: dict[int, str] = attrs.field(factory=dict)
-    attempt_numbers: dict[int, int] = attrs.field(factory=dict)
-    failed_vms: dict[int, set[str]] = attrs.field(factory=dict)
-    claims: dict[int, Claim] = attrs.field(factory=dict)
-    ready_s: float | None = None
-    failed_numbers: dict[int, set[int]] = attrs.field(factory=dict)
-    takeover_pending: bool = False
-    preemption_due_s: float | None = None
-    preempted_core_s: float = 0.0
-    reserved_until_s: float = float("-inf")
-    preemptions: dict[int, PreemptionHistory] = attrs.field(factory=dict)
-    crash_records: dict[int, CrashRecord] = attrs.field(factory=dict)
-    wait_cause: WaitCause | None = None
-
-    @property
-    def complete(self) -> bool:
-        """Whether all tasks are completed."""
-        return len(self.done) == self.step.tasks
-
-    @property
-    def failure_count(self) -> int:
-        """Number of failed attempts of the task that failed most often."""
-        return max(self.failures.values(), default=0)
-
-    @property
-    def work_left_core_s(self) -> float:
-        """Declared work of the tasks that are not completed, in core-seconds."""
-        left = self.step.tasks - len(self.done)
-        return left * self.step.estimate_s * self.task_resources.core_equivalents
-
-    def recorded_index(self, index: int) -> int:
-        """Return the index under which failures and checkpoints of a task are recorded."""
-        return 0 if self.step.gang else index
-
-    def earlier_lost_core_s(self, index: int) -> float:
-        """Return the work that earlier preemptions of a task lost, in core-seconds."""
-        history = self.preemptions.get(index)
-        return 0.0 if history is None else history.lost_core_s
-
-    def unplaced_indices(self) -> list[int]:
-        """Return the tasks that are not completed, have no attempt, and have claimed no VM."""
-        return [
-            index
-            for index in range(self.step.tasks)
-            if index not in self.done and not self.attempts.get(index) and index not in self.claims
-        ]
-
-    def indices_to_place(self) -> list[int]:
-        """Return the tasks that wait for VMs; those of a gang only while no member has an attempt.
-
-        Members of a gang that have claimed VMs keep them while the others are placed.
-        """
-        unplaced = self.unplaced_indices()
-        if self.step.gang and len(unplaced) + len(self.claims) < self.step.tasks:
-            return []
-        return unplaced
-
-    def is_suspect(self, index: int) -> bool:
-        """Return whether a task may crash the worker that starts it."""
-        record = self.crash_records.get(index)
-        return record is not None and record.suspect
-
-    def needs_isolation(self, index: int, now_s: float) -> bool:
-        """Return whether a task may start only where no other job runs."""
-        record = self.crash_records.get(index)
-        waits = record is not None and now_s - record.newest_s < ISOLATION_WAIT_S
-        return waits and record.suspect
-
-    def awaits_verdict(self, index: int) -> bool:
-        """Return whether a task may have to be given up because of its newest crashes."""
-        record = self.crash_records.get(index)
-        return record is not None and record.awaits_verdict
-
-    def may_disrupt(self) -> bool:
-        """Return whether the disruption budget allows stopping one of the tasks now."""
-        step = self.step
-        if not step.long_running or not step.disruption_budget:
-            return True
-        ready_tasks = sum(
-            any(
-                each.phase is AttemptPhase.RUNNING and each.percent >= READY_PERCENT
-                for each in attempts
-            )
-            for attempts in self.attempts.values()
-        )
-        return step.tasks - ready_tasks < step.disruption_budget
-
-    def active_attempts(self) -> Iterator[Attempt]:
-        """Return the attempts that have not ended."""
-        for attempts in self.attempts.values():
-            yield from attempts
-
-    def task_id(self, index: int) -> TaskId:
-        """Return the ID of a task of the group."""
-        return TaskId(*self.group_id, index)
+    from briardeal_workflow.model import Job, Queue
 
 
 @attrs.define(eq=False)
@@ -328,9 +145,18 @@
         """Return the declared run time of the longest chain of steps, in seconds."""
         return max(self._step_end_times_s())
 
-    def work_left_core_s(self) -> float:
-        """Return the declared work of all tasks that are not completed, in core-seconds."""
-        return sum(group.work_left_core_s for group in self.groups.values())
+    @property
+    def divisible(self) -> bool:
+        """Whether some of its tasks can start one by one and end by themselves."""
+        return any(not step.gang and not step.long_running for step in self.job.steps)
+
+    def work_left_core_s(self, wall_s: float) -> float:
+        """Return the declared work of the tasks left of due occurrences, in core-seconds."""
+        return sum(
+            group.work_left_core_s
+            for group in self.groups.values()
+            if not self.job.has_schedule or self.job.due_s(group.group_id.occurrence) <= wall_s
+        )
 
     def due_in_s(self, wall_s: float) -> float:
         """Return the time until the job should complete, in seconds; negative once it is late."""
--- a/packages/workflow/briardeal_workflow/planning/_claims.py
+++ b/packages/workflow/briardeal_workflow/planning/_claims.py
@@ -7,9 +7,9 @@
 import attrs
 
 if TYPE_CHECKING:
-    from briardeal_workflow.planning._active_jobs import TaskGroup
     from briardeal_workflow.planning._placement import Placement
     from briardeal_workflow.planning._state import PlannerState
+    from briardeal_workflow.planning._task_groups import TaskGroup
     from briardeal_workflow.planning._vms import Resources
 
 CLAIM_LIMIT_S = 3.0
--- a/packages/workflow/briardeal_workflow/planning/_completions.py
+++ b/packages/workflow/briardeal_workflow/planning/_completions.py
@@ -9,9 +9,10 @@
 
 if TYPE_CHECKING:
     from briardeal_workflow.model import TaskId
-    from briardeal_workflow.planning._active_jobs import ActiveJob, TaskGroup
+    from briardeal_workflow.planning._active_jobs import ActiveJob
     from briardeal_workflow.planning._attempts import Attempt
     from briardeal_workflow.planning._state import PlannerState
+    from briardeal_workflow.planning._task_groups import TaskGroup
     from briardeal_workflow.planning._vms import Vm
 
 EARLY_FAILURE_S = 1.0
--- a/packages/workflow/briardeal_workflow/planning/_passed_over.py
+++ b/packages/workflow/briardeal_workflow/planning/_passed_over.py
@@ -6,10 +6,10 @@
 from typing import TYPE_CHECKING
 
 from briardeal_core.events import Event, log_event
-from briardeal_workflow.planning._active_jobs import ActiveJob
 from briardeal_workflow.planning._orders import StartTask
 
 if TYPE_CHECKING:
+    from briardeal_workflow.planning._active_jobs import ActiveJob
     from briardeal_workflow.planning._state import PlannerState
 
 
@@ -28,7 +28,7 @@
         later = [each for each in starters if _is_later_in_class(each, waiting)]
         if later:
             count = sum(starts[each.job.job_id] for each in later)
-            _record(waiting, max(later, key=ActiveJob.work_left_core_s), count, wall_s)
+            _record(waiting, max(later, key=lambda each: starts[each.job.job_id]), count, wall_s)
 
 
 def _is_later_in_class(starter: ActiveJob, waiting: ActiveJob) -> bool:
@@ -49,8 +49,8 @@
         starts=waiting.passed_over,
         accepted_for_s=round(wall_s - waiting.job.accepted_s, 3),
         due_in_s=round(waiting.due_in_s(wall_s), 3),
-        work_left_core_s=round(waiting.work_left_core_s(), 1),
+        work_left_core_s=round(waiting.work_left_core_s(wall_s), 1),
         started=starter.job.job_id,
         started_due_in_s=round(starter.due_in_s(wall_s), 3),
-        started_work_left_core_s=round(starter.work_left_core_s(), 1),
+        started_work_left_core_s=round(starter.work_left_core_s(wall_s), 1),
     )
--- a/packages/workflow/briardeal_workflow/planning/_placement.py
+++ b/packages/workflow/briardeal_workflow/planning/_placement.py
@@ -10,8 +10,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
 
-    from briardeal_workflow.planning._active_jobs import TaskGroup
     from briardeal_workflow.planning._attempts import Attempt
+    from briardeal_workflow.planning._task_groups import TaskGroup
     from briardeal_workflow.planning._vms import Resources, Vm
 
 DATA_WAIT_FACTOR = 2.0
--- a/packages/workflow/briardeal_workflow/planning/_planner.py
+++ b/packages/workflow/briardeal_workflow/planning/_planner.py
@@ -13,6 +13,7 @@
 from briardeal_workflow.planning._attempts import URGENT, Attempt, AttemptOutcome, AttemptPhase
 from briardeal_workflow.planning._completions import CompletionHandler
 from briardeal_workflow.planning._crashes import Crash, CrashHandler
+from briardeal_workflow.planning._job_order import LeastWorkFirst
 from briardeal_workflow.planning._passed_over import record_passed_over
 from briardeal_workflow.planning._state import PlannerState
 from briardeal_workflow.planning._stuck_tasks import is_stuck
@@ -24,6 +25,7 @@
 
     from briardeal_workflow.job_table import Progress
     from briardeal_workflow.model import Configuration, Job, Step, TaskId
+    from briardeal_workflow.planning._job_order import JobOrder
     from briardeal_workflow.planning._orders import Order
     from briardeal_workflow.planning._vms import VmDescription
 
@@ -31,10 +33,6 @@
 """Time after which an attempt that its VM no longer lists counts as lost; VMs report their task
 lists every second."""
 
-LATE_FACTOR = 3.0
-"""Multiple of its latency objective after which a job without a schedule is assumed to be of no use
-to its caller; it is placed after all other jobs of its priority."""
-
 ATTEMPT_NUMBERS_PER_EPOCH = 1000
 """Attempt numbers that one owner may use for a task, so that the next owner uses higher ones."""
 
@@ -75,6 +73,8 @@
         Fencing token of the owner; its attempt numbers are higher than those of lower epochs.
     find_job
         Returns a job by its ID, whether it has finished or not; `None` if it is not stored.
+    job_order
+        Order in which jobs get free capacity; `LeastWorkFirst` by default.
 
     Attributes
     ----------
@@ -82,8 +82,14 @@
         Jobs, VMs and configuration from which the planner decides.
     """
 
-    def __init__(self, epoch: int, find_job: Callable[[str], Job | None]) -> None:
+    def __init__(
+        self,
+        epoch: int,
+        find_job: Callable[[str], Job | None],
+        job_order: JobOrder | None = None,
+    ) -> None:
         self.find_job = find_job
+        self.job_order = LeastWorkFirst() if job_order is None else job_order
         self.state = PlannerState((epoch - 1) * ATTEMPT_NUMBERS_PER_EPOCH + 1)
         self.starter = TaskStarter(self.state)
         self.completions = CompletionHandler(self.state)
@@ -237,11 +243,9 @@
         self._stop_stuck_tasks(now_s, wall_s)
         self.starter.next_preemption_s = float("inf")
         self.starter.start_claimed(now_s)
-        for active_job in sorted(
-            self.state.active_jobs.values(), key=lambda each: _job_order(each, wall_s)
-        ):
-            if active_job.finished:
-                continue
+        unfinished = [each for each in self.state.active_jobs.values() if not each.finished]
+        capacity_cores = self.state.capacity_cores()
+        for active_job in self.job_order.sort(unfinished, capacity_cores, wall_s):
             for group in active_job.ready_groups(wall_s, now_s):
                 self.starter.start_or_preempt(active_job, group, now_s)
         record_passed_over(self.state, wall_s)
@@ -360,18 +364,3 @@
             if active_job.finished and idle and job_id not in self.state.unsaved_jobs:
                 del self.state.active_jobs[job_id]
                 self.state.finished_jobs.add(job_id)
-
-
-def _job_order(active_job: ActiveJob, wall_s: float) -> tuple[int, bool, float, str]:
-    """Return the sort key of a job: urgent classes first, then the earliest objective."""
-    objective_s = active_job.objective_s()
-    too_late = (
-        wall_s > active_job.job.accepted_s + LATE_FACTOR * objective_s
-        and not active_job.job.has_schedule
-    )
-    return (
-        active_job.queue.priority,
-        too_late,
-        active_job.job.accepted_s + objective_s,
-        active_job.job.job_id,
-    )
--- a/packages/workflow/briardeal_workflow/planning/_preemption.py
+++ b/packages/workflow/briardeal_workflow/planning/_preemption.py
@@ -16,8 +16,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Sequence
 
-    from briardeal_workflow.planning._active_jobs import TaskGroup
     from briardeal_workflow.planning._attempts import Attempt
+    from briardeal_workflow.planning._task_groups import TaskGroup
     from briardeal_workflow.planning._vms import Vm
 
 
--- a/packages/workflow/briardeal_workflow/planning/_state.py
+++ b/packages/workflow/briardeal_workflow/planning/_state.py
@@ -8,17 +8,18 @@
 
 from briardeal_core.events import Event, log_event
 from briardeal_workflow.model import Configuration
-from briardeal_workflow.planning._active_jobs import PreemptionHistory
 from briardeal_workflow.planning._attempts import AttemptPhase
 from briardeal_workflow.planning._orders import StopTask
+from briardeal_workflow.planning._task_groups import PreemptionHistory
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from briardeal_workflow.model import TaskGroupId, TaskId
-    from briardeal_workflow.planning._active_jobs import ActiveJob, TaskGroup
+    from briardeal_workflow.planning._active_jobs import ActiveJob
     from briardeal_workflow.planning._attempts import Attempt
     from briardeal_workflow.planning._orders import Order
+    from briardeal_workflow.planning._task_groups import TaskGroup
     from briardeal_workflow.planning._vms import Vm
 
 
@@ -67,6 +68,15 @@
     takeover_complete: bool = False
     wall_offset_s: float = 0.0
 
+    def capacity_cores(self) -> dict[str, float]:
+        """Return the capacity of all VMs by service, in cores, with accelerators as cores."""
+        capacity: dict[str, float] = {}
+        for vm in self.vms.values():
+            service = vm.description.service
+            cores = vm.description.capacity.core_equivalents
+            capacity[service] = capacity.get(service, 0.0) + cores
+        return capacity
+
     def job_of(self, task: TaskId) -> ActiveJob | None:
         """Return the job of a task; `None` if the job is unknown or has no such task."""
         active_job = self.active_jobs.get(task.job_id)
--- a/packages/workflow/briardeal_workflow/planning/_stuck_tasks.py
+++ b/packages/workflow/briardeal_workflow/planning/_stuck_tasks.py
@@ -9,8 +9,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from briardeal_workflow.planning._active_jobs import TaskGroup
     from briardeal_workflow.planning._attempts import Attempt
+    from briardeal_workflow.planning._task_groups import TaskGroup
 
 STALL_LIMIT_S = 5.0
 """Minimum time without progress after which an attempt is stopped, even if it was slow before."""
--- a/packages/workflow/briardeal_workflow/planning/_task_starter.py
+++ b/packages/workflow/briardeal_workflow/planning/_task_starter.py
@@ -7,20 +7,21 @@
 from typing import TYPE_CHECKING
 
 from briardeal_core.events import Event, log_event
-from briardeal_workflow.planning._active_jobs import WaitCause
 from briardeal_workflow.planning._attempts import URGENT, Attempt, AttemptPhase
 from briardeal_workflow.planning._claims import ClaimKeeper
 from briardeal_workflow.planning._orders import StartTask
 from briardeal_workflow.planning._pace import STOP_S, PaceReader
 from briardeal_workflow.planning._placement import place_on_free_capacity, place_on_soonest_free
 from briardeal_workflow.planning._preemption import place_by_preemption
+from briardeal_workflow.planning._task_groups import WaitCause
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from briardeal_workflow.model import TaskId
-    from briardeal_workflow.planning._active_jobs import ActiveJob, TaskGroup
+    from briardeal_workflow.planning._active_jobs import ActiveJob
     from briardeal_workflow.planning._state import PlannerState
+    from briardeal_workflow.planning._task_groups import TaskGroup
     from briardeal_workflow.planning._vms import Vm
 
 PREEMPTION_DELAY_S = 0.6
@@ -264,7 +265,7 @@
             ready_for_s=round(waited_s, 3),
             accepted_for_s=round(wall_s - active_job.job.accepted_s, 3),
             due_in_s=round(active_job.due_in_s(wall_s), 3),
-            work_left_core_s=round(active_job.work_left_core_s(), 1),
+            work_left_core_s=round(active_job.work_left_core_s(wall_s), 1),
         )
 
     def _reserve(
