Let a job be passed over for no longer than its rest takes on a sixteenth of the capacity

With 1/64, jobs of large single tasks in the class of gangs went behind all gangs, and wide jobs of all classes were completed less often.

--- a/packages/workflow/briardeal_workflow/planning/_job_order.py
+++ b/packages/workflow/briardeal_workflow/planning/_job_order.py
@@ -13,7 +13,7 @@
 """Multiple of its latency objective after which a gang without a schedule is assumed to be of no
 use to its caller; it is placed after all other jobs of its priority."""
 
-PASSING_SHARE = 1 / 64
+PASSING_SHARE = 1 / 16
 """Share of a service's capacity by which work left is converted to time. The smaller it is, the
 more jobs are completed under overload, and the longer a wide job can be passed over."""
 
