--- a/packages/standins/briardeal_standins/planning_load/_workload.py
+++ b/packages/standins/briardeal_standins/planning_load/_workload.py
@@ -17,6 +17,8 @@
 CUSTOMERS = ("north", "east", "south", "west")
 GUARANTEED_ACCELERATORS = 16
 MIN_RUN_S = 0.5
+TASK_SPREAD = 0.15
+"""Standard deviation of the logarithm of run times within a step."""
 
 
 @attrs.frozen
@@ -32,7 +34,7 @@
     mean_tasks, max_tasks
         Mean and largest number of tasks of a step.
     mean_steps
-        Mean number of steps, which run one after the other.
+        Mean number of steps, 1 to 2, which run one after the other.
     run_s
         Median run time of a task, in seconds.
     run_spread, declared_spread
@@ -179,7 +181,8 @@
     declared_factor = _draw_factor(rng, job_class.declared_spread)
     accelerators = rng.choice(job_class.accelerators)
     checkpointable = rng.random() < job_class.checkpointable_share
-    for number in range(1 + (rng.random() < job_class.mean_steps - 1)):
+    step_count = 2 if rng.random() < job_class.mean_steps - 1 else 1
+    for number in range(step_count):
         tasks = max(1, round(rng.expovariate(1 / job_class.mean_tasks)))
         tasks = min(tasks, job_class.max_tasks, max(1, largest_accelerators // accelerators))
         gang = tasks > 1 and rng.random() < job_class.gang_share
@@ -197,7 +200,7 @@
             )
         )
         own = (1 if gang else tasks) * [typical_s]
-        varied = [each * _draw_factor(rng, 0.15) for each in own]
+        varied = [each * _draw_factor(rng, TASK_SPREAD) for each in own]
         run_s.append(tuple(varied * tasks if gang else varied))
     job = Job(
         f"{rng.getrandbits(64):016x}",
