Show entries that never get back once the store holds many jobs

An entry reads all stored jobs at its start in pages of up to 500 records, and gives each page 0.6 s. On the 5 Mbit/s link of the grown deployment a page of 500 jobs takes longer, so the entry starts again from the first page for good.

--- a/review/harness.py
+++ b/review/harness.py
@@ -45,10 +45,14 @@
 
 
 class HttpServer:
-    """A small HTTP/1.1 server. A handler that returns `None` leaves the request unanswered."""
+    """A small HTTP/1.1 server. A handler that returns `None` leaves the request unanswered.
 
-    def __init__(self, handle) -> None:
+    `bytes_per_s` limits the rate of each connection, as the link of a machine does.
+    """
+
+    def __init__(self, handle, bytes_per_s: float = 0.0) -> None:
         self.handle = handle
+        self.bytes_per_s = bytes_per_s
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
 
@@ -75,14 +79,23 @@
                 if not isinstance(content, bytes):
                     content = json.dumps(content).encode()
                 head = f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
-                writer.write(f"{head}Content-Length: {len(content)}\r\n\r\n".encode() + content)
-                await writer.drain()
+                data = f"{head}Content-Length: {len(content)}\r\n\r\n".encode() + content
+                await self._write(writer, data)
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError, ValueError):
             pass
         finally:
             self.writers.discard(writer)
             writer.close()
 
+    async def _write(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+        piece = 16_384 if self.bytes_per_s else len(data)
+        for place in range(0, len(data), piece):
+            part = data[place : place + piece]
+            writer.write(part)
+            await writer.drain()
+            if self.bytes_per_s:
+                await asyncio.sleep(len(part) / self.bytes_per_s)
+
 
 async def _read_message(reader: asyncio.StreamReader):
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
@@ -199,13 +212,15 @@
     def list_newest(self, topic, after):
         keys = sorted(key for key in self.newest.get(topic, {}) if key > after)
         items = []
+        size = 0
         for key in keys[:500]:
             offset, value = self.newest[topic][key]
-            items.append(
-                {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
-            )
+            size += len(key) + len(value)
+            if items and size > 1_000_000:
+                break
+            items.append({"key": key, "value": base64.b64encode(value).decode(), "offset": offset})
         end = len(self.logs.get(topic, []))
-        return 200, {"items": items, "hasMore": len(keys) > 500, "end": end}
+        return 200, {"items": items, "hasMore": len(keys) > len(items), "end": end}
 
     async def publish(self, configuration) -> None:
         """Write a configuration, as the operator does."""
@@ -238,8 +253,9 @@
     """A runner of the platform, with the calls and rules of the pages.
 
     The text of a task is JSON: `work_s` is how long it runs; `fails` lists the attempts, counted
-    from 1, that end as `failed` half-way. `before_start` and `before_stop` may return `"late"` to
-    leave an order unanswered and carry it out later.
+    from 1, that end as `failed` half-way; with `lasts` it runs on after that time, at 100 percent.
+    `before_start` and `before_stop` may return `"late"` to leave an order unanswered and carry it
+    out later.
     """
 
     def __init__(self, record, name, address, agent_address, service, rack, history) -> None:
@@ -324,7 +340,7 @@
                     self._end(run, "stopped")
                 elif number in behavior.get("fails", ()) and ran_s > run.works_s / 2:
                     self._end(run, "failed")
-                elif ran_s > run.works_s:
+                elif ran_s > run.works_s and not behavior.get("lasts"):
                     self._end(run, "done")
 
     def _place(self, run: Run) -> int:
@@ -644,9 +660,9 @@
             await asyncio.sleep(0.3)
         return None
 
-    async def submit(self, job_id, work_s, prefix="/a/", tasks=1, fails=(), **step):
+    async def submit(self, job_id, work_s, prefix="/a/", tasks=1, fails=(), lasts=False, **step):
         """Hand in a job of one step, and return whether it was accepted."""
-        spec = json.dumps({"work_s": work_s, "fails": list(fails)})
+        spec = json.dumps({"work_s": work_s, "fails": list(fails), "lasts": lasts})
         row = {"taskCount": tasks, "cpu": 1000, "memMb": 512, "estRuntimeMs": 1000 * work_s, **step}
         document = {"taskSpec": spec, "steps": [row]}
         answer = await self.request("POST", prefix + job_id, document)
