Log waits for a confirmed ownership and what every unfinished attempt loses

The log could not tell the hypotheses of the incident apart: a job that waits for a confirmation of the ownership was left out of the round without a line, and only stops for urgent jobs named the work that they lost. job_waits now has that cause, task_ordered says how long the job has been known and whether the task can resume, and attempt_ended names the loss of each attempt without a result, and of all such attempts of its task. Two counters by queue and outcome show the same to operators.

--- a/packages/workflow/briardeal_workflow/metrics/_metrics.py
+++ b/packages/workflow/briardeal_workflow/metrics/_metrics.py
@@ -10,6 +10,9 @@
 CALL_BOUNDS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0)
 """Histogram bounds for calls; a healthy store answers within 10 ms."""
 
+EARLY_END_S = 3.0
+"""Run time before which the end of an attempt shows that it was started where it could not stay."""
+
 START_BOUNDS_S = (0.02, 0.05, 0.1, 0.2, 0.5, 1.1, 2.7, 5.0, 10.0, 30.0)
 """Histogram bounds for first starts and takeovers; the target for urgent jobs is 1.1 s."""
 
@@ -42,6 +45,11 @@
         Number of preempted tasks by queue, and by whether that task was preempted before.
     preempted_core_s
         Work lost by preemptions by queue, in core-seconds.
+    unfinished_attempts
+        Number of attempts that ended without a result, by queue, outcome, and whether soon after
+        their start.
+    lost_core_s
+        Work lost by them, by queue and outcome, in core-seconds.
     takeover_s
         Time from a claim of ownership to the first decision of the owner, in seconds.
     """
@@ -60,6 +68,14 @@
             "briardeal_preempted_core_seconds_total",
             "Work lost by tasks stopped for other work, by queue.",
         )
+        self.unfinished_attempts = self.counter(
+            "briardeal_unfinished_attempts_total",
+            "Attempts that ended without a result, by queue, outcome and whether within 3 s.",
+        )
+        self.lost_core_s = self.counter(
+            "briardeal_lost_core_seconds_total",
+            "Work lost by attempts that ended without a result, by queue and outcome.",
+        )
         self.acceptance_s = self.histogram(
             "briardeal_acceptance_seconds",
             "Time to accept or refuse a job.",
@@ -112,3 +128,8 @@
             repeated = "yes" if fields["earlier_preemptions"] else "no"
             self.preempted_tasks.inc({"queue": queue, "repeated": repeated})
             self.preempted_core_s.add({"queue": queue}, fields["lost_core_s"])
+        elif event is Event.ATTEMPT_ENDED:
+            labels = {"queue": queue, "outcome": str(fields["outcome"])}
+            early = "yes" if fields["ran_s"] < EARLY_END_S else "no"
+            self.unfinished_attempts.inc({**labels, "early": early})
+            self.lost_core_s.add(labels, fields["lost_core_s"])
--- a/packages/workflow/briardeal_workflow/planning/_completions.py
+++ b/packages/workflow/briardeal_workflow/planning/_completions.py
@@ -5,7 +5,8 @@
 from typing import TYPE_CHECKING
 
 from briardeal_core.events import Event, log_event
-from briardeal_workflow.planning._attempts import AttemptOutcome, AttemptPhase
+from briardeal_workflow.planning._attempts import RESTART_S, AttemptOutcome, AttemptPhase
+from briardeal_workflow.planning._task_groups import UnfinishedAttempts
 
 if TYPE_CHECKING:
     from briardeal_workflow.model import TaskId
@@ -56,6 +57,8 @@
             running.remove(attempt)
         if outcome is AttemptOutcome.FAILED:
             group.failed_vms.setdefault(task.index, set()).add(vm.vm_id)
+        if outcome not in (AttemptOutcome.DONE, AttemptOutcome.REFUSED):
+            _log_unfinished(active_job, group, attempt, outcome, checkpoint, now_s)
         self.record_outcome(task, attempt.number, outcome, checkpoint, now_s)
 
     def record_failure(self, vm: Vm, now_s: float, *, vm_at_fault: bool = False) -> None:
@@ -170,3 +173,35 @@
             passed_over=active_job.passed_over,
             **inputs,
         )
+
+
+def _log_unfinished(
+    active_job: ActiveJob,
+    group: TaskGroup,
+    attempt: Attempt,
+    outcome: AttemptOutcome,
+    checkpoint: str,
+    now_s: float,
+) -> None:
+    """Log an attempt that ended without a result, and what such attempts of its task have lost."""
+    ran_s = max(0.0, now_s - attempt.ordered_s)
+    saved = bool(checkpoint or attempt.checkpoint)
+    lost_s = min(ran_s, RESTART_S) if saved else ran_s
+    lost_core_s = lost_s * attempt.resources.core_equivalents
+    unfinished = group.unfinished.setdefault(attempt.task.index, UnfinishedAttempts())
+    unfinished.count += 1
+    unfinished.lost_core_s += lost_core_s
+    log_event(
+        Event.ATTEMPT_ENDED,
+        job_id=attempt.task.job_id,
+        queue=active_job.queue.name,
+        task=str(attempt.task),
+        number=attempt.number,
+        vm=attempt.vm_id,
+        outcome=outcome,
+        ran_s=round(ran_s, 3),
+        saved=saved,
+        lost_core_s=round(lost_core_s, 1),
+        unfinished_attempts=unfinished.count,
+        lost_in_all_core_s=round(unfinished.lost_core_s, 1),
+    )
--- a/packages/workflow/briardeal_workflow/planning/_planner.py
+++ b/packages/workflow/briardeal_workflow/planning/_planner.py
@@ -255,7 +255,7 @@
         unfinished = [
             each
             for each in self.state.active_jobs.values()
-            if not each.finished and each.added_s <= confirmed_s
+            if not each.finished and self._is_confirmed(each, now_s, confirmed_s)
         ]
         capacity_cores = self.state.capacity_cores()
         for active_job in self.job_order.sort(unfinished, capacity_cores, wall_s):
@@ -271,6 +271,13 @@
         """When the next waiting urgent task may preempt others; infinity if none waits."""
         return self.starter.next_preemption_s
 
+    def _is_confirmed(self, active_job: ActiveJob, now_s: float, confirmed_s: float) -> bool:
+        """Return whether a job was known when this process was last certainly the only owner."""
+        if active_job.added_s <= confirmed_s:
+            return True
+        self.starter.record_unconfirmed(active_job, now_s)
+        return False
+
     def _find_attempt(self, vm_id: str, task: TaskId, number: int) -> Attempt | None:
         vm = self.state.vms.get(vm_id)
         return vm.attempts.get((task, number)) if vm is not None else None
--- a/packages/workflow/briardeal_workflow/planning/_task_groups.py
+++ b/packages/workflow/briardeal_workflow/planning/_task_groups.py
@@ -30,6 +30,7 @@
     COSTS_MORE = "making room would have cost more work than it brought"
     ISOLATION = "its workers crashed, and no VM without other work was free"
     VERDICT = "its workers crashed, and reports of other crashes may still arrive"
+    CONFIRMATION = "the ownership was not confirmed since the job became known"
 
 
 @attrs.define
@@ -48,6 +49,22 @@
     lost_core_s: float = 0.0
 
 
+@attrs.define
+class UnfinishedAttempts:
+    """Attempts of a task under this owner that ended without its result.
+
+    Attributes
+    ----------
+    count
+        Number of attempts.
+    lost_core_s
+        Work of them that no checkpoint holds, in core-seconds.
+    """
+
+    count: int = 0
+    lost_core_s: float = 0.0
+
+
 ISOLATION_WAIT_S = 3.0
 """Time after a crash for which its suspects wait for a VM without other work."""
 
@@ -91,6 +108,8 @@
         Until when VMs without enough free capacity are reserved for the group.
     preemptions
         Earlier preemptions by task index.
+    unfinished
+        Attempts that ended without a result, by task index.
     crash_records
         Worker crashes that are counted, or may be, by task index.
     wait_cause
@@ -114,6 +133,7 @@
     preempted_core_s: float = 0.0
     reserved_until_s: float = float("-inf")
     preemptions: dict[int, PreemptionHistory] = attrs.field(factory=dict)
+    unfinished: dict[int, UnfinishedAttempts] = attrs.field(factory=dict)
     crash_records: dict[int, CrashRecord] = attrs.field(factory=dict)
     wait_cause: WaitCause | None = None
 
--- a/packages/workflow/briardeal_workflow/planning/_task_starter.py
+++ b/packages/workflow/briardeal_workflow/planning/_task_starter.py
@@ -106,6 +106,12 @@
             self.claims.release_incomplete(group, now_s)
             self._reserve(group, group.unplaced_indices(), unreserved, now_s)
 
+    def record_unconfirmed(self, active_job: ActiveJob, now_s: float) -> None:
+        """Log a job that has waited for a confirmation of the ownership."""
+        group = next(iter(active_job.groups.values()))
+        waited_s = now_s - active_job.added_s
+        self._log_wait(active_job, group, WaitCause.CONFIRMATION, waited_s, now_s)
+
     def start_claimed(self, now_s: float) -> None:
         """Start tasks whose claimed VMs now have enough free capacity."""
         self.claims.release_silent(now_s)
@@ -251,6 +257,16 @@
     ) -> None:
         """Log what the tasks of a group wait for, once for each change."""
         waited_s = now_s - (now_s if group.ready_s is None else group.ready_s)
+        self._log_wait(active_job, group, cause, waited_s, now_s)
+
+    def _log_wait(
+        self,
+        active_job: ActiveJob,
+        group: TaskGroup,
+        cause: WaitCause,
+        waited_s: float,
+        now_s: float,
+    ) -> None:
         if waited_s < WAIT_LOG_DELAY_S or cause is group.wait_cause:
             return
         group.wait_cause = cause
@@ -334,6 +350,7 @@
         if group.is_suspect(index):
             vm.begin_probation(attempt, now_s + group.crash_records[index].probation_s)
         ready_for_s = 0.0 if group.ready_s is None else round(now_s - group.ready_s, 3)
+        known_for_s = round(now_s - active_job.added_s, 3)
         self.state.orders.append(
             StartTask(
                 vm.vm_id,
@@ -344,7 +361,9 @@
                 cause,
                 {
                     "ready_for_s": ready_for_s,
+                    "known_for_s": known_for_s,
                     "resumed": bool(attempt.checkpoint),
+                    "checkpointable": group.step.checkpointable,
                     "cpu_millis": group.task_resources.cpu_millis,
                     "accelerators": group.task_resources.accelerators,
                 },
