Report for how long tasks have run, so that a new owner knows what a stop loses

The new owner took the time at which it adopted a task for its start, so that all running work looked new.

Agents know when each start was ordered, and report it with the running tasks. For an agent that does not, the completed part of the declared run time is used.

--- a/packages/workflow/briardeal_workflow/control/_messages.py
+++ b/packages/workflow/briardeal_workflow/control/_messages.py
@@ -54,6 +54,9 @@
     load
         Approximate value over the last 0.5 s: tail latency in milliseconds for a long-running task
         with a latency target, processor time in use for any other task.
+    ran_ms
+        Time since the start order, in milliseconds; `UNKNOWN_RUN_MS` if the agent was started
+        after the task, or belongs to an earlier version.
     """
 
     task: TaskId
@@ -61,6 +64,7 @@
     checkpoint: str
     percent: int
     load: float
+    ran_ms: int = UNKNOWN_RUN_MS
 
 
 class EndedTask(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/workflow/briardeal_workflow/owner/_reports.py
+++ b/packages/workflow/briardeal_workflow/owner/_reports.py
@@ -52,7 +52,14 @@
 def convert_rows(report: VmReport) -> list[RunningTask]:
     """Return the attempts that a report lists as running or unresolved, for the planner."""
     rows = [
-        RunningTask(row.task, row.number, row.checkpoint, row.percent, row.load)
+        RunningTask(
+            row.task,
+            row.number,
+            row.checkpoint,
+            row.percent,
+            row.load,
+            ran_s=None if row.ran_ms >= UNKNOWN_RUN_MS else row.ran_ms / 1000,
+        )
         for row in report.running
     ]
     rows += [RunningTask(task, number) for task, number in report.unsettled]
--- a/packages/workflow/briardeal_workflow/planning/_planner.py
+++ b/packages/workflow/briardeal_workflow/planning/_planner.py
@@ -9,7 +9,13 @@
 
 from briardeal_core.events import Event, log_event
 from briardeal_workflow.planning._active_jobs import ActiveJob
-from briardeal_workflow.planning._attempts import URGENT, Attempt, AttemptOutcome, AttemptPhase
+from briardeal_workflow.planning._attempts import (
+    DONE_PERCENT,
+    URGENT,
+    Attempt,
+    AttemptOutcome,
+    AttemptPhase,
+)
 from briardeal_workflow.planning._completions import CompletionHandler
 from briardeal_workflow.planning._crashes import Crash, CrashHandler
 from briardeal_workflow.planning._job_order import LeastWorkFirst
@@ -51,6 +57,8 @@
     load
         Approximate value over the last 0.5 s: tail latency in milliseconds for a long-running task
         with a latency target, processor time in use for any other task.
+    ran_s
+        Time since the start order, in seconds; `None` if its VM does not know it.
     """
 
     task: TaskId
@@ -58,6 +66,7 @@
     checkpoint: str = ""
     percent: int = 0
     load: float = 0.0
+    ran_s: float | None = None
 
 
 class Planner:
@@ -288,9 +297,13 @@
         if active_job is None:
             return self._stop_leftover_attempt(vm, running_task, now_s)
         group = active_job.groups[running_task.task.group]
+        ran_s = running_task.ran_s
+        if ran_s is None:
+            ran_s = group.step.estimate_s * running_task.percent / DONE_PERCENT
         attempt = self.starter.add_attempt(
             active_job, group, vm, running_task.task, running_task.number, now_s
         )
+        attempt.ordered_s = now_s - ran_s
         attempt.phase = AttemptPhase.RUNNING
         self.state.record_started(running_task.task)
         if active_job.finished or running_task.task.index in group.done:
--- a/packages/workflow/briardeal_workflow/worker/_agent.py
+++ b/packages/workflow/briardeal_workflow/worker/_agent.py
@@ -464,7 +464,7 @@
             self._sequence,
             self.epoch,
             self.registration.vm,
-            self.table.running_tasks(),
+            self.crashes.add_run_times(self.table.running_tasks()),
             self.table.ended,
             tuple(self.orders.unresolved),
             age_ms=int(1000 * (boottime_s() - self.listed_s)),
--- a/packages/workflow/briardeal_workflow/worker/_crashes.py
+++ b/packages/workflow/briardeal_workflow/worker/_crashes.py
@@ -1,10 +1,11 @@
-"""Record of the crashes of a worker, with the tasks that ran on it."""
+"""Record of how long the tasks of a worker have run, and of its crashes."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
 import attrs
+import msgspec
 
 from briardeal_core.clock import boottime_s
 from briardeal_core.events import Event, log_event
@@ -13,6 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Set
 
+    from briardeal_workflow.control import ListedTask
     from briardeal_workflow.model import TaskId
 
 CRASH_RETENTION_S = 30.0
@@ -30,7 +32,7 @@
 
 
 class CrashRecorder:
-    """Records which tasks a worker ran when it crashed, and for how long.
+    """Records for how long the tasks of a worker run, and which of them ran when it crashed.
 
     Attributes
     ----------
@@ -98,8 +100,16 @@
             for crash in self._crashes
         )
 
-    def _ran_ms(self, task: TaskId, number: int, crashed_s: float) -> int:
+    def add_run_times(self, rows: Iterable[ListedTask]) -> tuple[ListedTask, ...]:
+        """Return rows of running tasks with the times since their start orders."""
+        now_s = boottime_s()
+        return tuple(
+            msgspec.structs.replace(row, ran_ms=self._ran_ms(row.task, row.number, now_s))
+            for row in rows
+        )
+
+    def _ran_ms(self, task: TaskId, number: int, at_s: float) -> int:
         ordered_s = self.ordered_s.get((task, number))
         if ordered_s is None:
             return UNKNOWN_RUN_MS
-        return min(max(0, int(1000 * (crashed_s - ordered_s))), UNKNOWN_RUN_MS)
+        return min(max(0, int(1000 * (at_s - ordered_s))), UNKNOWN_RUN_MS)
--- a/tests/workflow/entry/test_takeovers.py
+++ b/tests/workflow/entry/test_takeovers.py
@@ -33,6 +33,24 @@
         assert site.checker.start_count == 5
 
 
+async def test_new_owner_learns_for_how_long_tasks_have_run():
+    async with run_site() as site:
+        job = make_job(small_step(4, estimate_s=30.0))
+        await site.submit(job, TaskBehavior(30.0))
+        await site.wait_for_state(job.job_id, "running", 5.0)
+        await asyncio.sleep(10.0)
+        await site.kill(await site.wait_for_owner())
+        owner = site.entry(await site.wait_for_owner()).control_server.owner
+        await asyncio.sleep(1.0)
+        attempts = [
+            attempt for vm in owner.planner.state.vms.values() for attempt in vm.attempts.values()
+        ]
+        assert len(attempts) == 4
+        ran_s = loop_time() - site.checker.first_start_s[job.job_id]
+        for attempt in attempts:
+            assert loop_time() - attempt.ordered_s == pytest.approx(ran_s, abs=0.2)
+
+
 async def test_leaving_owner_hands_over_immediately():
     async with run_site() as site:
         owner = await site.wait_for_owner()
--- a/tests/workflow/planning/test_adoption.py
+++ b/tests/workflow/planning/test_adoption.py
@@ -68,6 +68,20 @@
     return stops
 
 
+@pytest.mark.parametrize("old", [{"ran_s": 25.0}, {"percent": 80}])
+def test_new_owner_stops_younger_work_before_work_that_an_earlier_owner_started(old):
+    harness = PlannerHarness(vms=2, epoch=2)
+    earlier = harness.submit(whole_vm_step(estimate_s=30.0), customer="south")
+    task = TaskId(earlier.job_id, 0, 0, 0)
+    harness.planner.record_task_list("vm-0", [RunningTask(task, 1, **old)], harness.now_s)
+    younger = harness.submit(whole_vm_step(estimate_s=30.0), customer="south")
+    harness.report_running(harness.start_orders())
+    harness.decide(after_s=3.0)
+    harness.submit(whole_vm_step(), queue="urgent", customer="north")
+    (stop,) = harness.decide_after_preemption_delay()
+    assert stop.task.job_id == younger.job_id
+
+
 @pytest.mark.parametrize("numbers", list(itertools.permutations((1, 2, 3))))
 def test_failures_that_an_earlier_owner_did_not_store_count_in_any_order(numbers):
     harness = PlannerHarness(vms=3, epoch=2, takeover_complete=False)
