Run an owner only under a claim of this entry, whatever it has waited for

An entry that had claimed the ownership and was still reading the jobs ran an owner as soon as they were read, also when another entry had claimed since: it took the newer token for its own. It gave no orders, but announced itself under that token, and agents followed it. They sent heartbeats to the right owner and reports to the wrong one, so that what ran on their VMs never ended for the owner, for as long as the token lasted: a VM with eight tasks that were to stop was cleared for urgent gangs again and again for 65 s, and each time given up after 3 s.

An entry now looks again whether the claim is its own before it runs an owner.

Test: fails on the code before, where the agents followed the wrong entry.

--- a/packages/workflow/briardeal_workflow/entry/_entry.py
+++ b/packages/workflow/briardeal_workflow/entry/_entry.py
@@ -120,6 +120,9 @@
         while True:
             await self.election.elected.wait()
             await self.job_follower.caught_up.wait()
+            if not self.election.is_owner:
+                # Another entry has claimed the ownership since, under a token of its own.
+                continue
             self.owner = Owner(
                 self.election,
                 self.control_server,
--- a/tests/workflow/entry/test_takeovers.py
+++ b/tests/workflow/entry/test_takeovers.py
@@ -51,6 +51,43 @@
             assert loop_time() - attempt.ordered_s == pytest.approx(ran_s, abs=0.2)
 
 
+class ClosedGate(asyncio.Event):
+    """Event that stays unset until the gate is opened."""
+
+    def set(self):
+        """Do nothing while the gate is closed."""
+
+    def open(self):
+        super().set()
+
+
+async def test_entry_that_lost_its_claim_while_it_read_the_jobs_does_not_act_under_the_newer_one():
+    async with run_site() as site:
+        owner = await site.wait_for_owner()
+        slow, other = (site.entry(name) for name in site.entry_names if name != owner)
+        slow.job_follower.caught_up = ClosedGate()
+        other.election.leaving = True
+        await site.kill(owner)
+        await wait_until(lambda: slow.election.is_owner)
+        other.election.leaving = False
+        site.isolate([slow.election.entry_id])
+        await wait_until(lambda: other.owner is not None and other.owner.loaded)
+        site.reconnect_all()
+        await wait_until(lambda: slow.election.epoch == other.election.epoch)
+        slow.job_follower.caught_up.open()
+        await asyncio.sleep(1.0)
+        assert slow.owner is None
+        for name in site.vms:
+            assert site.processes[name].program.owner.address == other.address
+
+
+async def wait_until(condition):
+    """Wait until a condition holds, for five seconds at most."""
+    async with asyncio.timeout(5.0):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
 async def test_leaving_owner_hands_over_immediately():
     async with run_site() as site:
         owner = await site.wait_for_owner()
