Add a large fleet to the load on the planner alone, and count early stops

The load had one fleet of 11 VMs, in which urgent gangs seldom take several whole VMs. The large one has 55 VMs, an urgent gang every second and wide bulk steps, as on the users' grown fleets. The report counts stops within 3 s of a start, and the work that no checkpoint holds, in core-seconds.

The emulator sets when a job was accepted, as the entries do; objectives lay a million seconds in the past there.

--- a/packages/standins/briardeal_standins/emulator/_emulator.py
+++ b/packages/standins/briardeal_standins/emulator/_emulator.py
@@ -234,7 +234,9 @@
         self, job: Job, behavior: TaskBehavior, entry: str | None = None
     ) -> bool | None:
         """Submit a job; return whether it was accepted, or `None` if that is unknown."""
-        job = msgspec.structs.replace(job, terms=self.terms[job.queue])
+        job = msgspec.structs.replace(
+            job, terms=self.terms[job.queue], accepted_s=job.accepted_s or self.clock.now_s()
+        )
         self.behaviors[job.command] = behavior
         self.checker.jobs[job.job_id] = job
         running = [each for each in self.entry_names if each in self.processes]
--- a/packages/standins/briardeal_standins/planning_load/__init__.py
+++ b/packages/standins/briardeal_standins/planning_load/__init__.py
@@ -2,14 +2,24 @@
 
 from briardeal_standins.planning_load._report import ClassReport, EarliestObjective, simulate
 from briardeal_standins.planning_load._simulation import JobResult, Simulation
-from briardeal_standins.planning_load._workload import CONFIGURATION, OfferedJob, create_workload
+from briardeal_standins.planning_load._workload import (
+    CONFIGURATION,
+    LARGE_FLEET,
+    SMALL_FLEET,
+    Fleet,
+    OfferedJob,
+    create_workload,
+)
 
 __all__ = [
     "CONFIGURATION",
     "ClassReport",
     "EarliestObjective",
+    "Fleet",
     "JobResult",
+    "LARGE_FLEET",
     "OfferedJob",
+    "SMALL_FLEET",
     "Simulation",
     "create_workload",
     "simulate",
--- a/packages/standins/briardeal_standins/planning_load/_report.py
+++ b/packages/standins/briardeal_standins/planning_load/_report.py
@@ -8,12 +8,17 @@
 import attrs
 
 from briardeal_standins.planning_load._simulation import Simulation
-from briardeal_standins.planning_load._workload import CONFIGURATION, create_workload
+from briardeal_standins.planning_load._workload import (
+    CONFIGURATION,
+    SMALL_FLEET,
+    create_workload,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Mapping
 
     from briardeal_standins.planning_load._simulation import JobResult
+    from briardeal_standins.planning_load._workload import Fleet
     from briardeal_workflow.planning import ActiveJob, JobOrder
 
 LATE_FACTOR = 3.0
@@ -47,8 +52,10 @@
     jobs, in_time, late
         Number of jobs, of those completed within their objective, and of those completed later
         but within three times their objective.
-    starts, stops
-        Number of task starts, and of stopped tasks.
+    starts, stops, early_stops
+        Number of task starts, of stopped tasks, and of tasks stopped right after their start.
+    lost_core_s
+        Work of stopped tasks that no checkpoint holds, in core-seconds.
     """
 
     jobs: int = 0
@@ -56,6 +63,13 @@
     late: int = 0
     starts: int = 0
     stops: int = 0
+    early_stops: int = 0
+    lost_core_s: float = 0.0
+
+    @property
+    def done(self) -> int:
+        """Number of jobs completed within three times their objective."""
+        return self.in_time + self.late
 
     def add(self, result: JobResult) -> None:
         """Add the result of one job."""
@@ -64,13 +78,15 @@
         self.late += result.objective_s < result.took_s <= LATE_FACTOR * result.objective_s
         self.starts += result.starts
         self.stops += result.stops
+        self.early_stops += result.early_stops
+        self.lost_core_s += result.lost_core_s
 
 
 def simulate(
     job_order: JobOrder | None,
     seeds: Iterable[int],
     load: float,
-    vms: int = 11,
+    fleet: Fleet = SMALL_FLEET,
     duration_s: float = 40.0,
     until_s: float = 75.0,
 ) -> dict[str, ClassReport]:
@@ -84,13 +100,16 @@
         Seeds of the workloads.
     load
         Offered work as a multiple of the capacity.
-    vms, duration_s, until_s
-        Number of VMs, time over which jobs are submitted, and end of the simulation, in seconds.
+    fleet
+        VMs, and classes of the jobs.
+    duration_s, until_s
+        Time over which jobs are submitted, and end of the simulation, in seconds.
     """
     reports = {name: ClassReport() for name in CONFIGURATION.queues_by_name}
     for seed in seeds:
-        workload = create_workload(random.Random(seed), vms, load, duration_s, STARTED_S)
-        simulation = Simulation(vms, workload, STARTED_S, job_order)
+        rng = random.Random(seed)
+        workload = create_workload(rng, fleet, load, duration_s, STARTED_S)
+        simulation = Simulation(fleet, workload, STARTED_S, job_order)
         simulation.run(until_s)
         for result in simulation.results.values():
             reports[result.offered.job.queue].add(result)
--- a/packages/standins/briardeal_standins/planning_load/_simulation.py
+++ b/packages/standins/briardeal_standins/planning_load/_simulation.py
@@ -8,11 +8,7 @@
 
 import attrs
 
-from briardeal_standins.planning_load._workload import (
-    ACCELERATORS_PER_VM,
-    CONFIGURATION,
-    SERVICE,
-)
+from briardeal_standins.planning_load._workload import CONFIGURATION, SERVICE
 from briardeal_workflow.job_table import Progress
 from briardeal_workflow.planning import (
     AttemptOutcome,
@@ -26,7 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from briardeal_standins.planning_load._workload import OfferedJob
+    from briardeal_standins.planning_load._workload import Fleet, OfferedJob
     from briardeal_workflow.model import TaskId
     from briardeal_workflow.planning import JobOrder, Order
 
@@ -39,9 +35,11 @@
 LIST_INTERVAL_S = 1.0
 LEASE_S = 5.0
 RESTORE_S = 0.1
-VM_CAPACITY = Resources(64_000, 262_144, ACCELERATORS_PER_VM)
 VMS_PER_RACK = 3
 
+EARLY_STOP_S = 3.0
+"""Run time before which a stop shows that a task was started where it could not stay."""
+
 
 @attrs.define
 class JobResult:
@@ -53,14 +51,22 @@
         Job as it was submitted.
     took_s
         Time from its submission to its completion in seconds; infinity if it was not completed.
-    starts, stops
-        Number of tasks started, and of running tasks stopped.
+    first_start_s
+        Time from its submission to its first start in seconds; infinity if it never started.
+    starts, stops, early_stops
+        Number of tasks started, of running tasks stopped, and of those stopped right after their
+        start.
+    lost_core_s
+        Work of stopped tasks that no checkpoint holds, in core-seconds.
     """
 
     offered: OfferedJob
     took_s: float = float("inf")
+    first_start_s: float = float("inf")
     starts: int = 0
     stops: int = 0
+    early_stops: int = 0
+    lost_core_s: float = 0.0
 
     @property
     def objective_s(self) -> float:
@@ -89,8 +95,8 @@
 
     Parameters
     ----------
-    vms
-        Number of VMs.
+    fleet
+        VMs of the planner.
     workload
         Jobs in the order of their submission.
     started_s
@@ -102,13 +108,11 @@
     ----------
     results
         Results by job ID.
-    lost_accelerator_s
-        Work of stopped tasks that no checkpoint holds, in accelerator-seconds.
     """
 
     def __init__(
         self,
-        vms: int,
+        fleet: Fleet,
         workload: Sequence[OfferedJob],
         started_s: float,
         job_order: JobOrder | None = None,
@@ -118,8 +122,8 @@
         self.planner.complete_takeover()
         self.started_s = started_s
         self.results = {each.job.job_id: JobResult(each) for each in workload}
-        self.lost_accelerator_s = 0.0
-        self.vm_ids = [f"vm-{number}" for number in range(vms)]
+        self.vm_capacity = fleet.vm_capacity
+        self.vm_ids = [f"vm-{number}" for number in range(fleet.vms)]
         self._runs: dict[tuple[TaskId, int], _Run] = {}
         self._events: list[tuple[float, int, Callable[[float], None]]] = []
         self._numbers = itertools.count()
@@ -155,7 +159,9 @@
             total_s = offered.run_s[order.task.step][order.task.index]
             saved_s = float(order.checkpoint) if order.checkpoint else 0.0
             run = self._runs[key] = _Run(order, now_s, saved_s, total_s)
-            self.results[order.task.job_id].starts += 1
+            result = self.results[order.task.job_id]
+            result.starts += 1
+            result.first_start_s = min(result.first_start_s, now_s - offered.submitted_s)
             self.planner.record_started(order.vm_id, order.task, order.number, now_s)
             restore_s = RESTORE_S if order.checkpoint else 0.0
             end_s = now_s + restore_s + total_s - saved_s
@@ -173,11 +179,13 @@
         outcome, checkpoint = AttemptOutcome.DONE, ""
         if run.stopping:
             outcome = AttemptOutcome.STOPPED
-            self.results[task.job_id].stops += 1
+            result, ran_s = self.results[task.job_id], now_s - run.started_s
+            result.stops += 1
+            result.early_stops += ran_s < EARLY_STOP_S
             if step.checkpointable:
                 checkpoint = f"{run.worked_s(now_s):.3f}"
             else:
-                self.lost_accelerator_s += (now_s - run.started_s) * step.accelerators
+                result.lost_core_s += ran_s * Resources.of_task(step).core_equivalents
         self.planner.record_outcome(run.order.vm_id, task, number, outcome, checkpoint, now_s)
         job_id = task.job_id
         active_job = self.planner.state.active_jobs.get(job_id)
@@ -193,7 +201,9 @@
             rows[run.order.vm_id].append(RunningTask(task, number, "", percent))
         for position, vm_id in enumerate(self.vm_ids):
             rack = f"rack-{position // VMS_PER_RACK}"
-            description = VmDescription(vm_id, "1", SERVICE, VM_CAPACITY, frozenset({rack}), rack)
+            description = VmDescription(
+                vm_id, "1", SERVICE, self.vm_capacity, frozenset({rack}), rack
+            )
             self.planner.update_vm(description, now_s + LEASE_S, now_s)
             self.planner.record_task_list(vm_id, rows[vm_id], now_s)
         self._at(now_s + LIST_INTERVAL_S, self._list_tasks)
--- a/packages/standins/briardeal_standins/planning_load/_workload.py
+++ b/packages/standins/briardeal_standins/planning_load/_workload.py
@@ -8,12 +8,12 @@
 import attrs
 
 from briardeal_workflow.model import Configuration, Customer, Job, Queue, Service, Step
+from briardeal_workflow.planning import Resources
 
 if TYPE_CHECKING:
     from random import Random
 
 SERVICE = "sampling"
-ACCELERATORS_PER_VM = 8
 CUSTOMERS = ("north", "east", "south", "west")
 GUARANTEED_ACCELERATORS = 16
 MIN_RUN_S = 0.5
@@ -110,10 +110,70 @@
     gang_share=0.0,
     checkpointable_share=0.45,
 )
-CLASSES = (URGENT, BATCH, BULK)
+
+
+@attrs.frozen
+class Fleet:
+    """VMs of one size, and the classes of the jobs that they run.
+
+    Parameters
+    ----------
+    vms
+        Number of VMs.
+    vm_capacity
+        Capacity of each VM.
+    classes
+        Classes of the jobs.
+    """
+
+    vms: int
+    vm_capacity: Resources
+    classes: tuple[JobClass, ...] = (URGENT, BATCH, BULK)
+
+    @property
+    def accelerators(self) -> int:
+        """Number of accelerators of all VMs."""
+        return self.vms * self.vm_capacity.accelerators
+
+
+SMALL_FLEET = Fleet(vms=11, vm_capacity=Resources(64_000, 262_144, 8))
+"""A fleet on which single tasks share VMs with each other and with small gangs."""
+
+LARGE_FLEET = Fleet(
+    vms=55,
+    vm_capacity=Resources(32_000, 65_536, 8),
+    classes=(
+        attrs.evolve(
+            URGENT, share=0.24, mean_tasks=5.0, max_tasks=28, cpu_millis=3700, memory_mb=9800
+        ),
+        attrs.evolve(
+            BATCH,
+            share=0.44,
+            mean_tasks=6.0,
+            max_tasks=35,
+            run_s=14.0,
+            run_spread=0.4,
+            cpu_millis=13_000,
+            memory_mb=26_000,
+            gang_share=1.0,
+        ),
+        attrs.evolve(
+            BULK,
+            share=0.32,
+            mean_tasks=30.0,
+            max_tasks=180,
+            run_s=14.0,
+            run_spread=0.4,
+            cpu_millis=2800,
+            memory_mb=7400,
+        ),
+    ),
+)
+"""A fleet with an urgent gang of several VMs every second, and with bulk jobs of wide steps."""
+
 CONFIGURATION = Configuration(
     1,
-    queues=tuple(each.queue for each in CLASSES),
+    queues=tuple(each.queue for each in (URGENT, BATCH, BULK)),
     services=(Service(SERVICE),),
     customers=tuple(Customer(name, frozenset(), GUARANTEED_ACCELERATORS) for name in CUSTOMERS),
 )
@@ -139,14 +199,14 @@
 
 
 def create_workload(
-    rng: Random, vms: int, load: float, duration_s: float, started_s: float
+    rng: Random, fleet: Fleet, load: float, duration_s: float, started_s: float
 ) -> list[OfferedJob]:
     """Return the jobs of a load, in the order of their submission.
 
     Parameters
     ----------
-    vms
-        Number of VMs with eight accelerators each.
+    fleet
+        VMs and the classes of the jobs.
     load
         Offered work as a multiple of what the accelerators can do.
     duration_s
@@ -155,13 +215,11 @@
         Start of the load, in seconds since 1970.
     """
     jobs = []
-    for job_class in CLASSES:
-        work_s = load * job_class.share * vms * ACCELERATORS_PER_VM * duration_s
+    for job_class in fleet.classes:
+        work_s = load * job_class.share * fleet.accelerators * duration_s
         while work_s > 0:
             submitted_s = rng.uniform(0.0, duration_s)
-            offered = _create_job(
-                rng, job_class, vms * ACCELERATORS_PER_VM // 2, submitted_s, started_s
-            )
+            offered = _create_job(rng, job_class, fleet.accelerators // 2, submitted_s, started_s)
             work_s -= sum(
                 sum(run_s) * step.accelerators
                 for step, run_s in zip(offered.job.steps, offered.run_s, strict=True)
