Keep free capacity for urgent tasks that wait to preempt

Two causes: while an urgent gang waits up to 0.6 s for tasks that end soon by their pace, nothing was reserved, and bulk tasks filled the VMs that it had free already; and VMs were reserved for a second at a time, so that one that became free early was filled.

The VMs to reserve are now chosen from the moment at which a task waits, and in each round; those that are not chosen again are given back.

Tests: two new ones that fail on the code before.

--- a/packages/workflow/briardeal_workflow/planning/_task_groups.py
+++ b/packages/workflow/briardeal_workflow/planning/_task_groups.py
@@ -104,8 +104,8 @@
         From when the group may preempt others; `None` until its tasks first have to wait.
     preempted_core_s
         Work of other jobs lost so far by preemptions for this group, in core-seconds.
-    reserved_until_s
-        Until when VMs without enough free capacity are reserved for the group.
+    reserved_vms
+        VMs reserved for the group by the newest round in which its tasks waited.
     preemptions
         Earlier preemptions by task index.
     unfinished
@@ -131,7 +131,7 @@
     takeover_pending: bool = False
     preemption_due_s: float | None = None
     preempted_core_s: float = 0.0
-    reserved_until_s: float = float("-inf")
+    reserved_vms: set[str] = attrs.field(factory=set)
     preemptions: dict[int, PreemptionHistory] = attrs.field(factory=dict)
     unfinished: dict[int, UnfinishedAttempts] = attrs.field(factory=dict)
     crash_records: dict[int, CrashRecord] = attrs.field(factory=dict)
--- a/packages/workflow/briardeal_workflow/planning/_task_starter.py
+++ b/packages/workflow/briardeal_workflow/planning/_task_starter.py
@@ -29,8 +29,7 @@
 the stop of tasks that do not, they still start within the limit of 1.1 s."""
 
 RESERVATION_S = 1.0
-"""Time after which the VMs to reserve are chosen again by the attempts that run then; VMs report
-their task lists every second."""
+"""Time after which a reservation ends unless a planning round repeats it."""
 
 PROBATION_SHARE = 1 / 3
 """Largest share of the VMs on which tasks that may crash them are on probation at the same time."""
@@ -99,6 +98,7 @@
             group.preemption_due_s = self._preemption_due_s(group, unplaced, unreserved, now_s)
         if now_s < group.preemption_due_s:
             self.next_preemption_s = min(self.next_preemption_s, group.preemption_due_s)
+            self._reserve(group, unplaced, unreserved, now_s)
             return
         obstacle = self._preempt_for(active_job, group, unplaced, vms, now_s)
         if obstacle is not None:
@@ -287,16 +287,21 @@
     def _reserve(
         self, group: TaskGroup, indices: Sequence[int], vms: Sequence[Vm], now_s: float
     ) -> None:
-        """Reserve the VMs that have capacity soonest, so that no smaller task occupies it first."""
-        if group.reserved_until_s > now_s:
-            return
+        """Reserve the VMs that have capacity soonest, so that no smaller task occupies it first.
+
+        They are chosen again in each round, as tasks end earlier than expected.
+        """
         by_pace = PaceReader(self.state, now_s)
         placement = place_on_soonest_free(
             vms, group, indices, now_s, lambda attempt: self._remaining_s(attempt, now_s, by_pace)
         )
-        group.reserved_until_s = now_s + RESERVATION_S
-        for vm_id in () if placement is None else placement.vms.values():
-            self.state.vms[vm_id].reserve_for(group.group_id, group.reserved_until_s)
+        chosen = set() if placement is None else set(placement.vms.values())
+        for vm_id in group.reserved_vms - chosen:
+            if vm_id in self.state.vms:
+                self.state.vms[vm_id].release_reservation(group.group_id)
+        for vm_id in chosen:
+            self.state.vms[vm_id].reserve_for(group.group_id, now_s + RESERVATION_S)
+        group.reserved_vms = chosen
 
     def _remaining_s(self, attempt: Attempt, now_s: float, by_pace: PaceReader) -> float:
         """Return the expected remaining run time of an attempt, in seconds."""
--- a/packages/workflow/briardeal_workflow/planning/_vms.py
+++ b/packages/workflow/briardeal_workflow/planning/_vms.py
@@ -208,6 +208,11 @@
         """Reserve the VM for one group until a given time."""
         self.reserved_for, self.reserved_until_s = group, until_s
 
+    def release_reservation(self, group: TaskGroupId) -> None:
+        """End the reservation of the VM if it is that of the given group."""
+        if self.reserved_for == group:
+            self.reserved_for, self.reserved_until_s = None, float("-inf")
+
     def is_reserved_for_other(self, group: TaskGroupId, now_s: float) -> bool:
         """Return whether the VM is reserved for another group."""
         return self.reserved_until_s > now_s and self.reserved_for != group
--- a/tests/workflow/planning/test_preemption.py
+++ b/tests/workflow/planning/test_preemption.py
@@ -250,6 +250,34 @@
     assert second < 8
 
 
+def test_bulk_tasks_do_not_start_where_a_waiting_urgent_gang_is_about_to_stop_them():
+    harness = PlannerHarness(vms=2)
+    ends_soon = start_task_that_ends_soon(harness)
+    urgent = harness.submit(whole_vm_step(2, gang=True), queue="urgent", customer="north")
+    harness.submit(small_step(8, estimate_s=16.0), customer="south")
+    assert harness.decide() == []
+    harness.report_outcome(ends_soon, AttemptOutcome.DONE)
+    starts = harness.start_orders(after_s=0.2)
+    assert {start.task.job_id for start in starts} == {urgent.job_id}
+
+
+def test_vm_that_becomes_free_early_is_kept_for_a_waiting_urgent_gang():
+    harness = PlannerHarness(vms=3)
+    for estimate_s in (30.0, 30.0, 1000.0):
+        harness.submit(whole_vm_step(estimate_s=estimate_s), customer="south")
+    running = harness.start_orders()
+    harness.decide(after_s=20.0)
+    harness.report_running(running, percent=1)
+    step = whole_vm_step(2, gang=True, estimate_s=0.5)
+    harness.submit(step, queue="urgent", customer="nobody")
+    assert harness.decide_after_preemption_delay() == []
+    harness.submit(small_step(8, estimate_s=16.0), customer="south")
+    harness.report_outcome(running[2], AttemptOutcome.DONE)
+    assert harness.start_orders(after_s=0.1) == []
+    harness.report_outcome(running[0], AttemptOutcome.DONE)
+    assert len(harness.start_orders(after_s=0.1)) == 2
+
+
 def test_reservation_ends_when_the_urgent_job_is_cancelled():
     harness = PlannerHarness(vms=1)
     harness.submit(small_step(8, estimate_s=16.0))
