--- a/packages/standins/briardeal_standins/planning_load/__main__.py
+++ b/packages/standins/briardeal_standins/planning_load/__main__.py
@@ -29,7 +29,8 @@
                     f"{load:<5} {type(job_order).__name__:18} {queue:8} {report.jobs:4}"
                     f"  {report.in_time / report.jobs:7.2f}  {report.late / report.jobs:4.2f}"
                     f"  {report.stops / max(1, report.starts):7.2f}"
-                    f"  {report.early_stops / max(1, report.starts):5.2f}  {report.lost_core_s:12.0f}"
+                    f"  {report.early_stops / max(1, report.starts):5.2f}"
+                    f"  {report.lost_core_s:11.0f}"
                 )
 
 
