Do not let store calls queue for an entry that does not answer

The owner reached the store through other entries then. Each relayed call tried them in a fixed order, and one of them had been replaced and did not answer. Connections to it were opened one after the other under a lock, each for 0.5 s until its timeout, so that calls queued behind each other. A confirmation is sent each 0.25 s until one is answered, besides reads and appends, so that the queue grew for as long as the cut lasted. Before nothing waited for these calls but the lease of the owner.

Calls that wait for the same connection share its outcome now, an entry that could not be reached is not tried again for a second, and entries with an open connection come first.

--- a/packages/workflow/briardeal_workflow/relay/_client.py
+++ b/packages/workflow/briardeal_workflow/relay/_client.py
@@ -29,6 +29,9 @@
 CONNECT_TIMEOUT_S = 0.5
 """Timeout of a connection to another entry; over three times the longest round trip."""
 
+UNREACHABLE_PAUSE_S = 1.0
+"""Time for which no further connection to an entry is tried after one has failed."""
+
 RELAY_MARGIN_S = 0.3
 """Time that a relay through another entry may add to a call."""
 
@@ -69,6 +72,7 @@
         self.direct_failing_since_s = float("-inf")
         self._links: dict[str, tuple[Link, asyncio.Task[object]]] = {}
         self._connecting: dict[str, asyncio.Lock] = {}
+        self._unreachable_until_s: dict[str, float] = {}
 
     async def append(
         self,
@@ -156,7 +160,7 @@
             If an entry did not respond, so that the call may have taken effect.
         """
         failed: RelayAnswer | NotStored = NotStored("no other entry is reachable")
-        for address in self.peers():
+        for address in sorted(self.peers(), key=lambda each: self._open_link(each) is None):
             link = await self._get_link(address)
             if link is None:
                 continue
@@ -174,12 +178,23 @@
         self.relay_until_s = float("-inf")
         return failed
 
+    def _open_link(self, address: str) -> Link | None:
+        link, _ = self._links.get(address, (None, None))
+        return None if link is None or link.closed else link
+
     async def _get_link(self, address: str) -> Link | None:
+        """Return a link to an entry, or `None` if the entry can't be reached.
+
+        Calls that wait for the same connection share its outcome. Otherwise they would wait for the
+        timeout of one attempt after the other.
+        """
         async with self._connecting.setdefault(address, asyncio.Lock()):
-            entry_link = self._links.get(address)
-            if entry_link is not None and not entry_link[0].closed:
-                return entry_link[0]
-            return await self._connect(address)
+            link = self._open_link(address)
+            if link is None and loop_time() >= self._unreachable_until_s.get(address, 0.0):
+                link = await self._connect(address)
+                if link is None:
+                    self._unreachable_until_s[address] = loop_time() + UNREACHABLE_PAUSE_S
+            return link
 
     async def _connect(self, address: str) -> Link | None:
         try:
--- a/tests/workflow/relay/test_client.py
+++ b/tests/workflow/relay/test_client.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from briardeal_core.clock import loop_time
 from briardeal_protocol.connections import MemoryNetwork
 from briardeal_standins.emulator import MemoryStore, StoreClient, StoreFault
 from briardeal_workflow.control import CONTROL_CODEC
@@ -17,6 +18,13 @@
 pytestmark = pytest.mark.looptime
 
 ADDRESS = "entry-1:7000"
+SILENT_ADDRESS = "entry-2:7000"
+
+MAX_DETOUR_S = 0.7
+"""One connection that is not answered, and a relayed call."""
+
+MAX_CALL_S = 0.1
+"""A relayed call over an open connection."""
 
 
 async def test_store_failure_and_recovery_are_logged():
@@ -51,3 +59,43 @@
     assert len(network.connections) == 2
     for task in network.tasks:
         task.cancel()
+
+
+class NetworkWithSilentEntry:
+    """Network in which connections to one address are never answered."""
+
+    def __init__(self, network):
+        self.network = network
+
+    async def connect(self, address):
+        if address == SILENT_ADDRESS:
+            await asyncio.Event().wait()
+        return await self.network.connect(address)
+
+
+async def test_calls_do_not_queue_for_an_entry_that_does_not_answer():
+    store = MemoryStore()
+    store.faults["entry-0"] = StoreFault.REFUSES
+    network = MemoryNetwork(codec=CONTROL_CODEC)
+    server = RelayServer(StoreClient(store, "entry-1"), lambda: True)
+    await network.listen(ADDRESS, server.serve)
+    client = RelayedStore(
+        "entry-0",
+        StoreClient(store, "entry-0"),
+        NetworkWithSilentEntry(network),
+        lambda: [SILENT_ADDRESS, ADDRESS],
+    )
+    began_s = loop_time()
+    outcomes = await asyncio.gather(
+        *(
+            client.append("jobs", [Record(f"key-{number}", b"1")], timeout_s=1.0)
+            for number in range(8)
+        )
+    )
+    assert all(isinstance(outcome, Appended) for outcome in outcomes)
+    assert loop_time() - began_s < MAX_DETOUR_S
+    began_s = loop_time()
+    await client.append("jobs", [Record("later", b"1")], timeout_s=1.0)
+    assert loop_time() - began_s < MAX_CALL_S
+    for task in network.tasks:
+        task.cancel()
