Let a job of the emulator start while a further call to submit it is under way

The checker forgets a refusal while a further call is under way. It is as strict as before otherwise, and stricter where the last call is rejected as not run although the job has started and no call had an unknown outcome.

--- a/packages/standins/briardeal_standins/emulator/_checker.py
+++ b/packages/standins/briardeal_standins/emulator/_checker.py
@@ -73,7 +73,9 @@
     accepted
         When each accepted job was first answered, on the loop's clock.
     refused
-        Ids of the jobs that were refused.
+        IDs of the jobs whose newest call to submit them was rejected.
+    uncertain
+        IDs of the jobs of which a call to submit them had an unknown outcome.
     cancelled_s
         When the cancellation of each job was first answered, on the loop's clock.
     running
@@ -108,6 +110,7 @@
         self.jobs: dict[str, Job] = {}
         self.accepted: dict[str, float] = {}
         self.refused: set[str] = set()
+        self.uncertain: set[str] = set()
         self.cancelled_s: dict[str, float] = {}
         self.running: dict[TaskId, set[tuple[str, int]]] = {}
         self.done_tasks: set[TaskId] = set()
@@ -123,6 +126,14 @@
         self.gangs_disturbed_until_s = float("-inf")
         self.violations: list[Violation] = []
 
+    def record_refusal(self, job_id: str) -> None:
+        """Record that a call to submit a job was rejected as not run."""
+        if job_id in self.accepted:
+            return
+        self.refused.add(job_id)
+        if job_id in self.first_start_s and job_id not in self.uncertain:
+            self._add_violation(Invariant.STARTS_WANTED, f"{job_id} had started when refused")
+
     def record_start(self, vm: StandinVm, task: TaskId, number: int) -> None:
         """Record the start of an attempt and check that it was allowed."""
         self.start_count += 1
--- a/packages/standins/briardeal_standins/emulator/_emulator.py
+++ b/packages/standins/briardeal_standins/emulator/_emulator.py
@@ -243,17 +243,17 @@
         name = entry or (self.rng.choice(running) if running else "")
         if name not in running:
             return False
+        # While a further call is under way, the job may be stored, and so may start.
+        self.checker.refused.discard(job.job_id)
         with self.logs.attribute_to(name):
             outcome = await self.entry(name).gateway.submit(job, loop_time() + CALL_TIMEOUT_S)
         if not isinstance(outcome, Refusal):
             self.checker.accepted.setdefault(job.job_id, loop_time())
-            self.checker.refused.discard(job.job_id)
             return True
         if outcome.run_state is RunState.NOT_RUN:
-            if job.job_id not in self.checker.accepted:
-                self.checker.refused.add(job.job_id)
+            self.checker.record_refusal(job.job_id)
             return False
-        self.checker.refused.discard(job.job_id)
+        self.checker.uncertain.add(job.job_id)
         return None
 
     async def cancel(self, job_id: str, entry: str) -> bool:
