Count a job of the emulator as refused only if all calls to submit it were rejected

Its first call was not answered: the append was uncertain, and was stored late. Later calls were rejected by an entry without the store. The owner read the job and started it at 15.13 s. The rule speaks of jobs of which all calls were rejected, and the first one was answered as unknown.

--- a/packages/standins/briardeal_standins/emulator/_checker.py
+++ b/packages/standins/briardeal_standins/emulator/_checker.py
@@ -73,7 +73,7 @@
     accepted
         When each accepted job was first answered, on the loop's clock.
     refused
-        IDs of the jobs whose newest call to submit them was rejected.
+        IDs of the jobs of which all calls to submit them have been rejected.
     uncertain
         IDs of the jobs of which a call to submit them had an unknown outcome.
     cancelled_s
@@ -127,11 +127,14 @@
         self.violations: list[Violation] = []
 
     def record_refusal(self, job_id: str) -> None:
-        """Record that a call to submit a job was rejected as not run."""
-        if job_id in self.accepted:
+        """Record that a call to submit a job was rejected as not run.
+
+        The job is refused if all calls were rejected: a call without an answer may have stored it.
+        """
+        if job_id in self.accepted or job_id in self.uncertain:
             return
         self.refused.add(job_id)
-        if job_id in self.first_start_s and job_id not in self.uncertain:
+        if job_id in self.first_start_s:
             self._add_violation(Invariant.STARTS_WANTED, f"{job_id} had started when refused")
 
     def record_start(self, vm: StandinVm, task: TaskId, number: int) -> None:
