--- a/packages/standins/briardeal_standins/planning_load/_report.py
+++ b/packages/standins/briardeal_standins/planning_load/_report.py
@@ -66,11 +66,6 @@
     early_stops: int = 0
     lost_core_s: float = 0.0
 
-    @property
-    def done(self) -> int:
-        """Number of jobs completed within three times their objective."""
-        return self.in_time + self.late
-
     def add(self, result: JobResult) -> None:
         """Add the result of one job."""
         self.jobs += 1
--- a/packages/standins/briardeal_standins/planning_load/_simulation.py
+++ b/packages/standins/briardeal_standins/planning_load/_simulation.py
@@ -51,8 +51,6 @@
         Job as it was submitted.
     took_s
         Time from its submission to its completion in seconds; infinity if it was not completed.
-    first_start_s
-        Time from its submission to its first start in seconds; infinity if it never started.
     starts, stops, early_stops
         Number of tasks started, of running tasks stopped, and of those stopped right after their
         start.
@@ -62,7 +60,6 @@
 
     offered: OfferedJob
     took_s: float = float("inf")
-    first_start_s: float = float("inf")
     starts: int = 0
     stops: int = 0
     early_stops: int = 0
@@ -159,9 +156,7 @@
             total_s = offered.run_s[order.task.step][order.task.index]
             saved_s = float(order.checkpoint) if order.checkpoint else 0.0
             run = self._runs[key] = _Run(order, now_s, saved_s, total_s)
-            result = self.results[order.task.job_id]
-            result.starts += 1
-            result.first_start_s = min(result.first_start_s, now_s - offered.submitted_s)
+            self.results[order.task.job_id].starts += 1
             self.planner.record_started(order.vm_id, order.task, order.number, now_s)
             restore_s = RESTORE_S if order.checkpoint else 0.0
             end_s = now_s + restore_s + total_s - saved_s
