--- a/packages/workflow/briardeal_workflow/planning/__init__.py
+++ b/packages/workflow/briardeal_workflow/planning/__init__.py
@@ -5,7 +5,8 @@
 from briardeal_workflow.planning._crashes import Crash
 from briardeal_workflow.planning._job_order import JobOrder, LeastWorkFirst
 from briardeal_workflow.planning._orders import Order, StartTask, StopTask
-from briardeal_workflow.planning._planner import Planner, RunningTask
+from briardeal_workflow.planning._planner import Planner
+from briardeal_workflow.planning._running_task import RunningTask
 from briardeal_workflow.planning._state import PlannerState
 from briardeal_workflow.planning._vms import Resources, Vm, VmDescription
 
--- a/packages/workflow/briardeal_workflow/planning/_planner.py
+++ b/packages/workflow/briardeal_workflow/planning/_planner.py
@@ -5,8 +5,6 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-import attrs
-
 from briardeal_core.events import Event, log_event
 from briardeal_workflow.planning._active_jobs import ActiveJob
 from briardeal_workflow.planning._attempts import (
@@ -32,6 +30,7 @@
     from briardeal_workflow.model import Configuration, Job, Step, TaskId
     from briardeal_workflow.planning._job_order import JobOrder
     from briardeal_workflow.planning._orders import Order
+    from briardeal_workflow.planning._running_task import RunningTask
     from briardeal_workflow.planning._vms import VmDescription
 
 MISSING_LIMIT_S = 3.0
@@ -42,33 +41,6 @@
 """Attempt numbers that one owner may use for a task, so that the next owner uses higher ones."""
 
 
-@attrs.frozen
-class RunningTask:
-    """A running task as its VM lists it.
-
-    Parameters
-    ----------
-    task, number
-        Task, and number of the attempt that runs.
-    checkpoint
-        Newest checkpoint of the task; empty for none.
-    percent
-        Completed part of the task in percent.
-    load
-        Approximate value over the last 0.5 s: tail latency in milliseconds for a long-running task
-        with a latency target, processor time in use for any other task.
-    ran_s
-        Time since the start order, in seconds; `None` if its VM does not know it.
-    """
-
-    task: TaskId
-    number: int
-    checkpoint: str = ""
-    percent: int = 0
-    load: float = 0.0
-    ran_s: float | None = None
-
-
 class Planner:
     """Decides which task runs where and when.
 
--- a/tests/workflow/relay/test_client.py
+++ b/tests/workflow/relay/test_client.py
@@ -42,12 +42,18 @@
     assert logged == ["store_detour", "store_regained"]
 
 
-async def test_concurrent_calls_share_a_connection():
+async def serve_store_without_entry_0():
+    """Return a store that entry-0 can't reach, and a network in which entry-1 relays calls."""
     store = MemoryStore()
     store.faults["entry-0"] = StoreFault.REFUSES
     network = MemoryNetwork(codec=CONTROL_CODEC)
     server = RelayServer(StoreClient(store, "entry-1"), lambda: True)
     await network.listen(ADDRESS, server.serve)
+    return store, network
+
+
+async def test_concurrent_calls_share_a_connection():
+    store, network = await serve_store_without_entry_0()
     client = RelayedStore("entry-0", StoreClient(store, "entry-0"), network, lambda: [ADDRESS])
     outcomes = await asyncio.gather(
         *(
@@ -74,11 +80,7 @@
 
 
 async def test_calls_do_not_queue_for_an_entry_that_does_not_answer():
-    store = MemoryStore()
-    store.faults["entry-0"] = StoreFault.REFUSES
-    network = MemoryNetwork(codec=CONTROL_CODEC)
-    server = RelayServer(StoreClient(store, "entry-1"), lambda: True)
-    await network.listen(ADDRESS, server.serve)
+    store, network = await serve_store_without_entry_0()
     client = RelayedStore(
         "entry-0",
         StoreClient(store, "entry-0"),
