Log jobs that were accepted at a time still to come by the owner's clock

Nothing in the logs told a job that is not due by the owner's time of day from one that the owner does not know. The owner now logs clocks_differ, with how far the accepting entry's clock is ahead, if that is over 0.5 s. Entries of the emulator can have clocks of their own; until now all shared one, so that no test could see a difference.

No logic changed.

--- a/packages/core/briardeal_core/events/_catalogue.py
+++ b/packages/core/briardeal_core/events/_catalogue.py
@@ -73,6 +73,10 @@
         "A worker knows a newer owner, so an order of the earlier one has no more effect.",
     )
     WORKER_DENIED = (436, "A worker is not the incarnation that a description names.")
+    CLOCKS_DIFFER = (
+        440,
+        "A job was accepted at a time that is still to come by the clock of the owner.",
+    )
     LOG_UNAVAILABLE = (500, "The log is unreachable or does not answer.")
     LOG_RECOVERED = (501, "The log answers again.")
     STORE_DETOUR = (503, "This entry can't reach the store directly and uses another entry.")
--- a/packages/standins/briardeal_standins/emulator/_emulator.py
+++ b/packages/standins/briardeal_standins/emulator/_emulator.py
@@ -28,6 +28,9 @@
     from briardeal_workflow.model import Job, TaskId
 
 SERVICE = "sampling"
+EPOCH_S = 1_000_000.0
+"""Time of day at the start, in seconds since 1970."""
+
 VMS_PER_RACK = 3
 CALL_TIMEOUT_S = 3.0
 """Timeout of a call to an entry, in seconds."""
@@ -73,6 +76,8 @@
         Log lines of all processes.
     checker
         Checks invariants and collects their violations.
+    clock, entry_clocks
+        Right time of day, and the clocks of those entries that differ from it, by entry.
     terms
         Terms of each queue, which its jobs keep while it is not configured.
     behaviors
@@ -96,7 +101,8 @@
         self.configuration = configuration
         self.store = MemoryStore()
         self.network = MemoryNetwork(codec=CONTROL_CODEC)
-        self.clock = WallClock(1_000_000.0)
+        self.clock = WallClock(EPOCH_S)
+        self.entry_clocks: dict[str, WallClock] = {}
         self.checker = Checker()
         self.checker.failure_limits = {
             queue.name: queue.failure_limit for queue in configuration.queues
@@ -155,7 +161,8 @@
             seeds = tuple(self.address_of(entry) for entry in self.entry_names)
             incarnation = f"{name}/{self.seed}/{next(self._incarnation_numbers)}"
             address = self.address_of(name)
-            program = Entry(name, incarnation, address, client, network, self.clock, seeds)
+            clock = self.entry_clocks.get(name, self.clock)
+            program = Entry(name, incarnation, address, client, network, clock, seeds)
             program.configure(self.configuration)
         with self.logs.attribute_to(name):
             self.processes[name] = _Process(program, self._spawn(program.run()))
@@ -167,6 +174,10 @@
             if name in self.processes:
                 self.entry(name).configure(configuration)
 
+    def shift_clock(self, name: str, seconds: float) -> None:
+        """Let the clock of an entry differ from the right time of day, from its next start on."""
+        self.entry_clocks[name] = WallClock(EPOCH_S + seconds)
+
     async def kill(self, name: str) -> None:
         """Kill a process, if it runs, and reset its connections."""
         process = self.processes.pop(name, None)
@@ -234,13 +245,12 @@
         self, job: Job, behavior: TaskBehavior, entry: str | None = None
     ) -> bool | None:
         """Submit a job; return whether it was accepted, or `None` if that is unknown."""
-        job = msgspec.structs.replace(
-            job, terms=self.terms[job.queue], accepted_s=job.accepted_s or self.clock.now_s()
-        )
-        self.behaviors[job.command] = behavior
-        self.checker.jobs[job.job_id] = job
         running = [each for each in self.entry_names if each in self.processes]
         name = entry or (self.rng.choice(running) if running else "")
+        accepted_s = job.accepted_s or self.entry_clocks.get(name, self.clock).now_s()
+        job = msgspec.structs.replace(job, terms=self.terms[job.queue], accepted_s=accepted_s)
+        self.behaviors[job.command] = behavior
+        self.checker.jobs[job.job_id] = job
         if name not in running:
             return False
         # While a further call is under way, the job may be stored, and so may start.
--- a/packages/workflow/briardeal_workflow/owner/_owner.py
+++ b/packages/workflow/briardeal_workflow/owner/_owner.py
@@ -22,6 +22,7 @@
     convert_rows,
     describe_vm,
     find_attempts_without_effect,
+    log_clock_difference,
     log_ended_task,
     log_start_result,
     parse_outcome,
@@ -180,6 +181,7 @@
         if job_status.cancelled:
             self.planner.cancel_job(job_id)
         elif not job_status.finished:
+            log_clock_difference(job_status.job, self.clock.now_s())
             self.planner.add_job(job_status.job, job_status.progress, loop_time())
             self.confirmation_due.set()
         self.wake.set()
@@ -264,6 +266,7 @@
         self.planner.state.wall_offset_s = self.clock.now_s() - now_s
         for job_status in self.job_table.jobs.values():
             if job_status.job is not None and not job_status.finished:
+                log_clock_difference(job_status.job, self.clock.now_s())
                 self.planner.add_job(
                     job_status.job, job_status.progress, now_s, takeover_pending=True
                 )
--- a/packages/workflow/briardeal_workflow/owner/_reports.py
+++ b/packages/workflow/briardeal_workflow/owner/_reports.py
@@ -1,4 +1,4 @@
-"""Conversion of VM reports for the planner, and log lines about them."""
+"""Conversion of VM reports for the planner, and log lines of the owner."""
 
 from __future__ import annotations
 
@@ -18,10 +18,14 @@
 
 if TYPE_CHECKING:
     from briardeal_workflow.control import EndedTask, StartResult, VmReport, VmState, WorkerCrash
-    from briardeal_workflow.model import TaskId
+    from briardeal_workflow.model import Job, TaskId
     from briardeal_workflow.planning import Attempt, Vm
 
 
+MAX_CLOCK_DIFFERENCE_S = 0.5
+"""Difference of the clocks of two entries beyond which it is logged."""
+
+
 def parse_outcome(name: str) -> AttemptOutcome:
     """Return the outcome of an attempt by its name.
 
@@ -119,3 +123,10 @@
         outcome=result.outcome,
         reason=result.reason,
     )
+
+
+def log_clock_difference(job: Job, wall_s: float) -> None:
+    """Log that a job was accepted after the given time of day, by the clock of another entry."""
+    ahead_s = job.accepted_s - wall_s
+    if ahead_s > MAX_CLOCK_DIFFERENCE_S:
+        log_event(Event.CLOCKS_DIFFER, job_id=job.job_id, ahead_s=round(ahead_s, 3))
