Start a job without a schedule whatever the time of day of its acceptance

Callers saw accepted jobs that stood still on an idle fleet, with no line of any process after the acceptance.

Cause: a job became ready once the owner's time of day had passed the time of its acceptance. That time is read on the clock of the entry that accepted the job. An entry takes the time of day once, at its start, so that one that starts while the time of day is stepped keeps the step for as long as it runs, and each job that it accepts waits for the difference. Nothing said so: a group that is not due is left out of the planning round without a line.

Only occurrences of a schedule are due at a time of day now; any other job is ready as soon as it is known. The time of acceptance is used to order jobs.

The line clocks_differ is logged once for each job.

--- a/packages/workflow/briardeal_workflow/model/_job.py
+++ b/packages/workflow/briardeal_workflow/model/_job.py
@@ -136,8 +136,16 @@
         """Whether occurrences are due at scheduled times."""
         return self.occurrences > 0
 
+    def is_due(self, occurrence: int, wall_s: float) -> bool:
+        """Return whether an occurrence may start at a time of day, in seconds since 1970.
+
+        A job without a schedule may always start: the time of its acceptance was read on the clock
+        of another process, which may be ahead.
+        """
+        return not self.has_schedule or self.due_s(occurrence) <= wall_s
+
     def due_s(self, occurrence: int) -> float:
-        """Return when an occurrence may start, in seconds since 1970."""
+        """Return when an occurrence should start, in seconds since 1970."""
         if not self.has_schedule:
             return self.accepted_s
         return self.first_due_s + occurrence * self.interval_s
--- a/packages/workflow/briardeal_workflow/owner/_owner.py
+++ b/packages/workflow/briardeal_workflow/owner/_owner.py
@@ -181,7 +181,8 @@
         if job_status.cancelled:
             self.planner.cancel_job(job_id)
         elif not job_status.finished:
-            log_clock_difference(job_status.job, self.clock.now_s())
+            if job_id not in self.planner.state.active_jobs:
+                log_clock_difference(job_status.job, self.clock.now_s())
             self.planner.add_job(job_status.job, job_status.progress, loop_time())
             self.confirmation_due.set()
         self.wake.set()
--- a/packages/workflow/briardeal_workflow/planning/_active_jobs.py
+++ b/packages/workflow/briardeal_workflow/planning/_active_jobs.py
@@ -131,7 +131,7 @@
     def ready_groups(self, wall_s: float, now_s: float) -> Iterator[TaskGroup]:
         """Return the incomplete groups that are due and whose preceding steps are complete."""
         for group in self.groups.values():
-            if group.complete or self.job.due_s(group.group_id.occurrence) > wall_s:
+            if group.complete or not self.job.is_due(group.group_id.occurrence, wall_s):
                 continue
             earlier = (
                 self.groups[TaskGroupId(self.job.job_id, group.group_id.occurrence, step)]
@@ -155,7 +155,7 @@
         return sum(
             group.work_left_core_s
             for group in self.groups.values()
-            if not self.job.has_schedule or self.job.due_s(group.group_id.occurrence) <= wall_s
+            if self.job.is_due(group.group_id.occurrence, wall_s)
         )
 
     def due_in_s(self, wall_s: float) -> float:
