Order jobs by a time of acceptance that is not later than the owner's clock

A job that was accepted by an entry whose clock is ahead came after all jobs that are accepted until the owner's clock had reached that time: the same cause as for jobs that stood still, in the order of jobs and in the time left to them. The time of acceptance counts as the time of the first planning round at the latest. The test fails before: of two jobs the later one starts first.

--- a/packages/workflow/briardeal_workflow/planning/_active_jobs.py
+++ b/packages/workflow/briardeal_workflow/planning/_active_jobs.py
@@ -35,6 +35,8 @@
         `completed` or `failed` once that is the outcome of the job; empty before.
     cancelled
         Whether the caller has cancelled the job.
+    accepted_s
+        When the job was accepted, in seconds since 1970; not later than the owner's time of day.
     added_s
         When this process added the job, on the event loop's clock.
     ended_s
@@ -52,6 +54,7 @@
     started: bool = False
     state: str = ""
     cancelled: bool = False
+    accepted_s: float = 0.0
     added_s: float = 0.0
     ended_s: float | None = None
     early_failure_vms: set[str] = attrs.field(factory=set)
@@ -65,7 +68,15 @@
             for number, step in enumerate(job.steps):
                 group_id = TaskGroupId(job.job_id, occurrence, number)
                 groups[group_id] = TaskGroup(group_id, step, Resources.of_task(step))
-        active_job = cls(job, queue, groups, progress.started, progress.state, added_s=now_s)
+        active_job = cls(
+            job,
+            queue,
+            groups,
+            progress.started,
+            progress.state,
+            accepted_s=job.accepted_s,
+            added_s=now_s,
+        )
         active_job._restore(progress)
         return active_job
 
@@ -128,6 +139,10 @@
             crashes=tuple(row for group in open_groups for row in _crash_rows(group)),
         )
 
+    def limit_acceptance(self, wall_s: float) -> None:
+        """Let the job be accepted now at the latest; the entry's clock may have been ahead."""
+        self.accepted_s = min(self.accepted_s, wall_s)
+
     def ready_groups(self, wall_s: float, now_s: float) -> Iterator[TaskGroup]:
         """Return the incomplete groups that are due and whose preceding steps are complete."""
         for group in self.groups.values():
@@ -160,7 +175,7 @@
 
     def due_in_s(self, wall_s: float) -> float:
         """Return the time until the job should complete, in seconds; negative once it is late."""
-        return self.job.accepted_s + self.objective_s() - wall_s
+        return self.accepted_s + self.objective_s() - wall_s
 
     def objective_s(self) -> float:
         """Return the time within which the job should complete, in seconds after its acceptance."""
@@ -168,7 +183,9 @@
 
     def slack_s(self, group: TaskGroup, wall_s: float) -> float:
         """Return how long a new attempt may be delayed for the job to be in time, in seconds."""
-        base_s = max(self.job.accepted_s, self.job.due_s(group.group_id.occurrence))
+        base_s = self.accepted_s
+        if self.job.has_schedule:
+            base_s = max(base_s, self.job.due_s(group.group_id.occurrence))
         ends = self._step_end_times_s()
         before_s = ends[group.group_id.step] - group.step.estimate_s
         return base_s + self.objective_s() - wall_s - (max(ends) - before_s)
--- a/packages/workflow/briardeal_workflow/planning/_job_order.py
+++ b/packages/workflow/briardeal_workflow/planning/_job_order.py
@@ -56,11 +56,12 @@
         def key(active_job: ActiveJob) -> tuple[int, bool, float, str]:
             job = active_job.job
             if not active_job.divisible:
-                due_s = job.accepted_s + active_job.objective_s()
+                due_s = active_job.accepted_s + active_job.objective_s()
                 is_useless = _is_too_late(active_job, wall_s)
                 return active_job.queue.priority, is_useless, due_s, job.job_id
             share_cores = PASSING_SHARE * max(1.0, capacity_cores.get(job.service, 0.0))
-            ends_s = job.accepted_s + active_job.work_left_core_s(wall_s) / share_cores
+            work_s = active_job.work_left_core_s(wall_s) / share_cores
+            ends_s = active_job.accepted_s + work_s
             return active_job.queue.priority, False, ends_s, job.job_id
 
         return sorted(jobs, key=key)
@@ -70,6 +71,6 @@
     """Return whether a job without a schedule has missed its objective by far."""
     objective_s = active_job.objective_s()
     return (
-        wall_s > active_job.job.accepted_s + LATE_FACTOR * objective_s
+        wall_s > active_job.accepted_s + LATE_FACTOR * objective_s
         and not active_job.job.has_schedule
     )
--- a/packages/workflow/briardeal_workflow/planning/_passed_over.py
+++ b/packages/workflow/briardeal_workflow/planning/_passed_over.py
@@ -32,9 +32,7 @@
 
 
 def _is_later_in_class(starter: ActiveJob, waiting: ActiveJob) -> bool:
-    return (
-        starter.queue.name == waiting.queue.name and starter.job.accepted_s > waiting.job.accepted_s
-    )
+    return starter.queue.name == waiting.queue.name and starter.accepted_s > waiting.accepted_s
 
 
 def _record(waiting: ActiveJob, starter: ActiveJob, count: int, wall_s: float) -> None:
@@ -47,7 +45,7 @@
         job_id=waiting.job.job_id,
         queue=waiting.queue.name,
         starts=waiting.passed_over,
-        accepted_for_s=round(wall_s - waiting.job.accepted_s, 3),
+        accepted_for_s=round(wall_s - waiting.accepted_s, 3),
         due_in_s=round(waiting.due_in_s(wall_s), 3),
         work_left_core_s=round(waiting.work_left_core_s(wall_s), 1),
         started=starter.job.job_id,
--- a/packages/workflow/briardeal_workflow/planning/_planner.py
+++ b/packages/workflow/briardeal_workflow/planning/_planner.py
@@ -238,6 +238,8 @@
             for each in self.state.active_jobs.values()
             if not each.finished and self._is_confirmed(each, now_s, confirmed_s)
         ]
+        for active_job in unfinished:
+            active_job.limit_acceptance(wall_s)
         capacity_cores = self.state.capacity_cores()
         for active_job in self.job_order.sort(unfinished, capacity_cores, wall_s):
             for group in active_job.ready_groups(wall_s, now_s):
--- a/packages/workflow/briardeal_workflow/planning/_task_starter.py
+++ b/packages/workflow/briardeal_workflow/planning/_task_starter.py
@@ -279,7 +279,7 @@
             tasks=len(group.unplaced_indices()),
             cause=cause,
             ready_for_s=round(waited_s, 3),
-            accepted_for_s=round(wall_s - active_job.job.accepted_s, 3),
+            accepted_for_s=round(wall_s - active_job.accepted_s, 3),
             due_in_s=round(active_job.due_in_s(wall_s), 3),
             work_left_core_s=round(active_job.work_left_core_s(wall_s), 1),
         )
--- a/tests/workflow/planning/test_job_order.py
+++ b/tests/workflow/planning/test_job_order.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 from briardeal_standins.planning_load import EarliestObjective, simulate
+from briardeal_workflow.job_table import Progress
 from briardeal_workflow.planning import AttemptOutcome
 from tests.workflow.planning.harness import WALL_S, PlannerHarness
-from tests.workflow.samples import small_step, whole_vm_step
+from tests.workflow.samples import make_job, small_step, whole_vm_step
 
 MORE_COMPLETED = 1.2
 """Least ratio of the jobs completed to those completed by the order of objectives alone."""
@@ -57,6 +58,18 @@
     assert 40.0 < harness.now_s < 68.0
 
 
+def test_job_accepted_by_an_entry_whose_clock_is_ahead_does_not_lose_its_place():
+    harness = PlannerHarness(vms=1)
+    harness.submit(whole_vm_step(estimate_s=10.0))
+    running = harness.start_orders()
+    early = make_job(whole_vm_step(), accepted_s=WALL_S + 60.0)
+    harness.planner.add_job(early, Progress(), harness.now_s)
+    harness.decide(after_s=5.0)
+    harness.submit(whole_vm_step())
+    starts = replace_tasks(harness, running, after_s=5.0)
+    assert [start.task.job_id for start in starts] == [early.job_id]
+
+
 def test_occurrences_that_are_not_due_do_not_hold_a_job_back():
     harness = PlannerHarness(vms=1)
     harness.submit(small_step(8, estimate_s=10.0))
