--- a/packages/core/briardeal_core/events/_catalogue.py
+++ b/packages/core/briardeal_core/events/_catalogue.py
@@ -77,6 +77,10 @@
         440,
         "A job was accepted at a time that is still to come by the clock of the owner.",
     )
+    CLOCK_CORRECTED = (
+        441,
+        "The time of day of the machine has differed for long enough, and is used from now on.",
+    )
     LOG_UNAVAILABLE = (500, "The log is unreachable or does not answer.")
     LOG_RECOVERED = (501, "The log answers again.")
     STORE_DETOUR = (503, "This entry can't reach the store directly and uses another entry.")
