Refuse a start that was decided for another incarnation of the worker

Cause: an order is decided for a worker that has just crashed. The owner learns of the new incarnation and counts the attempt as lost; the agent hands the order to the new incarnation, which starts it, while the next attempt starts elsewhere.

A start order now names the incarnation that it was decided for, in a new last field; empty, as in orders of an earlier version, stands for any. The agent refuses an order for another incarnation at once. The owner may no longer have the attempt then, and the refusal has no effect.

Weighed: that the owner counts as lost only what it ordered before the crash. It does not know when that was, and a later report may still list an attempt that has been counted.

Stop orders name no incarnation on purpose: each says that the attempt with this number must not run, which holds for any incarnation.

--- a/packages/workflow/briardeal_workflow/control/_messages.py
+++ b/packages/workflow/briardeal_workflow/control/_messages.py
@@ -266,6 +266,9 @@
         Checkpoint to resume from; empty to start from the beginning.
     ticket
         Ticket that is passed on to the worker; empty for none.
+    incarnation
+        Incarnation of the worker for which the start was decided; empty in orders of an earlier
+        version, which any incarnation carries out.
     """
 
     epoch: int
@@ -274,6 +277,7 @@
     command: str
     checkpoint: str = ""
     ticket: str = ""
+    incarnation: str = ""
 
 
 class StopOrder(msgspec.Struct, frozen=True, tag="stop"):
--- a/packages/workflow/briardeal_workflow/owner/_owner.py
+++ b/packages/workflow/briardeal_workflow/owner/_owner.py
@@ -320,8 +320,15 @@
         if attempt.phase is AttemptPhase.STOPPING:
             return StopTask(attempt.vm_id, attempt.task, attempt.number, "given again")
         command = self.planner.state.active_jobs[attempt.task.job_id].job.command
+        incarnation = self.planner.state.vms[attempt.vm_id].description.incarnation
         return StartTask(
-            attempt.vm_id, attempt.task, attempt.number, command, attempt.checkpoint, "given again"
+            attempt.vm_id,
+            attempt.task,
+            attempt.number,
+            command,
+            attempt.checkpoint,
+            incarnation,
+            "given again",
         )
 
     async def _plan_until_fenced(self) -> None:
@@ -392,7 +399,12 @@
         if isinstance(order, StartTask):
             self._record_first_start(order)
             message = StartOrder(
-                self.epoch, order.task, order.number, order.command, order.checkpoint
+                self.epoch,
+                order.task,
+                order.number,
+                order.command,
+                order.checkpoint,
+                incarnation=order.incarnation,
             )
         else:
             message = StopOrder(self.epoch, order.task, order.number)
--- a/packages/workflow/briardeal_workflow/planning/_orders.py
+++ b/packages/workflow/briardeal_workflow/planning/_orders.py
@@ -21,6 +21,8 @@
         Command that the task runs.
     checkpoint
         Checkpoint to resume from; empty to start from the beginning.
+    incarnation
+        Incarnation of the worker for which the start was decided.
     cause, inputs
         Reason for starting now, and the values behind that decision, for the log.
     """
@@ -30,6 +32,7 @@
     number: int
     command: str
     checkpoint: str
+    incarnation: str
     cause: str
     inputs: dict[str, object] = field(default_factory=dict, compare=False)
 
--- a/packages/workflow/briardeal_workflow/planning/_task_starter.py
+++ b/packages/workflow/briardeal_workflow/planning/_task_starter.py
@@ -363,6 +363,7 @@
                 number,
                 active_job.job.command,
                 attempt.checkpoint,
+                vm.description.incarnation,
                 cause,
                 {
                     "ready_for_s": ready_for_s,
--- a/packages/workflow/briardeal_workflow/worker/_agent.py
+++ b/packages/workflow/briardeal_workflow/worker/_agent.py
@@ -23,7 +23,7 @@
     VmReport,
 )
 from briardeal_workflow.worker._crashes import CrashRecorder
-from briardeal_workflow.worker._interface import Listing, NoAnswer, Replaced
+from briardeal_workflow.worker._interface import OTHER_INCARNATION, Listing, NoAnswer, Replaced
 from briardeal_workflow.worker._lease import LEASE_EXPIRY_S, LEASE_S
 from briardeal_workflow.worker._link import LINK_SILENCE_LIMIT_S, SEND_TIMES_LIMIT, EntryLink
 from briardeal_workflow.worker._orders import OrderExecutor
@@ -242,17 +242,24 @@
         if isinstance(order, StopOrder):
             self.orders.stop(self.incarnation, order)
             return
-        vm = self.registration.vm
-        if vm is None or vm.leaving:
+        refusal = self._find_refusal(order)
+        if refusal:
             refused = StartOutcome.REFUSED
-            reason = "worker is leaving"
             self._handle_outcome(
-                StartResult(order.epoch, order.task, order.number, refused, reason), 0.0
+                StartResult(order.epoch, order.task, order.number, refused, refusal), 0.0
             )
             return
         self.crashes.record_order(order.task, order.number)
         self.orders.start(self.incarnation, order)
 
+    def _find_refusal(self, order: StartOrder) -> str:
+        """Return why a start is refused without asking the worker; empty if it is not."""
+        if order.incarnation not in ("", self.incarnation):
+            # The owner counts the attempt as lost as soon as it knows the new incarnation.
+            return OTHER_INCARNATION
+        vm = self.registration.vm
+        return "worker is leaving" if vm is None or vm.leaving else ""
+
     def _handle_outcome(self, result: StartResult, clock_s: float) -> None:
         if result.outcome is StartOutcome.STARTED:
             self.table.record_start(result.task, result.number, clock_s)
--- a/packages/workflow/briardeal_workflow/worker/_interface.py
+++ b/packages/workflow/briardeal_workflow/worker/_interface.py
@@ -13,6 +13,9 @@
 UNHEALTHY = "unhealthy"
 """Reason given by a worker that rejects starts because it considers itself unhealthy."""
 
+OTHER_INCARNATION = "the start was decided for another incarnation of the worker"
+"""Reason given by an agent that refuses a start without asking its worker."""
+
 
 @dataclass(frozen=True)
 class Started:
--- /dev/null
+++ b/tests/workflow/worker/test_incarnations.py
@@ -0,0 +1,80 @@
+"""An order has an effect only on the incarnation of the worker that it was decided for."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from briardeal_standins.emulator import TaskBehavior
+from briardeal_workflow.control import StartOrder
+from tests.workflow.samples import make_job, small_step, whole_vm_step
+from tests.workflow.sites import run_site
+
+pytestmark = pytest.mark.looptime
+
+
+def delay_first_start(site, on_order):
+    """Let a coroutine function run between the decision of the first start and its sending."""
+    control_server = site.entry(site.owner_name()).control_server
+    send = control_server.send
+    delayed = []
+
+    async def send_late(agent_id, message):
+        if isinstance(message, StartOrder) and not delayed:
+            delayed.append(message)
+            await on_order(site.vms[agent_id])
+        return await send(agent_id, message)
+
+    control_server.send = send_late
+    return delayed
+
+
+@pytest.mark.parametrize("delay_s", [0.0005, 0.0015, 0.0025, 0.005, 0.02])
+async def test_start_decided_for_a_crashed_worker_does_not_run_twice(delay_s):
+    # Guards against an attempt that counts as lost and is then started by the new incarnation.
+    async with run_site() as site:
+
+        async def replace_worker(vm):
+            vm.kill()
+            vm.restart()
+            await asyncio.sleep(delay_s)
+
+        delayed = delay_first_start(site, replace_worker)
+        job = make_job(small_step())
+        await site.submit(job, TaskBehavior(3.0))
+        await site.wait_for_state(job.job_id, "completed", 10.0)
+        assert len(delayed) == 1
+        assert site.checker.start_count == 1
+
+
+async def test_gang_starts_again_after_a_member_was_ordered_for_a_crashed_worker():
+    async with run_site() as site:
+
+        async def replace_worker(vm):
+            vm.kill()
+            vm.restart()
+            await asyncio.sleep(0.02)
+
+        delay_first_start(site, replace_worker)
+        job = make_job(whole_vm_step(3, gang=True))
+        await site.submit(job, TaskBehavior(2.0))
+        assert await site.wait_for_state(job.job_id, "completed", 10.0) < 4.0
+
+
+async def test_start_order_of_an_earlier_version_is_carried_out():
+    async with run_site(vms=1) as site:
+        control_server = site.entry(site.owner_name()).control_server
+        send = control_server.send
+
+        async def send_without_incarnation(agent_id, message):
+            if isinstance(message, StartOrder):
+                fields = (message.epoch, message.task, message.number, message.command)
+                message = StartOrder(*fields)
+            return await send(agent_id, message)
+
+        control_server.send = send_without_incarnation
+        job = make_job(small_step())
+        await site.submit(job, TaskBehavior(1.0))
+        await site.wait_for_state(job.job_id, "completed", 4.0)
+        assert site.checker.start_count == 1
