Pause before a refused start is repeated, and tell the owner of a worker that is down

Cause: the owner frees the attempt and places the task anew, and nothing says that the VM, which looks the best, has just refused it.

- An agent reports the state of its VM before each refusal.
If nothing listens, or another incarnation does, its lists count as out of date and are read at once: the VM is unreachable until its worker has listed its tasks again, a moment later if the connection was refused by chance.
- A task, or gang, is not ordered again on a VM that has refused it for 0.1 s, doubling to 1.6 s, until it has started somewhere.
Other VMs are tried at once, and the VM takes other tasks.
An urgent task waits for a short pause rather than stop other work.
- A start that was to be sent again is dropped if the attempt has ended meanwhile.
Without this, a refused attempt could start beside the next.
- A wait behind such a VM, or one with free capacity that can't be reached, has a cause of its own in job_waits.

Weighed: quarantine for a worker that is down. It lasts for 6 s at least and doesn't end when the worker is back.

The emulated worker that is down now refuses starts, as the client of the real one says of a connection that could not be opened.

--- a/packages/standins/briardeal_standins/emulator/_worker.py
+++ b/packages/standins/briardeal_standins/emulator/_worker.py
@@ -253,6 +253,8 @@
     ) -> Started | Refused | Replaced | NoAnswer:
         """Start an attempt of a task; repeating the call has no effect."""
         await asyncio.sleep(LATENCY_S)
+        if self.fault is VmFault.DOWN:
+            return Refused("connection refused", unreached=True)
         if self.fault in UNREACHABLE:
             return await self._no_answer()
         if incarnation != self.state.incarnation:
--- a/packages/workflow/briardeal_workflow/planning/_completions.py
+++ b/packages/workflow/briardeal_workflow/planning/_completions.py
@@ -55,6 +55,8 @@
         running = group.attempts.get(task.index, [])
         if attempt in running:
             running.remove(attempt)
+        if outcome is AttemptOutcome.REFUSED:
+            group.record_refusal(task.index, vm.vm_id, now_s)
         if outcome is AttemptOutcome.FAILED:
             group.failed_vms.setdefault(task.index, set()).add(vm.vm_id)
         if outcome not in (AttemptOutcome.DONE, AttemptOutcome.REFUSED):
--- a/packages/workflow/briardeal_workflow/planning/_placement.py
+++ b/packages/workflow/briardeal_workflow/planning/_placement.py
@@ -153,10 +153,14 @@
         chosen: dict[int, str] = {}
         latest_wait_s = 0.0
         for index in indices:
-            vm_id = min(waits_s, key=lambda each: (waits_s[each], each), default="")
-            if not vm_id or math.isinf(waits_s[vm_id]):
+            vm_waits_s = {
+                vm_id: max(wait_s, group.refusal_pause_s(index, vm_id, now_s))
+                for vm_id, wait_s in waits_s.items()
+            }
+            vm_id = min(vm_waits_s, key=lambda each: (vm_waits_s[each], each), default="")
+            if not vm_id or math.isinf(vm_waits_s[vm_id]):
                 break
-            latest_wait_s = max(latest_wait_s, waits_s[vm_id])
+            latest_wait_s = max(latest_wait_s, vm_waits_s[vm_id])
             chosen[index] = vm_id
             capacity.place(group, vm_id)
             waits_s[vm_id] = _wait_for_capacity_s(capacity, capacity.vms[vm_id], group, remaining_s)
@@ -232,6 +236,7 @@
         for vm in candidates
         if group.task_resources.fits_in(capacity.free[vm.vm_id])
         and capacity.allows_one_more(group, vm)
+        and not group.refusal_pause_s(index, vm.vm_id, now_s)
     ]
     return min(
         fitting, key=lambda vm: vm_preference(capacity, group, index, vm, now_s), default=None
--- a/packages/workflow/briardeal_workflow/planning/_planner.py
+++ b/packages/workflow/briardeal_workflow/planning/_planner.py
@@ -17,6 +17,7 @@
 from briardeal_workflow.planning._completions import CompletionHandler
 from briardeal_workflow.planning._crashes import Crash, CrashHandler
 from briardeal_workflow.planning._job_order import LeastWorkFirst
+from briardeal_workflow.planning._orders import StartTask
 from briardeal_workflow.planning._passed_over import record_passed_over
 from briardeal_workflow.planning._state import PlannerState
 from briardeal_workflow.planning._stuck_tasks import is_stuck
@@ -247,7 +248,7 @@
         record_passed_over(self.state, wall_s)
         self._forget_finished_jobs()
         orders, self.state.orders = self.state.orders, []
-        return orders
+        return [order for order in orders if not self._is_outdated(order)]
 
     @property
     def next_preemption_s(self) -> float:
@@ -261,6 +262,11 @@
         self.starter.record_unconfirmed(active_job, now_s)
         return False
 
+    def _is_outdated(self, order: Order) -> bool:
+        """Return whether an attempt has ended since its start was ordered, or ordered again."""
+        attempt = self._find_attempt(order.vm_id, order.task, order.number)
+        return isinstance(order, StartTask) and attempt is None
+
     def _find_attempt(self, vm_id: str, task: TaskId, number: int) -> Attempt | None:
         vm = self.state.vms.get(vm_id)
         return vm.attempts.get((task, number)) if vm is not None else None
--- a/packages/workflow/briardeal_workflow/planning/_preemption.py
+++ b/packages/workflow/briardeal_workflow/planning/_preemption.py
@@ -149,6 +149,8 @@
         """Return the VM on which one more task fits at the lowest cost."""
         lowest, cheapest = None, []
         for vm_id, vm in self.vms.items():
+            if self.group.refusal_pause_s(index, vm_id, self.now_s):
+                continue
             if vm_id not in self._choices:
                 self._choices[vm_id] = self._find_choice(vm)
             choice = self._choices[vm_id]
--- a/packages/workflow/briardeal_workflow/planning/_state.py
+++ b/packages/workflow/briardeal_workflow/planning/_state.py
@@ -125,6 +125,8 @@
     def record_started(self, task: TaskId) -> None:
         """Record that a task of a job has started."""
         active_job = self.job_of(task)
+        if active_job is not None:
+            active_job.groups[task.group].forget_refusals(task.index)
         if active_job is not None and not active_job.started:
             active_job.started = True
             self.unsaved_jobs.add(task.job_id)
--- a/packages/workflow/briardeal_workflow/planning/_task_groups.py
+++ b/packages/workflow/briardeal_workflow/planning/_task_groups.py
@@ -25,6 +25,8 @@
 
     TAKEOVER = "tasks of an earlier owner might still run"
     CAPACITY = "no capacity was free"
+    REFUSED = "the VMs with free capacity have just refused its start"
+    UNREACHABLE = "the VMs with free capacity could not be reached"
     RESERVED = "free capacity was reserved for more urgent work"
     NO_VICTIMS = "no capacity was free, and other work could not be stopped"
     COSTS_MORE = "making room would have cost more work than it brought"
@@ -65,6 +67,28 @@
     lost_core_s: float = 0.0
 
 
+@attrs.define
+class Refusals:
+    """Refused starts of a task on a VM since the task last started.
+
+    Attributes
+    ----------
+    count
+        Number of refusals.
+    until_s
+        Until when the task is not ordered there again, on the event loop's clock.
+    """
+
+    count: int = 0
+    until_s: float = float("-inf")
+
+
+REFUSAL_PAUSE_S = 0.1
+"""Pause before a refused start is ordered on the same VM again; it doubles with each refusal."""
+
+REFUSAL_PAUSE_LIMIT_S = 1.6
+"""Longest such pause; a task without any other VM starts this late at most after the cause ends."""
+
 ISOLATION_WAIT_S = 3.0
 """Time after a crash for which its suspects wait for a VM without other work."""
 
@@ -112,6 +136,8 @@
         Attempts that ended without a result, by task index.
     crash_records
         Worker crashes that are counted, or may be, by task index.
+    refusals
+        Refused starts by task index and VM; a gang counts all of them under index 0.
     wait_cause
         What the unplaced tasks waited for when that was last logged; `None` if none wait.
     """
@@ -135,6 +161,7 @@
     preemptions: dict[int, PreemptionHistory] = attrs.field(factory=dict)
     unfinished: dict[int, UnfinishedAttempts] = attrs.field(factory=dict)
     crash_records: dict[int, CrashRecord] = attrs.field(factory=dict)
+    refusals: dict[tuple[int, str], Refusals] = attrs.field(factory=dict)
     wait_cause: WaitCause | None = None
 
     @property
@@ -180,6 +207,24 @@
             return []
         return unplaced
 
+    def record_refusal(self, index: int, vm_id: str, now_s: float) -> None:
+        """Record that a VM has refused to start a task, so that others are tried first."""
+        refusals = self.refusals.setdefault((self.recorded_index(index), vm_id), Refusals())
+        pause_s = min(REFUSAL_PAUSE_S * 2**refusals.count, REFUSAL_PAUSE_LIMIT_S)
+        refusals.count += 1
+        refusals.until_s = now_s + pause_s
+
+    def forget_refusals(self, index: int) -> None:
+        """Forget the refused starts of a task once it has started."""
+        recorded = self.recorded_index(index)
+        for key in [each for each in self.refusals if each[0] == recorded]:
+            del self.refusals[key]
+
+    def refusal_pause_s(self, index: int, vm_id: str, now_s: float) -> float:
+        """Return for how long a task is not ordered on a VM that has refused it, in seconds."""
+        refusals = self.refusals.get((self.recorded_index(index), vm_id))
+        return 0.0 if refusals is None else max(0.0, refusals.until_s - now_s)
+
     def is_suspect(self, index: int) -> bool:
         """Return whether a task may crash the worker that starts it."""
         record = self.crash_records.get(index)
--- a/packages/workflow/briardeal_workflow/planning/_task_starter.py
+++ b/packages/workflow/briardeal_workflow/planning/_task_starter.py
@@ -91,7 +91,8 @@
                 len(unreserved) < len(vms)
                 and place_on_free_capacity(vms, group, unplaced, now_s) is not None
             )
-            cause = WaitCause.RESERVED if is_reserved else WaitCause.CAPACITY
+            cause = self._missing_capacity(active_job, group, unplaced, WaitCause.CAPACITY, now_s)
+            cause = WaitCause.RESERVED if is_reserved else cause
             self._record_wait(active_job, group, cause, now_s)
             return
         if group.preemption_due_s is None:
@@ -102,6 +103,7 @@
             return
         obstacle = self._preempt_for(active_job, group, unplaced, vms, now_s)
         if obstacle is not None:
+            obstacle = self._missing_capacity(active_job, group, unplaced, obstacle, now_s)
             self._record_wait(active_job, group, obstacle, now_s)
             self.claims.release_incomplete(group, now_s)
             self._reserve(group, group.unplaced_indices(), unreserved, now_s)
@@ -181,6 +183,30 @@
         limit = max(1, int(PROBATION_SHARE * len(vms)))
         return WaitCause.ISOLATION if len(isolating) >= limit else None
 
+    def _missing_capacity(
+        self,
+        active_job: ActiveJob,
+        group: TaskGroup,
+        indices: Sequence[int],
+        otherwise: WaitCause,
+        now_s: float,
+    ) -> WaitCause:
+        """Return why tasks can't use the free capacity of some VM, if there is any."""
+        cause = otherwise
+        for vm in self.state.vms.values():
+            if vm.description.service != active_job.job.service or vm.description.leaving:
+                continue
+            refuses = vm.reachable and any(
+                group.refusal_pause_s(index, vm.vm_id, now_s) for index in indices
+            )
+            if vm.reachable and not refuses:
+                continue
+            if group.task_resources.fits_in(vm.unclaimed_capacity()):
+                if refuses:
+                    return WaitCause.REFUSED
+                cause = WaitCause.UNREACHABLE
+        return cause
+
     def _preemption_due_s(
         self, group: TaskGroup, indices: Sequence[int], vms: Sequence[Vm], now_s: float
     ) -> float:
--- a/packages/workflow/briardeal_workflow/worker/_agent.py
+++ b/packages/workflow/briardeal_workflow/worker/_agent.py
@@ -134,7 +134,11 @@
         self.silent_since_s: float | None = None
         self.refused_since_s: float | None = None
         self.orders = OrderExecutor(
-            worker, self._lease_end_clock, self._handle_outcome, self._find_in_lists
+            worker,
+            self._lease_end_clock,
+            self._handle_outcome,
+            self._find_in_lists,
+            self._doubt_lists,
         )
         self.crashes = CrashRecorder()
         self.leaving = False
@@ -265,9 +269,19 @@
             self.table.record_start(result.task, result.number, clock_s)
         if self.owner is not None:
             # An owner that has taken over needs the outcome of an order of its predecessor too.
-            self._spawn(
-                self.owner.connection.send(msgspec.structs.replace(result, epoch=self.epoch))
-            )
+            outcome = msgspec.structs.replace(result, epoch=self.epoch)
+            self._spawn(self._send_outcome(self.owner, outcome))
+
+    async def _send_outcome(self, owner: EntryLink, result: StartResult) -> None:
+        """Send an outcome; before a refusal, the state of the VM that the owner did not know."""
+        if result.outcome is StartOutcome.REFUSED:
+            await self._send_heartbeat(owner, full=True)
+        await owner.connection.send(result)
+
+    def _doubt_lists(self) -> None:
+        """Report the worker as unreachable until it has listed its tasks again."""
+        self.listed_epoch = -1
+        self._spawn(self._list_for_owner())
 
     async def _watch_registration(self) -> None:
         while True:
--- a/packages/workflow/briardeal_workflow/worker/_interface.py
+++ b/packages/workflow/briardeal_workflow/worker/_interface.py
@@ -26,9 +26,18 @@
 
 @dataclass(frozen=True)
 class Refused:
-    """The worker rejected the call and did not start the task."""
+    """The worker rejected the call, or it did not reach the worker; the task was not started.
+
+    Parameters
+    ----------
+    reason
+        Reason that the worker gave, or description of the failure.
+    unreached
+        Whether no connection to the worker could be opened.
+    """
 
     reason: str
+    unreached: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/workflow/briardeal_workflow/worker/_orders.py
+++ b/packages/workflow/briardeal_workflow/worker/_orders.py
@@ -46,6 +46,8 @@
         when it answered; otherwise with 0.
     find_in_lists
         Reads the worker's lists until it answers, and returns whether they contain an attempt.
+    on_missed
+        Called when a start shows that nothing listens, or that another incarnation does.
 
     Attributes
     ----------
@@ -62,11 +64,13 @@
         lease_end_clock: Callable[[], float | None],
         on_resolved: Callable[[StartResult, float], None],
         find_in_lists: Callable[[TaskId, int], Awaitable[bool]],
+        on_missed: Callable[[], None],
     ) -> None:
         self.worker = worker
         self.lease_end_clock = lease_end_clock
         self.on_resolved = on_resolved
         self.find_in_lists = find_in_lists
+        self.on_missed = on_missed
         self.unresolved: set[tuple[TaskId, int]] = set()
         self.stopping: dict[tuple[TaskId, int], int] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -120,11 +124,14 @@
                 self._resolve(order, StartOutcome.STARTED, "", answer.clock_s)
                 return
             if isinstance(answer, Refused):
+                if answer.unreached:
+                    self.on_missed()
                 if unanswered:
                     break
                 self._resolve(order, StartOutcome.REFUSED, answer.reason)
                 return
             if isinstance(answer, Replaced):
+                self.on_missed()
                 self._resolve(order, StartOutcome.REFUSED, "worker was replaced")
                 return
             unanswered = True
--- a/tests/workflow/planning/test_waiting.py
+++ b/tests/workflow/planning/test_waiting.py
@@ -137,3 +137,32 @@
     assert line["job_id"] == urgent.job_id
     assert line["cause"] == "vm-1 is leaving"
     assert "vm-1" in line["vms"]
+
+
+def test_wait_for_a_vm_that_has_refused_the_task_is_logged(lines):
+    harness = PlannerHarness(vms=1)
+    job = harness.submit(small_step())
+    for _ in range(6):
+        while not (starts := harness.start_orders(after_s=0.1)):
+            pass
+        harness.report_outcome(starts[0], AttemptOutcome.REFUSED)
+    harness.decide(after_s=0.1)
+    assert set(find_waits(lines)) == {
+        (job.job_id, "the VMs with free capacity have just refused its start")
+    }
+
+
+@pytest.mark.parametrize("queue", ["bulk", "urgent"])
+def test_wait_while_only_unreachable_vms_have_free_capacity_is_logged(lines, queue):
+    harness = PlannerHarness(vms=2)
+    harness.submit(whole_vm_step(estimate_s=100.0), queue="urgent", customer="north")
+    (running,) = harness.start_orders()
+    harness.report_running([running])
+    (other,) = {"vm-0", "vm-1"} - {running.vm_id}
+    harness.planner.mark_unreachable(other, harness.now_s)
+    harness.planner.extend_lease(other, harness.now_s + 100.0)
+    job = harness.submit(whole_vm_step(), queue=queue, customer="north")
+    harness.decide()
+    harness.decide(after_s=1.2)
+    cause = "the VMs with free capacity could not be reached"
+    assert find_waits(lines) == [(job.job_id, cause)]
