Rule out a start under way before an order is repeated to a restarted agent

What callers would see: a task that runs twice. Causes, when an agent restarts while the worker carries out a start late:

- The owner took an attempt that was reported as unresolved for a running one.
The new agent does not know it, so that it counted as lost after 3 s; the start takes effect up to 5 s after it was sent.
- An order that shows no effect is sent again after 1.5 s.
If the worker refuses this one, the owner frees the attempt, while the start sent by the earlier agent may still take effect.

An unresolved attempt stays ordered, so that its order is sent again. A repeated order says so, and its agent stops the attempt before it reports a refusal. An attempt that no VM has listed as running counts as lost after 6 s, longer than the lease under which its start was sent: the worker refuses it as late after that.

--- a/packages/workflow/briardeal_workflow/control/_messages.py
+++ b/packages/workflow/briardeal_workflow/control/_messages.py
@@ -269,6 +269,9 @@
     incarnation
         Incarnation of the worker for which the start was decided; empty in orders of an earlier
         version, which any incarnation carries out.
+    repeated
+        Whether the order may have been sent before, so that an earlier agent of the VM may have
+        called the worker.
     """
 
     epoch: int
@@ -278,6 +281,7 @@
     checkpoint: str = ""
     ticket: str = ""
     incarnation: str = ""
+    repeated: bool = False
 
 
 class StopOrder(msgspec.Struct, frozen=True, tag="stop"):
--- a/packages/workflow/briardeal_workflow/owner/_owner.py
+++ b/packages/workflow/briardeal_workflow/owner/_owner.py
@@ -329,6 +329,7 @@
             attempt.checkpoint,
             incarnation,
             "given again",
+            repeated=True,
         )
 
     async def _plan_until_fenced(self) -> None:
@@ -405,6 +406,7 @@
                 order.command,
                 order.checkpoint,
                 incarnation=order.incarnation,
+                repeated=order.repeated,
             )
         else:
             message = StopOrder(self.epoch, order.task, order.number)
--- a/packages/workflow/briardeal_workflow/owner/_reports.py
+++ b/packages/workflow/briardeal_workflow/owner/_reports.py
@@ -66,7 +66,7 @@
         )
         for row in report.running
     ]
-    rows += [RunningTask(task, number) for task, number in report.unsettled]
+    rows += [RunningTask(task, number, unresolved=True) for task, number in report.unsettled]
     return rows
 
 
--- a/packages/workflow/briardeal_workflow/planning/_orders.py
+++ b/packages/workflow/briardeal_workflow/planning/_orders.py
@@ -25,6 +25,8 @@
         Incarnation of the worker for which the start was decided.
     cause, inputs
         Reason for starting now, and the values behind that decision, for the log.
+    repeated
+        Whether the order has been sent before.
     """
 
     vm_id: str
@@ -35,6 +37,7 @@
     incarnation: str
     cause: str
     inputs: dict[str, object] = field(default_factory=dict, compare=False)
+    repeated: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/workflow/briardeal_workflow/planning/_planner.py
+++ b/packages/workflow/briardeal_workflow/planning/_planner.py
@@ -38,6 +38,10 @@
 """Time after which an attempt that its VM no longer lists counts as lost; VMs report their task
 lists every second."""
 
+UNRESOLVED_MISSING_LIMIT_S = 6.0
+"""The same for an attempt that no VM has listed as running; longer than the lease under which its
+start was sent, as the worker refuses a start that is carried out after that."""
+
 ATTEMPT_NUMBERS_PER_EPOCH = 1000
 """Attempt numbers that one owner may use for a task, so that the next owner uses higher ones."""
 
@@ -285,7 +289,8 @@
         )
         attempt.ordered_s = now_s - ran_s
         attempt.phase = AttemptPhase.RUNNING
-        self.state.record_started(running_task.task)
+        if not running_task.unresolved:
+            self.state.record_started(running_task.task)
         if active_job.finished or running_task.task.index in group.done:
             self.state.stop(attempt, "task is over")
         log_event(
@@ -315,6 +320,9 @@
         return job.steps[task.step] if job is not None and task.step < len(job.steps) else None
 
     def _record_progress(self, attempt: Attempt, running_task: RunningTask, now_s: float) -> None:
+        if running_task.unresolved:
+            # It may still start late, so that it must not count as running and then as missing.
+            return
         if attempt.phase is AttemptPhase.ORDERED:
             attempt.phase = AttemptPhase.RUNNING
             self.state.record_started(running_task.task)
@@ -332,7 +340,10 @@
         for key, attempt in list(vm.attempts.items()):
             if key in listed or attempt.phase is AttemptPhase.ORDERED:
                 vm.missing_since_s.pop(key, None)
-            elif now_s - vm.missing_since_s.setdefault(key, now_s) > MISSING_LIMIT_S:
+                continue
+            listed_before = attempt.first_listed_s is not None
+            limit_s = MISSING_LIMIT_S if listed_before else UNRESOLVED_MISSING_LIMIT_S
+            if now_s - vm.missing_since_s.setdefault(key, now_s) > limit_s:
                 self.completions.end_attempt(vm, attempt, AttemptOutcome.LOST, "", now_s)
 
     def _evacuate_leaving_vms(self) -> None:
--- a/packages/workflow/briardeal_workflow/planning/_running_task.py
+++ b/packages/workflow/briardeal_workflow/planning/_running_task.py
@@ -1,4 +1,4 @@
-"""Running tasks as VMs list them."""
+"""Running tasks as VMs list them, and tasks of which it is not known whether they run."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 @attrs.frozen
 class RunningTask:
-    """A running task as its VM lists it.
+    """A running task as its VM lists it, or one whose start has no known outcome yet.
 
     Parameters
     ----------
@@ -27,6 +27,8 @@
         with a latency target, processor time in use for any other task.
     ran_s
         Time since the start order, in seconds; `None` if its VM does not know it.
+    unresolved
+        Whether the outcome of its start is not known yet.
     """
 
     task: TaskId
@@ -35,3 +37,4 @@
     percent: int = 0
     load: float = 0.0
     ran_s: float | None = None
+    unresolved: bool = False
--- a/packages/workflow/briardeal_workflow/worker/_agent.py
+++ b/packages/workflow/briardeal_workflow/worker/_agent.py
@@ -23,7 +23,13 @@
     VmReport,
 )
 from briardeal_workflow.worker._crashes import CrashRecorder
-from briardeal_workflow.worker._interface import OTHER_INCARNATION, Listing, NoAnswer, Replaced
+from briardeal_workflow.worker._interface import (
+    LEAVING,
+    OTHER_INCARNATION,
+    Listing,
+    NoAnswer,
+    Replaced,
+)
 from briardeal_workflow.worker._lease import LEASE_EXPIRY_S, LEASE_S
 from briardeal_workflow.worker._link import LINK_SILENCE_LIMIT_S, SEND_TIMES_LIMIT, EntryLink
 from briardeal_workflow.worker._orders import OrderExecutor
@@ -247,6 +253,9 @@
             self.orders.stop(self.incarnation, order)
             return
         refusal = self._find_refusal(order)
+        if refusal == LEAVING and order.repeated:
+            self.orders.rule_out(self.incarnation, order)
+            return
         if refusal:
             refused = StartOutcome.REFUSED
             self._handle_outcome(
@@ -262,7 +271,7 @@
             # The owner counts the attempt as lost as soon as it knows the new incarnation.
             return OTHER_INCARNATION
         vm = self.registration.vm
-        return "worker is leaving" if vm is None or vm.leaving else ""
+        return LEAVING if vm is None or vm.leaving else ""
 
     def _handle_outcome(self, result: StartResult, clock_s: float) -> None:
         if result.outcome is StartOutcome.STARTED:
@@ -412,7 +421,9 @@
 
     def _unfinished_attempts(self) -> set[tuple[TaskId, int]]:
         """Return the attempts that run or may have been started, as task and number."""
-        return self.table.running.keys() | self.table.confirmed.keys() | self.orders.unresolved
+        return (
+            self.table.running.keys() | self.table.confirmed.keys() | self.orders.unresolved.keys()
+        )
 
     async def _find_in_lists(self, task: TaskId, number: int) -> bool:
         """Read the lists until the worker answers, and return whether they contain an attempt."""
--- a/packages/workflow/briardeal_workflow/worker/_interface.py
+++ b/packages/workflow/briardeal_workflow/worker/_interface.py
@@ -16,6 +16,9 @@
 OTHER_INCARNATION = "the start was decided for another incarnation of the worker"
 """Reason given by an agent that refuses a start without asking its worker."""
 
+LEAVING = "worker is leaving"
+"""The same for a worker that takes no new tasks."""
+
 
 @dataclass(frozen=True)
 class Started:
--- a/packages/workflow/briardeal_workflow/worker/_orders.py
+++ b/packages/workflow/briardeal_workflow/worker/_orders.py
@@ -52,7 +52,7 @@
     Attributes
     ----------
     unresolved
-        Attempts whose start was ordered and whose outcome is not known yet, by task and number.
+        Start orders whose outcome is not known yet, by task and number of the attempt.
     stopping
         Highest fencing token of the stop orders that the worker has not accepted yet, by task and
         number of the attempt.
@@ -71,7 +71,7 @@
         self.on_resolved = on_resolved
         self.find_in_lists = find_in_lists
         self.on_missed = on_missed
-        self.unresolved: set[tuple[TaskId, int]] = set()
+        self.unresolved: dict[tuple[TaskId, int], StartOrder] = {}
         self.stopping: dict[tuple[TaskId, int], int] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -79,9 +79,16 @@
         """Start an attempt unless the same order is being executed already."""
         key = (order.task, order.number)
         if key not in self.unresolved:
-            self.unresolved.add(key)
+            self.unresolved[key] = order
             self._spawn(self._start(incarnation, order))
 
+    def rule_out(self, incarnation: str, order: StartOrder) -> None:
+        """Prevent an attempt whose start may be under way, unless it has started already."""
+        key = (order.task, order.number)
+        if key not in self.unresolved:
+            self.unresolved[key] = order
+            self._spawn(self._stop_and_resolve(incarnation, order))
+
     def stop(self, incarnation: str, order: StopOrder) -> None:
         """Stop an attempt; an order that is being executed already continues under this token."""
         key = (order.task, order.number)
@@ -103,7 +110,8 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _start(self, incarnation: str, order: StartOrder) -> None:
-        unanswered = False
+        # An earlier agent may have called the worker, and that call may take effect later.
+        unanswered = order.repeated
         for _ in range(MAX_START_CALLS):
             lease_end_clock_s = self.lease_end_clock()
             if lease_end_clock_s is None:
@@ -183,7 +191,7 @@
     def _resolve(
         self, order: StartOrder, outcome: StartOutcome, reason: str, clock_s: float = 0.0
     ) -> None:
-        self.unresolved.discard((order.task, order.number))
+        self.unresolved.pop((order.task, order.number), None)
         self.on_resolved(
             StartResult(order.epoch, order.task, order.number, outcome, reason), clock_s
         )
--- a/tests/workflow/planning/test_adoption.py
+++ b/tests/workflow/planning/test_adoption.py
@@ -93,3 +93,19 @@
         )
     harness.planner.complete_takeover()
     assert harness.start_orders() == []
+
+
+@pytest.mark.parametrize(("unresolved", "limit_s"), [(False, 3.0), (True, 6.0)])
+def test_attempt_whose_start_may_come_late_counts_as_lost_only_after_its_lease(unresolved, limit_s):
+    harness = PlannerHarness(vms=2, epoch=2)
+    job = harness.submit(small_step(), takeover_pending=True)
+    task = TaskId(job.job_id, 0, 0, 0)
+    row = RunningTask(task, 1, unresolved=unresolved)
+    harness.planner.record_task_list("vm-0", [row], harness.now_s)
+    harness.planner.complete_takeover()
+    lost_after_s = 0.0
+    while not harness.start_orders():
+        harness.now_s += 0.1
+        lost_after_s += 0.1
+        harness.planner.record_task_list("vm-0", [], harness.now_s)
+    assert lost_after_s == pytest.approx(limit_s, abs=0.3)
--- a/tests/workflow/worker/test_incarnations.py
+++ b/tests/workflow/worker/test_incarnations.py
@@ -6,10 +6,10 @@
 
 import pytest
 
-from briardeal_standins.emulator import TaskBehavior
+from briardeal_standins.emulator import TaskBehavior, VmFault
 from briardeal_workflow.control import StartOrder
 from tests.workflow.samples import make_job, small_step, whole_vm_step
-from tests.workflow.sites import run_site
+from tests.workflow.sites import restart_processes, run_site
 
 pytestmark = pytest.mark.looptime
 
@@ -30,6 +30,21 @@
     return delayed
 
 
+def find_ordered_vms(site):
+    """Return a list that receives the VM of each start order."""
+    control_server = site.entry(site.owner_name()).control_server
+    send = control_server.send
+    vm_ids = []
+
+    async def send_recorded(agent_id, message):
+        if isinstance(message, StartOrder):
+            vm_ids.append(agent_id)
+        return await send(agent_id, message)
+
+    control_server.send = send_recorded
+    return vm_ids
+
+
 @pytest.mark.parametrize("delay_s", [0.0005, 0.0015, 0.0025, 0.005, 0.02])
 async def test_start_decided_for_a_crashed_worker_does_not_run_twice(delay_s):
     # Guards against an attempt that counts as lost and is then started by the new incarnation.
@@ -78,3 +93,23 @@
         await site.submit(job, TaskBehavior(1.0))
         await site.wait_for_state(job.job_id, "completed", 4.0)
         assert site.checker.start_count == 1
+
+
+@pytest.mark.parametrize("restart_s", [0.3, 0.7, 1.2])
+@pytest.mark.parametrize("delay_s", [2.6, 3.6, 4.6])
+async def test_order_under_way_when_the_agent_restarts_does_not_run_twice(
+    monkeypatch, restart_s, delay_s
+):
+    # Guards against an unresolved start that counts as lost and is then carried out late.
+    monkeypatch.setattr("briardeal_standins.emulator._worker.ORDER_DELAY_S", delay_s)
+    async with run_site() as site:
+        for vm in site.vms.values():
+            vm.fault = VmFault.DELAYS_ORDERS
+        ordered = find_ordered_vms(site)
+        job = make_job(small_step())
+        await site.submit(job, TaskBehavior(8.0))
+        await asyncio.sleep(restart_s)
+        await restart_processes(site, ordered[:1], 0.2)
+        for name, vm in site.vms.items():
+            vm.fault = VmFault.REJECTS_STARTS if name == ordered[0] else VmFault.NONE
+        await site.wait_for_state(job.job_id, "completed", 20.0)
