Stop what was ordered of an earlier life of an instance on its next one

What callers would see: a task that runs twice. Cause: a worker may restart under its instance ID, and the header of a call names only that. A start that is under way when the agent learns of the next life may take effect there, after the owner has counted the attempt as lost.

The agent now stops each such attempt on the next life and reports it as unresolved until the stop is accepted. It starts elsewhere some milliseconds later than before.

Evidence: test_start_that_reaches_the_next_life_of_an_instance_does_not_run_twice breaks SINGLE_RUN on the code before if the call takes effect 3, 10 or 100 ms after the restart, and passes now.

--- a/packages/workflow/briardeal_workflow/worker/_agent.py
+++ b/packages/workflow/briardeal_workflow/worker/_agent.py
@@ -338,7 +338,11 @@
         self.acknowledged_position = 0
         self.listed_epoch = -1
         self.clock_offset_s = None
+        under_way = list(self.orders.unresolved.values())
         self.orders.cancel_all()
+        for order in under_way:
+            # A worker that keeps its instance ID may execute a call meant for its earlier life.
+            self.orders.rule_out(incarnation, order)
 
     async def _poll_worker(self) -> None:
         while True:
--- a/tests/workflow/worker/test_incarnations.py
+++ b/tests/workflow/worker/test_incarnations.py
@@ -113,3 +113,33 @@
         for name, vm in site.vms.items():
             vm.fault = VmFault.REJECTS_STARTS if name == ordered[0] else VmFault.NONE
         await site.wait_for_state(job.job_id, "completed", 20.0)
+
+
+@pytest.mark.parametrize("late_s", [0.0, 0.003, 0.01, 0.1])
+async def test_start_that_reaches_the_next_life_of_an_instance_does_not_run_twice(late_s):
+    # A worker may restart under its instance ID, so that a call for its earlier life has an effect.
+    async with run_site() as site:
+        reached = []
+        for vm in site.vms.values():
+
+            def wrap(vm=vm, start=vm.start):
+                async def start_in_next_life(_incarnation, *arguments, **fields):
+                    if reached:
+                        return await start(_incarnation, *arguments, **fields)
+                    reached.append(vm)
+                    vm.kill()
+                    vm.restart()
+                    call = asyncio.create_task(start_late(vm, start, arguments, fields))
+                    return await asyncio.shield(call)
+
+                vm.start = start_in_next_life
+
+            wrap()
+
+        async def start_late(vm, start, arguments, fields):
+            await asyncio.sleep(late_s)
+            return await start(vm.state.incarnation, *arguments, **fields)
+
+        job = make_job(small_step())
+        await site.submit(job, TaskBehavior(3.0))
+        await site.wait_for_state(job.job_id, "completed", 12.0)
