Extend no lease of a VM whose tasks the new owner does not know yet

What callers would see: a task that runs twice for seconds. Cause: a VM is cut off together with the former owner, which extends its lease for up to 6 s. It then reports to the new owner that its worker does not answer, while the worker does carry out renewals. The new owner extends the lease, though its wait for the tasks of earlier owners counts on their leases only; at the end of the wait it starts the task elsewhere.

An owner now extends the lease of such a VM once it has reported its tasks, or that it runs none. A VM whose worker answers does so with its first report.

Weighed: to count the wait from the newest extension. A worker that never answers would then hold up all known tasks for longer.

--- a/packages/workflow/briardeal_workflow/owner/_owner.py
+++ b/packages/workflow/briardeal_workflow/owner/_owner.py
@@ -241,6 +241,9 @@
         agent = self.agent_states.get(agent_id)
         if agent is None or self.lease_left_s <= 0 or self.writer.fenced:
             return None
+        if agent_id in self.pending_agents:
+            # The end of the wait for the tasks of earlier owners counts on the leases of those.
+            return None
         agent.last_received_s = loop_time()
         self.planner.extend_lease(agent_id, self._agent_lease_end_s())
         return Acknowledge(0, self.epoch, agent.incarnation, agent.ends_stored)
