Check that accepted jobs progress, from what callers and workers see

ProgressCheck stands beside the Checker of the emulator and uses only what callers were answered and what runs on the workers. A span counts when an accepted job that nobody has cancelled has nothing running, the turn of one of its tasks has come, and the free capacity of the VMs that are up holds the task, or its gang, twice. It is a violation after 3 s that were free of disturbances, as were the 4 s before them. How full the VMs are doesn't matter then: the users' rule drops the limit of half of the capacity for calm spans, so the check has one rule instead of two; the share in use is in the text of the finding. A cancelled job that still runs 3.5 s after the answer and 6.5 s of calm is found too.

A completion that a worker lists counts as done until that worker is lost, as callers can't tell whether the owner has stored it.

Shown by tests/standins/test_progress_check.py on virtual time: jobs, second jobs, later steps, gangs and tasks with lost ends that nobody starts are found, and jobs without room, withdrawn jobs, and spans that disturbances touch are not.

--- a/packages/standins/briardeal_standins/emulator/__init__.py
+++ b/packages/standins/briardeal_standins/emulator/__init__.py
@@ -2,6 +2,7 @@
 
 from briardeal_standins.emulator._checker import Checker, Violation
 from briardeal_standins.emulator._emulator import CONFIGURATION, Emulator
+from briardeal_standins.emulator._progress import ProgressCheck, StandStill
 from briardeal_standins.emulator._scenarios import (
     Disruption,
     run_disruption,
@@ -17,7 +18,9 @@
     "Disruption",
     "Emulator",
     "MemoryStore",
+    "ProgressCheck",
     "TaskBehavior",
+    "StandStill",
     "StandinVm",
     "StoreClient",
     "StoreFault",
--- a/packages/standins/briardeal_standins/emulator/_checker.py
+++ b/packages/standins/briardeal_standins/emulator/_checker.py
@@ -50,6 +50,7 @@
     FAILURE_LIMIT = "no task starts after it has reached its failure limit"
     CRASH_LIMIT = "no task starts three times more after it has crashed three workers"
     JOBS_STORED = "no accepted job is lost"
+    JOBS_PROGRESS = "no accepted job has nothing running for 3 s while one of its tasks could run"
     COMPLETED_STATE = "no job is reported as completed while one of its tasks runs"
     FAILED_STATE = "no job is reported as failed before a task has reached its limit"
 
