--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES = core protocol scheduling workflow entry agent standins
 export PYTHONPATH = $(CURDIR):$(CURDIR)/platform:$(subst $() ,:,$(addprefix $(CURDIR)/packages/,$(PACKAGES)))
 
-.PHONY: setup format lint test bench capacity pages demo
+.PHONY: setup format lint test bench capacity pages demo soak
 
 setup: $(VENV)/.installed
 
@@ -36,3 +36,9 @@
 
 demo: setup
 	$(PYTHON) -m briardeal_standins.demo
+
+SEED ?= 1
+SECONDS ?= 60
+
+soak: setup
+	PYTHONHASHSEED=0 $(PYTHON) -m tests_platform.soak --seed $(SEED) --seconds $(SECONDS)
