Log an owner that plans nothing, and a reader that reads its pages again

On the record of the standstill no line of any entry tells an owner that plans nothing from one that does not know the job: an elected entry logs `owner_started` once it plans, and nothing before, and heartbeats of the owner look the same either way.

- `planning_stalled` (417): the owner has completed no planning round for 1 s, with the time since the newest round or the claim, what it waits for (a configuration, jobs, the fence, jobs up to the fence, the announcement to agents, a confirmation of the ownership, an order to a VM) and the age of the jobs read; again when that changes, and each 5 s.
`planning_resumed` (418) is its end.
- `load_restarted` (517): a page of the newest records did not come, with the pages read before it.
- Gauges `briardeal_planning_age_seconds` and `briardeal_jobs_age_seconds`.

The emulator's store can answer pages of a topic later than clients wait, and a connection in memory can stall as one does whose other end reads nothing.

--- a/packages/core/briardeal_core/events/_catalogue.py
+++ b/packages/core/briardeal_core/events/_catalogue.py
@@ -53,6 +53,11 @@
     JOB_ADOPTED = (414, "A new owner found a job or task running and lets it continue.")
     ATTEMPT_ENDED = (415, "An attempt of a job has ended; the outcome says how.")
     STRAY_STOPPED = (416, "A task of an attempt that has ended was found running and is stopped.")
+    PLANNING_STALLED = (
+        417,
+        "The owner has completed no planning round for a second; `waits_for` says for what.",
+    )
+    PLANNING_RESUMED = (418, "The owner completes planning rounds again.")
     TASK_ORDERED = (420, "The owner has ordered an agent to start a task; the cause says why now.")
     TASK_STOPPED = (421, "The owner has ordered an agent to stop a task; the cause says why.")
     START_SETTLED = (422, "An agent has reported the outcome of an order to start a task.")
@@ -92,6 +97,10 @@
     SNAPSHOT_WRITTEN = (514, "A snapshot was written to the log.")
     SNAPSHOT_REJECTED = (515, "A snapshot in the log is damaged or incomplete and was skipped.")
     APPEND_UNCERTAIN = (516, "An append was not acknowledged; the log is read to check for it.")
+    LOAD_RESTARTED = (
+        517,
+        "A page of the newest records did not come; they are read again from the first page.",
+    )
     CONFIGURATION_IN_FORCE = (520, "A configuration is in force in this process.")
     CONFIGURATION_LOST = (
         521,
--- a/packages/protocol/briardeal_protocol/connections/_memory.py
+++ b/packages/protocol/briardeal_protocol/connections/_memory.py
@@ -39,6 +39,9 @@
         The other end.
     silent
         Whether messages from this end are dropped while both ends stay open.
+    stalled
+        Whether the other end reads nothing and all buffers on the way are full, so that messages
+        from this end wait for ever.
     closed
         Whether this end is closed.
     bytes_sent, bytes_received
@@ -51,6 +54,7 @@
         self.client = client
         self.remote: MemoryConnection = self
         self.silent = False
+        self.stalled = False
         self.closed = False
         self.bytes_sent = 0
         self.bytes_received = 0
@@ -61,6 +65,8 @@
         if self.closed:
             return Closed("closed")
         line = self.network.codec.encode(message)
+        if self.stalled:
+            await asyncio.Event().wait()
         self.bytes_sent += len(line)
         if self.network.is_cut(self.client, self.address):
             self.silent = True
--- a/packages/standins/briardeal_standins/emulator/_store.py
+++ b/packages/standins/briardeal_standins/emulator/_store.py
@@ -26,6 +26,9 @@
 
 PAGE_RECORDS = 500
 LATENCY_S = 0.006
+PAGE_TIMEOUT_S = 0.6
+"""Seconds after which a client stops waiting for a page."""
+
 WRITE_DELAY_S = 3.0
 """Seconds after which an append takes effect under `StoreFault.WRITES_LATE`."""
 
@@ -69,6 +72,8 @@
         Fault of each client by name; the empty name stands for all other clients.
     lost_answers
         Number of next appends to each topic that are carried out without an answer.
+    late_pages
+        Topics of which pages of the newest records arrive later than clients wait for them.
     calls
         Number of calls so far.
     """
@@ -77,6 +82,7 @@
         self.topics: dict[str, _Topic] = {}
         self.faults: dict[str, StoreFault] = {}
         self.lost_answers: dict[str, int] = {}
+        self.late_pages: set[str] = set()
         self.calls = 0
         self._delayed_writes: set[asyncio.Task[None]] = set()
 
@@ -208,6 +214,9 @@
         await asyncio.sleep(LATENCY_S)
         if self._is_unreadable():
             return await self._fail_read()
+        if topic in self.store.late_pages:
+            await asyncio.sleep(PAGE_TIMEOUT_S)
+            return OutOfReach("the page comes too late")
         found = self.store.get_topic(topic)
         keys = sorted(key for key in found.newest if key > after_key)
         page = tuple(found.newest[key] for key in keys[:PAGE_RECORDS])
--- a/packages/workflow/briardeal_workflow/entry/_entry.py
+++ b/packages/workflow/briardeal_workflow/entry/_entry.py
@@ -11,7 +11,7 @@
 from briardeal_workflow.job_table import JobTable
 from briardeal_workflow.leadership import Election, OwnerWatch
 from briardeal_workflow.metrics import WorkflowMetrics
-from briardeal_workflow.owner import JOBS_TOPIC, ControlServer, Owner
+from briardeal_workflow.owner import JOBS_TOPIC, ControlServer, Owner, PlanningProgress
 from briardeal_workflow.relay import RelayedStore, RelayServer
 from briardeal_workflow.store import Follower
 
@@ -48,6 +48,8 @@
     ----------
     gateway
         Handles the requests of callers.
+    progress
+        Progress of the planner while this entry is elected.
     job_follower
         Follower that reads the topic of jobs.
     owner
@@ -81,6 +83,7 @@
         )
         self.job_table = JobTable()
         self.job_follower = Follower(self.store, JOBS_TOPIC, self._apply_record, READ_WAIT_S)
+        self.progress = PlanningProgress(self.election, self.job_follower, self.metrics)
         self.gateway = Gateway(
             self.store,
             JOBS_TOPIC,
@@ -97,7 +100,7 @@
         """Run the entry until cancelled."""
         await self.control_server.start(self.address)
         async with asyncio.TaskGroup() as tasks:
-            for part in (self.job_follower, self.election, self.watch):
+            for part in (self.job_follower, self.election, self.watch, self.progress):
                 tasks.create_task(part.run())
             await self._run_owner_when_elected()
 
@@ -116,9 +119,11 @@
         return [address for address in dict.fromkeys(addresses) if address != self.address]
 
     async def _run_owner_when_elected(self) -> None:
+        self.progress.waits_for = "a configuration"
         await self.configured.wait()
         while True:
             await self.election.elected.wait()
+            self.progress.waits_for = "jobs"
             await self.job_follower.caught_up.wait()
             if not self.election.is_owner:
                 # Another entry has claimed the ownership since, under a token of its own.
@@ -131,6 +136,7 @@
                 self.job_follower,
                 self.clock,
                 self.metrics,
+                self.progress,
             )
             await self.owner.run(self.configuration)
             self.owner = None
--- a/packages/workflow/briardeal_workflow/leadership/_election.py
+++ b/packages/workflow/briardeal_workflow/leadership/_election.py
@@ -63,6 +63,8 @@
         Record of the newest claim; `None` before the first.
     entries
         Control addresses of entries by entry name.
+    claimed_s
+        When the newest claim became known, on the loop's clock.
     elected
         Set while this entry is the owner.
     previous_owner_stopped
@@ -82,6 +84,7 @@
         self.follower = Follower(store, CONTROL_TOPIC, self._apply, wait_s=1.0)
         self.owner: OwnerRecord | None = None
         self.entries: dict[str, str] = {}
+        self.claimed_s = loop_time()
         self.elected = asyncio.Event()
         self.last_heartbeat_s = loop_time()
         self.owner_lost = False
@@ -263,7 +266,7 @@
                 self.owner_stopped and self.owner.settled
             )
             self.owner_stopped = False
-            self.last_heartbeat_s = loop_time()
+            self.claimed_s = self.last_heartbeat_s = loop_time()
             self.owner_lost = False
             self.store_failing_s = 0.0
             self._delay_s = self.rng.uniform(0.0, MAX_CLAIM_DELAY_S)
--- a/packages/workflow/briardeal_workflow/metrics/_metrics.py
+++ b/packages/workflow/briardeal_workflow/metrics/_metrics.py
@@ -52,6 +52,11 @@
         Work lost by them, by queue and outcome, in core-seconds.
     takeover_s
         Time from a claim of ownership to the first decision of the owner, in seconds.
+    planning_age_s
+        Time since the newest planning round, or the claim before the first one, in seconds; 0 on an
+        entry that is not the owner.
+    jobs_age_s
+        Upper limit of the time by which the jobs read lag behind the store, in seconds.
     """
 
     def __init__(self) -> None:
@@ -101,6 +106,14 @@
             "Time from a claim to the first decision.",
             START_BOUNDS_S,
         )
+        self.planning_age_s = self.gauge(
+            "briardeal_planning_age_seconds",
+            "Time since the owner completed a planning round; 0 on other entries.",
+        )
+        self.jobs_age_s = self.gauge(
+            "briardeal_jobs_age_seconds",
+            "Upper limit of the time by which the jobs read lag behind the store.",
+        )
 
     def count_event(self, event: Event, fields: dict[str, Any]) -> None:
         """Count an event by its name and outcome."""
--- a/packages/workflow/briardeal_workflow/owner/__init__.py
+++ b/packages/workflow/briardeal_workflow/owner/__init__.py
@@ -2,5 +2,6 @@
 
 from briardeal_workflow.owner._control_server import ControlServer
 from briardeal_workflow.owner._owner import JOBS_TOPIC, Owner
+from briardeal_workflow.owner._planning_progress import PlanningProgress
 
-__all__ = ["JOBS_TOPIC", "ControlServer", "Owner"]
+__all__ = ["JOBS_TOPIC", "ControlServer", "Owner", "PlanningProgress"]
--- a/packages/workflow/briardeal_workflow/owner/_owner.py
+++ b/packages/workflow/briardeal_workflow/owner/_owner.py
@@ -55,6 +55,7 @@
     from briardeal_workflow.metrics import WorkflowMetrics
     from briardeal_workflow.model import Configuration
     from briardeal_workflow.owner._control_server import ControlServer
+    from briardeal_workflow.owner._planning_progress import PlanningProgress
     from briardeal_workflow.planning import Attempt, Order
     from briardeal_workflow.store import Follower, Store
 
@@ -75,6 +76,8 @@
         Wall time, for jobs that are due at a time.
     metrics
         Records the duration of takeovers and the delay of first starts.
+    progress
+        Records planning rounds and what the owner waits for.
 
     Attributes
     ----------
@@ -109,8 +112,10 @@
         follower: Follower,
         clock: Clock,
         metrics: WorkflowMetrics,
+        progress: PlanningProgress,
     ) -> None:
         self.metrics = metrics
+        self.progress = progress
         self.election = election
         self.control_server = control_server
         self.job_table = job_table
@@ -141,14 +146,17 @@
 
     async def run(self, configuration: Configuration) -> None:
         """Schedule jobs until another entry has taken over."""
+        self.progress.waits_for = "the fence of earlier owners"
         outcome = await self.writer.append([])
         if isinstance(outcome, Fenced):
             return
         self.fenced_s = boottime_s()
+        self.progress.waits_for = "jobs up to the fence"
         await self.follower.wait_until_read(outcome.end)
         self._load(configuration)
         log_event(Event.OWNER_STARTED, epoch=self.epoch, jobs=len(self.planner.state.active_jobs))
         self.metrics.takeover_s.observe({}, self._age_s())
+        self.progress.waits_for = "the announcement to agents"
         await self.control_server.announce_owner(self)
         try:
             async with asyncio.TaskGroup() as tasks:
@@ -349,10 +357,13 @@
             now_s = loop_time()
             next_round_s = now_s + MAX_ROUND_INTERVAL_S
             if self.lease_left_s <= 0:
+                self.progress.waits_for = "a confirmation of the ownership"
                 continue
             confirmed_s = self.writer.confirmed_loop_s
             for order in self.planner.decide(now_s, self.clock.now_s(), confirmed_s):
+                self.progress.waits_for = f"an order to {order.vm_id}"
                 await self._send_order(order)
+            self.progress.record_round(self.epoch)
             # The loop's timers may fire slightly early, so a round may come just before its time.
             next_preemption_s = max(now_s + ROUND_DELAY_S, self.planner.next_preemption_s)
             next_round_s = min(next_round_s, next_preemption_s)
--- a/packages/workflow/briardeal_workflow/store/_follower.py
+++ b/packages/workflow/briardeal_workflow/store/_follower.py
@@ -79,16 +79,19 @@
     async def _load(self) -> bool:
         """Read the newest record of each key and return whether the store answered every read."""
         after_key = ""
+        pages = 0
         first_end: int | None = None
         while True:
             sent_s = boottime_s()
             page = await self.store.list_newest(self.topic, after_key)
             if not isinstance(page, Page):
                 self._update_reachable(page)
+                log_event(Event.LOAD_RESTARTED, topic=self.topic, pages=pages, detail=str(page))
                 return False
             self._update_reachable(page)
             if first_end is None:
                 first_end = page.next_offset
+            pages += 1
             for record in page.records:
                 self.apply(record)
             if not page.next_key:
