Let an entry claim the ownership only if it could plan at once

Callers saw jobs that were accepted and of which nothing started: with real processes, an owner that was killed and came back while the store answered pages of `jobs` late, with the other entry stopped for 3 s meanwhile, never started anything; the other entry accepted jobs and had read all of them.

Cause: `Election.run` claimed as soon as the control topic had been read, mostly with the cause "owner was restarted", while the entry's owner waits for a configuration and for the jobs. Its heartbeats say that it owns the jobs, so that no other entry claims.

Change: an entry claims only if it has a configuration, has read the jobs up to 2.5 s ago and runs no owner of an earlier claim. An entry that was restarted denies the ownership until then, and the others take over. It no longer watches itself, which it did six times a second until it claimed.

A test of takeovers forces the claim of an entry that has not read the jobs; such a claim remains possible where its append was not answered. The rest of that test is as before.

Weighed: to claim at once and plan when the jobs are read (nobody plans meanwhile); to demand a recent configuration (an old one is good enough to plan with).

--- a/packages/workflow/briardeal_workflow/entry/_entry.py
+++ b/packages/workflow/briardeal_workflow/entry/_entry.py
@@ -25,6 +25,9 @@
 """Longest time that a read waits for records of jobs; while none arrive, the records read are at
 most this old."""
 
+MAX_JOBS_AGE_S = 2.5
+"""Maximum age of the jobs read with which an entry claims the ownership."""
+
 RECLAIM_PAUSE_S = 0.1
 """Pause before an entry that has lost the ownership may claim it again."""
 
@@ -76,7 +79,9 @@
         self.clock = clock
         self.incarnation = incarnation
         rng = random.Random(incarnation)
-        self.election = Election(self.store, entry_id, incarnation, address, rng)
+        self.election = Election(
+            self.store, entry_id, incarnation, address, rng, lambda: self.can_plan
+        )
         self.watch = OwnerWatch(self.election, network)
         self.control_server = ControlServer(
             network, self.election, RelayServer(store, lambda: self.store.direct_available)
@@ -96,6 +101,17 @@
         self.configuration: Configuration | None = None
         self.configured = asyncio.Event()
 
+    @property
+    def can_plan(self) -> bool:
+        """Whether this entry could plan at once if it were elected.
+
+        An owner of an earlier claim may not have ended yet. An old configuration is good enough.
+        """
+        reader = self.job_follower
+        is_read = reader.caught_up.is_set() and reader.reachable
+        is_recent = is_read and reader.age_s <= MAX_JOBS_AGE_S
+        return is_recent and self.configuration is not None and self.owner is None
+
     async def run(self) -> None:
         """Run the entry until cancelled."""
         await self.control_server.start(self.address)
--- a/packages/workflow/briardeal_workflow/leadership/_election.py
+++ b/packages/workflow/briardeal_workflow/leadership/_election.py
@@ -22,6 +22,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from briardeal_workflow.store import Store
 
@@ -56,6 +57,9 @@
         Name of this entry, identifier of this run of its process, and its control address.
     rng
         Source of the random delays before claims.
+    can_plan
+        Returns whether this entry could plan at once if it owned the jobs; it makes no claim
+        otherwise. By default it always could.
 
     Attributes
     ----------
@@ -74,13 +78,20 @@
     """
 
     def __init__(
-        self, store: Store, entry_id: str, incarnation: str, address: str, rng: random.Random
+        self,
+        store: Store,
+        entry_id: str,
+        incarnation: str,
+        address: str,
+        rng: random.Random,
+        can_plan: Callable[[], bool] = lambda: True,
     ) -> None:
         self.store = store
         self.entry_id = entry_id
         self.incarnation = incarnation
         self.address = address
         self.rng = rng
+        self.can_plan = can_plan
         self.follower = Follower(store, CONTROL_TOPIC, self._apply, wait_s=1.0)
         self.owner: OwnerRecord | None = None
         self.entries: dict[str, str] = {}
@@ -175,6 +186,7 @@
             or self.is_owner
             or self.follower.age_s > MAX_READ_AGE_S
             or not self.follower.reachable
+            or not self.can_plan()
         ):
             return ""
         if self.owner is None:
--- a/packages/workflow/briardeal_workflow/leadership/_watch.py
+++ b/packages/workflow/briardeal_workflow/leadership/_watch.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from briardeal_protocol.connections import Connection, Network
     from briardeal_workflow.leadership._election import Election
+    from briardeal_workflow.leadership._records import OwnerRecord
 
 OWNER_HEARTBEAT_INTERVAL_S = 0.3
 """Interval between heartbeats of the owner to each entry."""
@@ -61,7 +62,7 @@
         while True:
             owner = self.election.owner
             # An entry that is shutting down can't take over, so the owner must not hand over to it.
-            if owner is not None and not self.election.is_owner and not self.election.leaving:
+            if owner is not None and not self.election.leaving and not self._is_own_claim(owner):
                 outcome = await self._watch(owner.address, owner.epoch)
                 refusals = refusals + 1 if outcome is WatchOutcome.REFUSED else 0
                 if outcome is WatchOutcome.DENIED:
@@ -70,6 +71,10 @@
                     self.election.mark_owner_lost(owner.epoch, certain=False)
             await asyncio.sleep(RECONNECT_DELAY_S)
 
+    def _is_own_claim(self, owner: OwnerRecord) -> bool:
+        """Return whether this run or an earlier one of this entry has made a claim."""
+        return owner.entry_id == self.election.entry_id
+
     async def _watch(self, address: str, epoch: int) -> WatchOutcome:
         """Connect to the owner and process its heartbeats until the connection ends."""
         try:
--- a/tests/workflow/entry/test_planning_progress.py
+++ b/tests/workflow/entry/test_planning_progress.py
@@ -18,6 +18,8 @@
         await site.kill(name)
         site.start_process(name)
         entry = site.entry(name)
+        # A claim whose append was not answered may win after the entry has begun to read anew.
+        entry.election.can_plan = lambda: True
         await asyncio.sleep(2.0)
         (line,) = lines_of(site, "planning_stalled")
         assert '"waits_for":"jobs"' in line
--- a/tests/workflow/entry/test_takeovers.py
+++ b/tests/workflow/entry/test_takeovers.py
@@ -65,7 +65,9 @@
     async with run_site() as site:
         owner = await site.wait_for_owner()
         slow, other = (site.entry(name) for name in site.entry_names if name != owner)
+        # A claim whose append was not answered may win after the entry has begun to read anew.
         slow.job_follower.caught_up = ClosedGate()
+        slow.election.can_plan = lambda: True
         other.election.leaving = True
         await site.kill(owner)
         await wait_until(lambda: slow.election.is_owner)
--- a/tests/workflow/leadership/test_election.py
+++ b/tests/workflow/leadership/test_election.py
@@ -23,9 +23,9 @@
 pytestmark = pytest.mark.looptime
 
 
-def make_election():
-    store = StoreClient(MemoryStore(), "entry-0")
-    return Election(store, "entry-0", "entry-0/1", "entry-0:7000", random.Random(1))
+def make_election(store=None, can_plan=lambda: True):
+    client = StoreClient(store or MemoryStore(), "entry-0")
+    return Election(client, "entry-0", "entry-0/1", "entry-0:7000", random.Random(1), can_plan)
 
 
 def read_claim(election, offset, epoch, **fields):
@@ -62,3 +62,15 @@
         site.store.write(CONTROL_TOPIC, [Record(entry_key("entry-0"), value)], None, None)
         await asyncio.sleep(1.0)
         assert site.entry("entry-1").election.entries["entry-0"] == site.address_of("entry-0")
+
+
+@pytest.mark.parametrize("can_plan", [False, True])
+async def test_entry_that_cannot_plan_makes_no_claim_after_its_restart(can_plan):
+    # Guards against an owner that has not read the jobs, while another entry has.
+    async with run_site(entries=1) as site:
+        election = make_election(site.store, lambda: can_plan)
+        reading = asyncio.create_task(election.run())
+        await site.kill("entry-0")
+        await asyncio.sleep(3.0)
+        reading.cancel()
+        assert election.is_owner == can_plan
