Replace an owner that completes no planning round

Callers saw accepted jobs of which nothing started while an entry owned the jobs without planning them: it had not read the jobs up to its claim, or none of its confirmations was answered and none failed, so that its lease had expired.

Cause: heartbeats of the owner say that an entry is the owner as long as its claim is the newest, with `store_failing_s` 0.0 also where there is no planner yet. Nothing in them tells whether it plans.

Change: heartbeats carry the time since the owner completed a planning round under a valid lease, counted from its claim before the first one (a field with a default; heartbeats of the earlier version say 0). Another entry claims ("owner plans nothing") when that exceeds 1.5 s and it could have planned all that time itself. So an outage of the whole store causes no such claim, as nobody could plan. Each owner that is replaced so before its first round doubles the time, up to 24 s; a completed round resets it.

Weighed: the owner resigns by itself (it can't tell whether another entry is better off); a shorter time (the first round may take 1 s while answers of the store get lost); a lasting exclusion of entries that failed (needs a record in the store, and ends with nobody).

--- a/packages/workflow/briardeal_workflow/control/_messages.py
+++ b/packages/workflow/briardeal_workflow/control/_messages.py
@@ -307,7 +307,11 @@
         Fencing token of the owner; 0 if this entry is not the owner.
     store_failing_s
         Time for which appends of the owner to the store have failed, in seconds.
+    planning_age_s
+        Time since the owner completed a planning round, in seconds; since its claim before the
+        first one.
     """
 
     epoch: int
     store_failing_s: float = 0.0
+    planning_age_s: float = 0.0
--- a/packages/workflow/briardeal_workflow/entry/_entry.py
+++ b/packages/workflow/briardeal_workflow/entry/_entry.py
@@ -83,12 +83,15 @@
             self.store, entry_id, incarnation, address, rng, lambda: self.can_plan
         )
         self.watch = OwnerWatch(self.election, network)
-        self.control_server = ControlServer(
-            network, self.election, RelayServer(store, lambda: self.store.direct_available)
-        )
         self.job_table = JobTable()
         self.job_follower = Follower(self.store, JOBS_TOPIC, self._apply_record, READ_WAIT_S)
         self.progress = PlanningProgress(self.election, self.job_follower, self.metrics)
+        self.control_server = ControlServer(
+            network,
+            self.election,
+            RelayServer(store, lambda: self.store.direct_available),
+            self.progress,
+        )
         self.gateway = Gateway(
             self.store,
             JOBS_TOPIC,
--- a/packages/workflow/briardeal_workflow/leadership/_election.py
+++ b/packages/workflow/briardeal_workflow/leadership/_election.py
@@ -36,6 +36,16 @@
 MAX_STORE_FAILURE_S = 1.0
 """Time for which appends of the owner fail before an entry that reaches the store replaces it."""
 
+MAX_PLANNING_AGE_S = 1.5
+"""Time without a planning round of the owner before an entry that could plan replaces it; rounds
+follow every 0.25 s, and the first one within 1 s of a claim while answers of the store get lost."""
+
+LONGEST_PLANNING_AGE_S = 24.0
+"""Limit of that time, which doubles while new owners complete no planning round either."""
+
+HEARTBEAT_MARGIN_S = 0.5
+"""Time by which an entry may learn of a claim earlier or later than its owner."""
+
 MAX_READ_AGE_S = 2.5
 """Maximum age of the records read before a claim; the store answers a reader every second."""
 
@@ -73,6 +83,12 @@
         Set while this entry is the owner.
     previous_owner_stopped
         Whether all owners before the newest claim were known to send no more orders.
+    planning_age_s, max_planning_age_s
+        Time since the owner completed a planning round, as its newest heartbeat says, and time
+        after which another entry replaces it.
+    ready_since_s
+        Since when this entry could plan and has read the claims, on the loop's clock; `None` while
+        it could not.
     leaving
         Whether this entry is shutting down and so makes no claims.
     """
@@ -102,6 +118,9 @@
         self.owner_stopped = False
         self.previous_owner_stopped = True
         self.store_failing_s = 0.0
+        self.planning_age_s = 0.0
+        self.max_planning_age_s = MAX_PLANNING_AGE_S
+        self.ready_since_s: float | None = None
         self.leaving = False
         self.resigned_epoch = 0
         self._offset = -1
@@ -124,7 +143,9 @@
         self.resigned_epoch = self.epoch
         self.elected.clear()
 
-    def record_heartbeat(self, epoch: int, store_failing_s: float) -> None:
+    def record_heartbeat(
+        self, epoch: int, store_failing_s: float, planning_age_s: float = 0.0
+    ) -> None:
         """Record a heartbeat of the owner.
 
         Parameters
@@ -133,11 +154,17 @@
             Fencing token of the owner; a heartbeat under another one is ignored.
         store_failing_s
             Time for which appends of the owner to the store have failed, in seconds.
+        planning_age_s
+            Time since the owner completed a planning round, in seconds; since its claim before the
+            first one.
         """
         if epoch == self.epoch:
             self.last_heartbeat_s = loop_time()
             self.owner_lost = self.owner_stopped = False
             self.store_failing_s = store_failing_s
+            self.planning_age_s = planning_age_s
+            if self.last_heartbeat_s - self.claimed_s > planning_age_s + HEARTBEAT_MARGIN_S:
+                self.max_planning_age_s = MAX_PLANNING_AGE_S
 
     def mark_owner_lost(self, epoch: int, *, certain: bool) -> None:
         """Record that the owner is lost.
@@ -161,6 +188,7 @@
             await self.follower.caught_up.wait()
             tasks.create_task(self._register())
             while True:
+                self._update_ready()
                 cause = self._claim_cause()
                 if cause:
                     await self._claim(cause)
@@ -179,15 +207,16 @@
         record = msgspec.structs.replace(self.owner, agents=agents, settled=settled)
         return await self._append(record)
 
+    def _update_ready(self) -> None:
+        has_read_claims = self.follower.age_s <= MAX_READ_AGE_S and self.follower.reachable
+        if not has_read_claims or not self.can_plan():
+            self.ready_since_s = None
+        elif self.ready_since_s is None:
+            self.ready_since_s = loop_time()
+
     def _claim_cause(self) -> str:
         """Return the reason to claim the ownership now; empty if there is none."""
-        if (
-            self.leaving
-            or self.is_owner
-            or self.follower.age_s > MAX_READ_AGE_S
-            or not self.follower.reachable
-            or not self.can_plan()
-        ):
+        if self.leaving or self.is_owner or self.ready_since_s is None:
             return ""
         if self.owner is None:
             return "no owner"
@@ -201,6 +230,10 @@
             return "owner is silent"
         if self.store_failing_s > MAX_STORE_FAILURE_S + self._delay_s:
             return "owner has no store"
+        # Only an entry that was ready all the while is better off than the owner.
+        idle_s = min(self.planning_age_s, loop_time() - self.ready_since_s)
+        if idle_s > self.max_planning_age_s + self._delay_s:
+            return "owner plans nothing"
         return ""
 
     async def _claim(self, cause: str) -> None:
@@ -281,6 +314,9 @@
             self.claimed_s = self.last_heartbeat_s = loop_time()
             self.owner_lost = False
             self.store_failing_s = 0.0
+            if self.planning_age_s > self.max_planning_age_s:
+                self.max_planning_age_s = min(2 * self.max_planning_age_s, LONGEST_PLANNING_AGE_S)
+            self.planning_age_s = 0.0
             self._delay_s = self.rng.uniform(0.0, MAX_CLAIM_DELAY_S)
         self.owner = record
         if self.is_owner:
--- a/packages/workflow/briardeal_workflow/leadership/_watch.py
+++ b/packages/workflow/briardeal_workflow/leadership/_watch.py
@@ -106,5 +106,5 @@
                 continue
             if message.epoch != epoch:
                 return WatchOutcome.DENIED
-            self.election.record_heartbeat(epoch, message.store_failing_s)
+            self.election.record_heartbeat(epoch, message.store_failing_s, message.planning_age_s)
         return WatchOutcome.REPLACED
--- a/packages/workflow/briardeal_workflow/owner/_control_server.py
+++ b/packages/workflow/briardeal_workflow/owner/_control_server.py
@@ -27,6 +27,7 @@
 if TYPE_CHECKING:
     from briardeal_protocol.connections import Connection, Listener, Network
     from briardeal_workflow.leadership import Election
+    from briardeal_workflow.owner._planning_progress import PlanningProgress
     from briardeal_workflow.relay import RelayServer
 
 AGENT_TIMEOUT_S = 3.0
@@ -87,6 +88,8 @@
     ----------
     network, election, relay
         Network to listen on, election of the owner, and server for store calls of other entries.
+    progress
+        Progress of the planner, for the heartbeats of the owner.
 
     Attributes
     ----------
@@ -98,10 +101,17 @@
         Number of connected entries that are ready to take over the ownership.
     """
 
-    def __init__(self, network: Network, election: Election, relay: RelayServer) -> None:
+    def __init__(
+        self,
+        network: Network,
+        election: Election,
+        relay: RelayServer,
+        progress: PlanningProgress,
+    ) -> None:
         self.network = network
         self.election = election
         self.relay = relay
+        self.progress = progress
         self.agents: dict[str, AgentLink] = {}
         self.owner: OwnerCallbacks | None = None
         self.watcher_count = 0
@@ -207,7 +217,8 @@
         if not self.election.is_owner:
             return OwnerHeartbeat(0)
         failing_s = self.owner.store_failing_s() if self.owner is not None else 0.0
-        return OwnerHeartbeat(self.election.epoch, failing_s)
+        age_s = self.progress.round_age_s()
+        return OwnerHeartbeat(self.election.epoch, failing_s, round(age_s, 3))
 
     def _entry_addresses(self) -> tuple[str, ...]:
         return tuple(sorted(self.election.entries.values()))
--- a/tests/workflow/entry/test_idle_owners.py
+++ b/tests/workflow/entry/test_idle_owners.py
@@ -7,7 +7,7 @@
 import pytest
 
 from briardeal_core.clock import loop_time
-from briardeal_standins.emulator import TaskBehavior
+from briardeal_standins.emulator import StoreFault, TaskBehavior
 from briardeal_workflow.store import OutOfReach, Trimmed
 from tests.workflow.samples import make_job, whole_vm_step
 from tests.workflow.sites import restart_processes, run_site
@@ -46,6 +46,49 @@
         await assert_job_starts(site, other)
 
 
+async def test_owner_that_has_not_read_the_jobs_is_replaced():
+    # Guards against an elected entry that others take for a healthy owner before it can plan.
+    async with run_site() as site:
+        owner = await site.wait_for_owner()
+        slow, other = (name for name in site.entry_names if name != owner)
+        await asyncio.sleep(3.0)
+        let_wait_for_jobs(site.entry(slow))
+        hold_back_claims(site.entry(other).election)
+        await asyncio.sleep(1.5)
+        assert await site.submit(make_job(), TaskBehavior(1.0), other)
+        await site.kill(owner)
+        await asyncio.sleep(1.0)
+        assert site.entry(slow).election.is_owner
+        del site.entry(other).election._claim_cause
+        await assert_job_starts(site, other)
+
+
+async def test_owners_that_cannot_plan_replace_each_other_ever_more_slowly():
+    # Guards against claims in turns of entries that have the same trouble.
+    async with run_site(entries=2) as site:
+        await site.wait_for_owner()
+        await asyncio.sleep(3.0)
+        for name in site.entry_names:
+            let_wait_for_jobs(site.entry(name))
+            await restart_processes(site, [name], down_s=0.0)
+            let_wait_for_jobs(site.entry(name))
+        claims = count_claims(site)
+        await asyncio.sleep(60.0)
+        assert 2 <= count_claims(site) - claims <= 10
+
+
+async def test_owner_whose_lease_is_never_confirmed_is_replaced():
+    # Guards against an owner that plans nothing although none of its appends fails.
+    async with run_site() as site:
+        owner = await site.wait_for_owner()
+        await asyncio.sleep(3.0)
+        site.entry(owner).owner.writer.confirm = wait_for_ever
+        site.entry(owner).owner.writer.append = wait_for_ever
+        await asyncio.sleep(6.0)
+        other = next(name for name in site.entry_names if name != owner)
+        await assert_job_starts(site, other)
+
+
 async def test_all_entries_restarted_at_once_have_an_owner_soon_after_one_has_read_the_jobs():
     async with run_site() as site:
         site.store.late_pages.add("jobs")
@@ -57,6 +100,19 @@
         assert loop_time() - began_s < 1.5
 
 
+@pytest.mark.parametrize("outage_s", [2.0, 5.0, 9.0])
+async def test_outage_of_the_whole_store_causes_at_most_one_claim(outage_s):
+    async with run_site() as site:
+        await asyncio.sleep(3.0)
+        claims = count_claims(site)
+        site.store.faults[""] = StoreFault.SILENT
+        await asyncio.sleep(outage_s)
+        site.store.faults.clear()
+        await asyncio.sleep(8.0)
+        assert count_claims(site) - claims <= 1
+        await assert_job_starts(site, site.entry_names[0])
+
+
 async def assert_job_starts(site, entry, tasks=1, started=1):
     """Check that as many tasks as given start soon after an entry has accepted a job."""
     job = make_job(whole_vm_step(tasks))
@@ -67,6 +123,12 @@
             await asyncio.sleep(0.02)
 
 
+def let_wait_for_jobs(entry):
+    """Let an entry that has not read the jobs make claims, as an append may take effect late."""
+    entry.job_follower.store = LateStore()
+    entry.election.can_plan = lambda: True
+
+
 class LateStore:
     """Store that has deleted what a follower would read next, and answers too late after that."""
 
@@ -81,3 +143,11 @@
 def hold_back_claims(election):
     """Let an entry make no claim, although it watches the owner, until the method is restored."""
     election._claim_cause = str
+
+
+def count_claims(site):
+    return sum('"owner_claims"' in line for line in site.logs.lines)
+
+
+async def wait_for_ever(*_):
+    await asyncio.Event().wait()
--- a/tests/workflow/leadership/test_election.py
+++ b/tests/workflow/leadership/test_election.py
@@ -8,7 +8,9 @@
 import msgspec
 import pytest
 
+from briardeal_core.clock import boottime_s, loop_time
 from briardeal_standins.emulator import MemoryStore, StoreClient
+from briardeal_workflow.control import CONTROL_CODEC, OwnerHeartbeat
 from briardeal_workflow.leadership import Election
 from briardeal_workflow.leadership._records import (
     CONTROL_TOPIC,
@@ -74,3 +76,24 @@
         await asyncio.sleep(3.0)
         reading.cancel()
         assert election.is_owner == can_plan
+
+
+@pytest.mark.parametrize(
+    ("ready_for_s", "planning_age_s", "cause"),
+    [(1.0, 3.0, ""), (3.0, 1.0, ""), (3.0, 3.0, "owner plans nothing")],
+)
+async def test_idle_owner_is_replaced_only_by_an_entry_that_could_have_planned_meanwhile(
+    ready_for_s, planning_age_s, cause
+):
+    # Guards against claims right after an outage of the whole store.
+    election = make_election()
+    read_claim(election, 0, 1)
+    election.follower.confirmed_s = boottime_s()
+    election.ready_since_s = loop_time() - ready_for_s
+    election.record_heartbeat(1, 0.0, planning_age_s)
+    assert election._claim_cause() == cause
+
+
+async def test_heartbeat_of_an_earlier_version_says_nothing_against_the_owner():
+    heartbeat = CONTROL_CODEC.decode(b'{"type":"owner","epoch":3,"store_failing_s":0.5}')
+    assert heartbeat == OwnerHeartbeat(3, 0.5, 0.0)
