Send messages to agents without waiting for the VM to read them

A VM that reads none of its messages, while its own still arrive, held up all starts: the planner waits for each order to be written, a new owner for each announcement, and the acknowledgement to a VM for itself.

Cause: `Connection.send` waits until a peer has read enough (`drain`), without a limit.

Change: `Connection.post` sends without waiting, and closes the connection with over 1 MB unsent; the entry logs that as `link_lost` with "the peer reads too slowly". Orders, announcements and acknowledgements use it. An order that did not arrive is sent again when reports show no effect of it, as before.

Weighed: a time limit for each message (the planner still waits, once for each order), a task with a queue for each connection (one more for each agent at each entry).

--- a/packages/protocol/briardeal_protocol/connections/_connection.py
+++ b/packages/protocol/briardeal_protocol/connections/_connection.py
@@ -11,6 +11,13 @@
     from briardeal_protocol.messages import Message
 
 
+MAX_UNSENT_BYTES = 1_048_576
+"""Size of posted messages that may wait for a peer to read; more than all orders that fit a VM."""
+
+READS_TOO_SLOWLY = "the peer reads too slowly"
+"""Detail of a connection that is closed because too much waits to be sent."""
+
+
 @dataclass(frozen=True)
 class Closed:
     """The connection is closed or could not be opened.
@@ -39,6 +46,12 @@
     async def send(self, message: Message) -> Closed | None:
         """Send one message; return `Closed` on failure."""
 
+    def post(self, message: Message) -> Closed | None:
+        """Send one message without waiting; return `Closed` on failure.
+
+        Closes the connection if over `MAX_UNSENT_BYTES` wait to be sent.
+        """
+
     async def receive(self) -> Message | Closed:
         """Wait for the next message; return `Closed` after the last one."""
 
--- a/packages/protocol/briardeal_protocol/connections/_memory.py
+++ b/packages/protocol/briardeal_protocol/connections/_memory.py
@@ -8,7 +8,11 @@
 from typing import TYPE_CHECKING
 
 from briardeal_protocol.connections._codec import JSON_LINES
-from briardeal_protocol.connections._connection import Closed
+from briardeal_protocol.connections._connection import (
+    MAX_UNSENT_BYTES,
+    READS_TOO_SLOWLY,
+    Closed,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
@@ -42,6 +46,8 @@
     stalled
         Whether the other end reads nothing and all buffers on the way are full, so that messages
         from this end wait for ever.
+    unsent_bytes
+        Size of all messages that were posted while the connection was stalled.
     closed
         Whether this end is closed.
     bytes_sent, bytes_received
@@ -55,6 +61,7 @@
         self.remote: MemoryConnection = self
         self.silent = False
         self.stalled = False
+        self.unsent_bytes = 0
         self.closed = False
         self.bytes_sent = 0
         self.bytes_received = 0
@@ -67,12 +74,21 @@
         line = self.network.codec.encode(message)
         if self.stalled:
             await asyncio.Event().wait()
-        self.bytes_sent += len(line)
-        if self.network.is_cut(self.client, self.address):
-            self.silent = True
-        if not self.silent:
-            loop = asyncio.get_running_loop()
-            loop.call_later(self.network.latency_s, self.remote._lines.put_nowait, line)
+        self._transmit(line)
+        return None
+
+    def post(self, message: Message) -> Closed | None:
+        """Send one message without waiting; return `Closed` on failure."""
+        if self.closed:
+            return Closed("closed")
+        if self.unsent_bytes > MAX_UNSENT_BYTES:
+            self._mark_closed()
+            return Closed(READS_TOO_SLOWLY)
+        line = self.network.codec.encode(message)
+        if self.stalled:
+            self.unsent_bytes += len(line)
+        else:
+            self._transmit(line)
         return None
 
     async def receive(self) -> Message | Closed:
@@ -95,6 +111,14 @@
             loop = asyncio.get_running_loop()
             loop.call_later(self.network.latency_s, self.remote._mark_closed)
 
+    def _transmit(self, line: bytes) -> None:
+        self.bytes_sent += len(line)
+        if self.network.is_cut(self.client, self.address):
+            self.silent = True
+        if not self.silent:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.network.latency_s, self.remote._lines.put_nowait, line)
+
     def _mark_closed(self) -> None:
         self.closed = True
         self._lines.put_nowait(None)
--- a/packages/protocol/briardeal_protocol/connections/_tcp.py
+++ b/packages/protocol/briardeal_protocol/connections/_tcp.py
@@ -7,7 +7,11 @@
 from typing import TYPE_CHECKING
 
 from briardeal_protocol.connections._codec import JSON_LINES
-from briardeal_protocol.connections._connection import Closed
+from briardeal_protocol.connections._connection import (
+    MAX_UNSENT_BYTES,
+    READS_TOO_SLOWLY,
+    Closed,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -56,6 +60,19 @@
         self.bytes_sent += len(line)
         return None
 
+    def post(self, message: Message) -> Closed | None:
+        """Send one message without waiting; return `Closed` on failure."""
+        transport = self.writer.transport
+        if transport.is_closing():
+            return Closed("closed")
+        if transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            transport.abort()
+            return Closed(READS_TOO_SLOWLY)
+        line = self.codec.encode(message)
+        self.writer.write(line)
+        self.bytes_sent += len(line)
+        return None
+
     async def receive(self) -> Message | Closed:
         """Wait for the next message; lines that can't be decoded are skipped."""
         while True:
--- a/packages/workflow/briardeal_workflow/owner/_control_server.py
+++ b/packages/workflow/briardeal_workflow/owner/_control_server.py
@@ -121,20 +121,20 @@
         """Listen for agents and entries."""
         self.listener = await self.network.listen(address, self._serve)
 
-    async def announce_owner(self, owner: OwnerCallbacks) -> None:
+    def announce_owner(self, owner: OwnerCallbacks) -> None:
         """Announce to all agents that this entry is the owner."""
         self.owner = owner
         for link in list(self.agents.values()):
-            await link.connection.send(OwnerAnnouncement(owner.epoch))
+            self._post(link, OwnerAnnouncement(owner.epoch))
 
     def clear_owner(self) -> None:
         """Stop passing messages to the owner, as this entry has lost the ownership."""
         self.owner = None
 
-    async def send(self, agent_id: str, message: object) -> bool:
-        """Send a message to an agent and return whether the connection accepted it."""
+    def send(self, agent_id: str, message: object) -> bool:
+        """Send a message to an agent without waiting; return whether its connection took it."""
         link = self.agents.get(agent_id)
-        return link is not None and await link.connection.send(message) is None
+        return link is not None and self._post(link, message)
 
     async def _serve(self, connection: Connection) -> None:
         first = await connection.receive()
@@ -163,15 +163,10 @@
         if replaced is not None:
             await replaced.connection.close()
         log_event(Event.AGENT_JOINED, agent=agent_id)
-        await connection.send(EntryHello(self.election.entry_id, link.entries))
+        self._post(link, EntryHello(self.election.entry_id, link.entries))
         if self.owner is not None:
-            await connection.send(OwnerAnnouncement(self.owner.epoch))
-        detail = await self._receive_messages(link)
-        if self.agents.get(agent_id) is link:
-            del self.agents[agent_id]
-            log_event(Event.LINK_LOST, agent=agent_id, detail=detail)
-            if self.owner is not None:
-                self.owner.handle_disconnect(agent_id)
+            self._post(link, OwnerAnnouncement(self.owner.epoch))
+        self._remove(link, await self._receive_messages(link))
 
     async def _receive_messages(self, link: AgentLink) -> str:
         while True:
@@ -183,9 +178,9 @@
             if isinstance(message, Closed):
                 return message.detail
             link.last_received_s = loop_time()
-            await self._handle_message(link, message)
+            self._handle_message(link, message)
 
-    async def _handle_message(self, link: AgentLink, message: object) -> None:
+    def _handle_message(self, link: AgentLink, message: object) -> None:
         owner = self.owner
         if owner is not None and getattr(message, "epoch", 0) > owner.epoch:
             owner.handle_superseded(message.epoch)
@@ -193,9 +188,9 @@
             if owner is not None and message.epoch == owner.epoch:
                 owner.handle_start_result(link.agent_id, message)
         elif isinstance(message, VmReport | Heartbeat):
-            await self._acknowledge(link, message)
+            self._acknowledge(link, message)
 
-    async def _acknowledge(self, link: AgentLink, message: VmReport | Heartbeat) -> None:
+    def _acknowledge(self, link: AgentLink, message: VmReport | Heartbeat) -> None:
         owner = self.owner
         answer: Acknowledge | None = None
         if owner is not None and message.epoch == owner.epoch:
@@ -207,12 +202,29 @@
         entries = self._entry_addresses()
         sent_entries = () if entries == link.entries else entries
         link.entries = entries
-        await link.connection.send(
+        self._post(
+            link,
             Acknowledge(
                 message.sequence, answer.epoch, answer.incarnation, answer.ends_kept, sent_entries
-            )
+            ),
         )
 
+    def _post(self, link: AgentLink, message: object) -> bool:
+        """Send a message without waiting, so that no VM delays others; return whether it went."""
+        closed = link.connection.post(message)
+        if closed is not None:
+            self._remove(link, closed.detail)
+        return closed is None
+
+    def _remove(self, link: AgentLink, detail: str) -> None:
+        """Remove the connection of an agent unless another one has replaced it."""
+        if self.agents.get(link.agent_id) is not link:
+            return
+        del self.agents[link.agent_id]
+        log_event(Event.LINK_LOST, agent=link.agent_id, detail=detail)
+        if self.owner is not None:
+            self.owner.handle_disconnect(link.agent_id)
+
     def _owner_heartbeat(self) -> OwnerHeartbeat:
         if not self.election.is_owner:
             return OwnerHeartbeat(0)
--- a/packages/workflow/briardeal_workflow/owner/_owner.py
+++ b/packages/workflow/briardeal_workflow/owner/_owner.py
@@ -156,8 +156,7 @@
         self._load(configuration)
         log_event(Event.OWNER_STARTED, epoch=self.epoch, jobs=len(self.planner.state.active_jobs))
         self.metrics.takeover_s.observe({}, self._age_s())
-        self.progress.waits_for = "the announcement to agents"
-        await self.control_server.announce_owner(self)
+        self.control_server.announce_owner(self)
         try:
             async with asyncio.TaskGroup() as tasks:
                 coroutines = (
@@ -361,8 +360,7 @@
                 continue
             confirmed_s = self.writer.confirmed_loop_s
             for order in self.planner.decide(now_s, self.clock.now_s(), confirmed_s):
-                self.progress.waits_for = f"an order to {order.vm_id}"
-                await self._send_order(order)
+                self._send_order(order)
             self.progress.record_round(self.epoch)
             # The loop's timers may fire slightly early, so a round may come just before its time.
             next_preemption_s = max(now_s + ROUND_DELAY_S, self.planner.next_preemption_s)
@@ -396,7 +394,7 @@
             )
             self.planner.complete_takeover()
 
-    async def _send_order(self, order: Order) -> None:
+    def _send_order(self, order: Order) -> None:
         agent = self.agent_states[order.vm_id]
         agent.order_sent_s[order.task, order.number] = loop_time()
         event = Event.TASK_ORDERED if isinstance(order, StartTask) else Event.TASK_STOPPED
@@ -424,7 +422,7 @@
             )
         else:
             message = StopOrder(self.epoch, order.task, order.number)
-        await self.control_server.send(order.vm_id, message)
+        self.control_server.send(order.vm_id, message)
 
     def _record_first_start(self, order: StartTask) -> None:
         active_job = self.planner.state.active_jobs.get(order.task.job_id)
@@ -504,4 +502,4 @@
         self.stored_settled = settled
         self.accepted_agents = acceptable
         for agent_id in added:
-            await self.control_server.send(agent_id, OwnerAnnouncement(self.epoch))
+            self.control_server.send(agent_id, OwnerAnnouncement(self.epoch))
--- a/tests/workflow/entry/test_idle_owners.py
+++ b/tests/workflow/entry/test_idle_owners.py
@@ -89,6 +89,32 @@
         await assert_job_starts(site, other)
 
 
+async def test_vm_that_reads_nothing_does_not_hold_up_orders_to_others():
+    # Guards against a planner that waits for one message to be written.
+    async with run_site() as site:
+        owner = await site.wait_for_owner()
+        await asyncio.sleep(1.0)
+        stall(site, owner, "vm-0")
+        epoch = site.entry(owner).election.epoch
+        await assert_job_starts(site, owner, tasks=6, started=5)
+        await assert_job_starts(site, owner)
+        assert site.entry(owner).election.epoch == epoch
+
+
+async def test_vm_that_reads_nothing_does_not_hold_up_a_takeover():
+    # Guards against a new owner that waits for its announcement to one agent.
+    async with run_site() as site:
+        owner = await site.wait_for_owner()
+        await asyncio.sleep(1.0)
+        others = [name for name in site.entry_names if name != owner]
+        for name in others:
+            stall(site, name, "vm-0")
+        epoch = site.entry(owner).election.epoch
+        await site.kill(owner)
+        await assert_job_starts(site, others[0])
+        assert site.entry(others[0]).election.epoch == epoch + 1
+
+
 async def test_all_entries_restarted_at_once_have_an_owner_soon_after_one_has_read_the_jobs():
     async with run_site() as site:
         site.store.late_pages.add("jobs")
@@ -145,6 +171,14 @@
     election._claim_cause = str
 
 
+def stall(site, entry, agent):
+    """Let an agent read nothing more from its connection to an entry, at the entry's end of it."""
+    for connection in site.network.connections[1::2]:
+        ends = (connection.client, connection.address)
+        if ends == (agent, site.address_of(entry)) and not connection.closed:
+            connection.stalled = True
+
+
 def count_claims(site):
     return sum('"owner_claims"' in line for line in site.logs.lines)
 
