Bring tests of orders and of idle owners together with the calls that they use

Messages to agents are posted without waiting since the planner no longer waits for a VM that reads no more, and the soak has callers of its own. The tests of incarnations, refused starts and idle owners use both as they are now; a late order is delayed behind the call instead of within it. Without the check of the incarnation the tests of a start that was decided for a crashed worker still fail.

--- a/tests/workflow/entry/test_refused_starts.py
+++ b/tests/workflow/entry/test_refused_starts.py
@@ -25,10 +25,10 @@
     send = control_server.send
     orders = []
 
-    async def send_recorded(agent_id, message):
+    def send_recorded(agent_id, message):
         if isinstance(message, StartOrder):
             orders.append((agent_id, loop_time()))
-        return await send(agent_id, message)
+        return send(agent_id, message)
 
     control_server.send = send_recorded
     return orders
--- a/tests/workflow/worker/test_incarnations.py
+++ b/tests/workflow/worker/test_incarnations.py
@@ -19,12 +19,18 @@
     control_server = site.entry(site.owner_name()).control_server
     send = control_server.send
     delayed = []
+    tasks = set()
 
-    async def send_late(agent_id, message):
-        if isinstance(message, StartOrder) and not delayed:
-            delayed.append(message)
-            await on_order(site.vms[agent_id])
-        return await send(agent_id, message)
+    async def send_after(agent_id, message):
+        await on_order(site.vms[agent_id])
+        send(agent_id, message)
+
+    def send_late(agent_id, message):
+        if not isinstance(message, StartOrder) or delayed:
+            return send(agent_id, message)
+        delayed.append(message)
+        tasks.add(asyncio.get_running_loop().create_task(send_after(agent_id, message)))
+        return True
 
     control_server.send = send_late
     return delayed
@@ -36,10 +42,10 @@
     send = control_server.send
     vm_ids = []
 
-    async def send_recorded(agent_id, message):
+    def send_recorded(agent_id, message):
         if isinstance(message, StartOrder):
             vm_ids.append(agent_id)
-        return await send(agent_id, message)
+        return send(agent_id, message)
 
     control_server.send = send_recorded
     return vm_ids
@@ -82,11 +88,11 @@
         control_server = site.entry(site.owner_name()).control_server
         send = control_server.send
 
-        async def send_without_incarnation(agent_id, message):
+        def send_without_incarnation(agent_id, message):
             if isinstance(message, StartOrder):
                 fields = (message.epoch, message.task, message.number, message.command)
                 message = StartOrder(*fields)
-            return await send(agent_id, message)
+            return send(agent_id, message)
 
         control_server.send = send_without_incarnation
         job = make_job(small_step())
