Report for how many seconds a soak could find jobs that stand still

Only calm spans count, and stalls of a busy machine end them, so that a soak without findings may have checked little. The figures of a run now have the seconds in which a job that stood still long enough would have counted.

--- a/packages/standins/briardeal_standins/emulator/_progress.py
+++ b/packages/standins/briardeal_standins/emulator/_progress.py
@@ -91,6 +91,8 @@
         Current spans by job ID.
     violating
         Spans that have been recorded as violations.
+    counted_s
+        Seconds of checks in which a job that had stood still long enough would have counted.
     longest_calm_s
         Longest part of a span that was free of disturbances, and the settling time before it.
     """
@@ -103,7 +105,9 @@
         self.calm_since_s = loop_time()
         self.spans: dict[str, StandStill] = {}
         self.violating: list[StandStill] = []
+        self.counted_s = 0.0
         self.longest_calm_s = 0.0
+        self._checked_s = loop_time()
         self._finished: set[str] = set()
 
     @property
@@ -128,6 +132,10 @@
 
     def check(self, vms: Collection[StandinVm]) -> None:
         """Check all jobs against the present state of all VMs that have not been removed."""
+        now_s = loop_time()
+        if self.calm_s >= SETTLE_S + STAND_STILL_LIMIT_S:
+            self.counted_s += now_s - self._checked_s
+        self._checked_s = now_s
         running = {task.job_id for vm in vms for task, _ in vm.attempts}
         self._check_cancelled(running)
         usable = [vm for vm in vms if vm.fault is VmFault.NONE and not vm.state.leaving]
--- a/tests/standins/test_progress_check.py
+++ b/tests/standins/test_progress_check.py
@@ -143,7 +143,9 @@
         with site.check.disturbed():
             assert await site.wait(5.0) == []
         assert await site.wait(BEFORE_LIMIT_S) == []
+    assert site.check.counted_s == 0.0
     assert await site.wait(AFTER_LIMIT_S) == ["JOBS_PROGRESS"]
+    assert site.check.counted_s == pytest.approx(BEFORE_LIMIT_S + AFTER_LIMIT_S - 7.0, abs=0.3)
 
 
 async def test_overlapping_disturbances_count_until_the_last_has_ended():
