Log each reason for which the tasks of a ready group do not run

Once a task has an attempt or has claimed a VM, the planner logged nothing about it, though the attempt may not run: the outcome of its start is not known, it was to stop and has not ended, its VM can't be reached, or, for a gang, other members are missing.

Members of a gang that a new owner finds without the others are stopped after 3 s, so that the gang starts again.

--- a/packages/workflow/briardeal_workflow/planning/_attempts.py
+++ b/packages/workflow/briardeal_workflow/planning/_attempts.py
@@ -85,6 +85,8 @@
         loop's clock; `None` if the task is no suspect.
     earlier_lost_core_s
         Work that earlier preemptions of the task lost, in core-seconds.
+    stopping_since_s
+        When the attempt was first seen stopping, on the event loop's clock; `None` before.
     """
 
     task: TaskId
@@ -103,6 +105,7 @@
     checkpoint: str = ""
     earlier_lost_core_s: float = 0.0
     probation_until_s: float | None = None
+    stopping_since_s: float | None = None
 
     @property
     def on_probation(self) -> bool:
--- a/packages/workflow/briardeal_workflow/planning/_task_groups.py
+++ b/packages/workflow/briardeal_workflow/planning/_task_groups.py
@@ -33,6 +33,11 @@
     ISOLATION = "its workers crashed, and no VM without other work was free"
     VERDICT = "its workers crashed, and reports of other crashes may still arrive"
     CONFIRMATION = "the ownership was not confirmed since the job became known"
+    CLAIMED = "the VMs kept for it were not free yet"
+    START = "the outcome of its start was not known"
+    STOP = "an earlier attempt that was to stop had not ended"
+    LEASE = "its VM could not be reached, and the lease of its attempt had not expired"
+    MEMBERS = "other members of its gang were missing"
 
 
 @attrs.define
@@ -136,6 +141,9 @@
         Attempts that ended without a result, by task index.
     crash_records
         Worker crashes that are counted, or may be, by task index.
+    incomplete_since_s
+        Since when members of the gang are missing while others run, on the event loop's clock;
+        `None` if none are.
     refusals
         Refused starts by task index and VM; a gang counts all of them under index 0.
     wait_cause
@@ -161,6 +169,7 @@
     preemptions: dict[int, PreemptionHistory] = attrs.field(factory=dict)
     unfinished: dict[int, UnfinishedAttempts] = attrs.field(factory=dict)
     crash_records: dict[int, CrashRecord] = attrs.field(factory=dict)
+    incomplete_since_s: float | None = None
     refusals: dict[tuple[int, str], Refusals] = attrs.field(factory=dict)
     wait_cause: WaitCause | None = None
 
@@ -207,6 +216,12 @@
             return []
         return unplaced
 
+    def lacks_members(self) -> bool:
+        """Return whether some members of a gang run, and no order has been given for others."""
+        if not self.step.gang or not self.unplaced_indices():
+            return False
+        return any(each.phase is not AttemptPhase.STOPPING for each in self.active_attempts())
+
     def record_refusal(self, index: int, vm_id: str, now_s: float) -> None:
         """Record that a VM has refused to start a task, so that others are tried first."""
         refusals = self.refusals.setdefault((self.recorded_index(index), vm_id), Refusals())
--- a/packages/workflow/briardeal_workflow/planning/_task_starter.py
+++ b/packages/workflow/briardeal_workflow/planning/_task_starter.py
@@ -14,6 +14,7 @@
 from briardeal_workflow.planning._placement import place_on_free_capacity, place_on_soonest_free
 from briardeal_workflow.planning._preemption import place_by_preemption
 from briardeal_workflow.planning._task_groups import WaitCause
+from briardeal_workflow.planning._waiting import find_unfinished_wait, find_unusable_capacity
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -34,6 +35,10 @@
 PROBATION_SHARE = 1 / 3
 """Largest share of the VMs on which tasks that may crash them are on probation at the same time."""
 
+MEMBERS_LIMIT_S = 3.0
+"""Time for which members of a gang run without others before they are stopped; workers end members
+that have waited for as long."""
+
 WAIT_LOG_DELAY_S = 1.1
 """Wait of tasks that is not logged; the usual time for a preemption, or for a task to end."""
 
@@ -66,12 +71,7 @@
         indices = self._find_startable(active_job, group, now_s)
         if not indices:
             return
-        vms = [
-            vm
-            for vm in self.state.vms.values()
-            if vm.description.service == active_job.job.service
-            and not vm.is_closed_to(group.group_id, now_s)
-        ]
+        vms = [vm for vm in self._vms_of(active_job) if not vm.is_closed_to(group.group_id, now_s)]
         unreserved = [vm for vm in vms if not vm.is_reserved_for_other(group.group_id, now_s)]
         placement = place_on_free_capacity(unreserved, group, indices, now_s)
         if placement is not None:
@@ -91,8 +91,8 @@
                 len(unreserved) < len(vms)
                 and place_on_free_capacity(vms, group, unplaced, now_s) is not None
             )
-            cause = self._missing_capacity(active_job, group, unplaced, WaitCause.CAPACITY, now_s)
-            cause = WaitCause.RESERVED if is_reserved else cause
+            unusable = find_unusable_capacity(self._vms_of(active_job), group, unplaced, now_s)
+            cause = WaitCause.RESERVED if is_reserved else unusable or WaitCause.CAPACITY
             self._record_wait(active_job, group, cause, now_s)
             return
         if group.preemption_due_s is None:
@@ -103,8 +103,8 @@
             return
         obstacle = self._preempt_for(active_job, group, unplaced, vms, now_s)
         if obstacle is not None:
-            obstacle = self._missing_capacity(active_job, group, unplaced, obstacle, now_s)
-            self._record_wait(active_job, group, obstacle, now_s)
+            unusable = find_unusable_capacity(self._vms_of(active_job), group, unplaced, now_s)
+            self._record_wait(active_job, group, unusable or obstacle, now_s)
             self.claims.release_incomplete(group, now_s)
             self._reserve(group, group.unplaced_indices(), unreserved, now_s)
 
@@ -156,7 +156,7 @@
         """Return the tasks that may start now; those that crashed workers may have to wait."""
         indices = group.indices_to_place()
         if not indices:
-            group.wait_cause = None
+            self._record_unfinished_wait(active_job, group, now_s)
         if not group.crash_records:
             return indices
         obstacles = [self._obstacle_of(group, index, now_s) for index in indices]
@@ -183,29 +183,25 @@
         limit = max(1, int(PROBATION_SHARE * len(vms)))
         return WaitCause.ISOLATION if len(isolating) >= limit else None
 
-    def _missing_capacity(
-        self,
-        active_job: ActiveJob,
-        group: TaskGroup,
-        indices: Sequence[int],
-        otherwise: WaitCause,
-        now_s: float,
-    ) -> WaitCause:
-        """Return why tasks can't use the free capacity of some VM, if there is any."""
-        cause = otherwise
-        for vm in self.state.vms.values():
-            if vm.description.service != active_job.job.service or vm.description.leaving:
-                continue
-            refuses = vm.reachable and any(
-                group.refusal_pause_s(index, vm.vm_id, now_s) for index in indices
-            )
-            if vm.reachable and not refuses:
-                continue
-            if group.task_resources.fits_in(vm.unclaimed_capacity()):
-                if refuses:
-                    return WaitCause.REFUSED
-                cause = WaitCause.UNREACHABLE
-        return cause
+    def _vms_of(self, active_job: ActiveJob) -> list[Vm]:
+        """Return the VMs of the service that runs the tasks of a job."""
+        service = active_job.job.service
+        return [vm for vm in self.state.vms.values() if vm.description.service == service]
+
+    def _record_unfinished_wait(
+        self, active_job: ActiveJob, group: TaskGroup, now_s: float
+    ) -> None:
+        """Log why placed tasks don't run, and stop the members of a gang that lacks others."""
+        wait = find_unfinished_wait(self.state.vms, group, now_s)
+        if wait is None or now_s - wait[0] < WAIT_LOG_DELAY_S:
+            group.wait_cause = None
+            return
+        since_s, cause = wait
+        self._log_wait(active_job, group, cause, now_s - since_s, now_s)
+        incomplete_since_s = group.incomplete_since_s
+        if incomplete_since_s is not None and now_s - incomplete_since_s > MEMBERS_LIMIT_S:
+            for attempt in list(group.active_attempts()):
+                self.state.stop(attempt, "members of the gang are missing")
 
     def _preemption_due_s(
         self, group: TaskGroup, indices: Sequence[int], vms: Sequence[Vm], now_s: float
