Say how many tasks wait for an attempt that has not ended

The new causes of job_waits counted the tasks without an attempt, which is 0 for a task that waits for one to end. They count the tasks that wait for that cause. Each situation of test_wait_causes.py has one such task.

--- a/packages/workflow/briardeal_workflow/planning/_task_starter.py
+++ b/packages/workflow/briardeal_workflow/planning/_task_starter.py
@@ -193,11 +193,11 @@
     ) -> None:
         """Log why placed tasks don't run, and stop the members of a gang that lacks others."""
         wait = find_unfinished_wait(self.state.vms, group, now_s)
-        if wait is None or now_s - wait[0] < WAIT_LOG_DELAY_S:
+        if wait is None or now_s - wait.since_s < WAIT_LOG_DELAY_S:
             group.wait_cause = None
             return
-        since_s, cause = wait
-        self._log_wait(active_job, group, cause, now_s - since_s, now_s)
+        waited_s = now_s - wait.since_s
+        self._log_wait(active_job, group, wait.cause, waited_s, now_s, tasks=wait.tasks)
         incomplete_since_s = group.incomplete_since_s
         if incomplete_since_s is not None and now_s - incomplete_since_s > MEMBERS_LIMIT_S:
             for attempt in list(group.active_attempts()):
@@ -288,6 +288,7 @@
         cause: WaitCause,
         waited_s: float,
         now_s: float,
+        tasks: int | None = None,
     ) -> None:
         if waited_s < WAIT_LOG_DELAY_S or cause is group.wait_cause:
             return
@@ -298,7 +299,7 @@
             job_id=active_job.job.job_id,
             queue=active_job.queue.name,
             step=group.group_id.step,
-            tasks=len(group.unplaced_indices()),
+            tasks=len(group.unplaced_indices()) if tasks is None else tasks,
             cause=cause,
             ready_for_s=round(waited_s, 3),
             accepted_for_s=round(wall_s - active_job.accepted_s, 3),
--- a/packages/workflow/briardeal_workflow/planning/_waiting.py
+++ b/packages/workflow/briardeal_workflow/planning/_waiting.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import attrs
+
 from briardeal_workflow.planning._attempts import AttemptPhase
 from briardeal_workflow.planning._task_groups import WaitCause
 
@@ -32,14 +34,32 @@
     return cause
 
 
-def find_unfinished_wait(
-    vms: Mapping[str, Vm], group: TaskGroup, now_s: float
-) -> tuple[float, WaitCause] | None:
-    """Return since when, and why, a group without tasks to place does not run all of its tasks.
+@attrs.frozen
+class UnfinishedWait:
+    """Wait of tasks that have been placed, or of which an attempt has not ended.
 
-    Returns the oldest wait, or `None` if all tasks run.
+    Parameters
+    ----------
+    since_s
+        Since when the first of the tasks waits, on the event loop's clock.
+    cause, tasks
+        What they wait for, and how many of them wait for it.
     """
-    return min(_waits(vms, group, now_s), key=lambda wait: wait[0], default=None)
+
+    since_s: float
+    cause: WaitCause
+    tasks: int
+
+
+def find_unfinished_wait(
+    vms: Mapping[str, Vm], group: TaskGroup, now_s: float
+) -> UnfinishedWait | None:
+    """Return the oldest wait of a group without tasks to place; `None` if all its tasks run."""
+    waits = sorted(_waits(vms, group, now_s), key=lambda wait: wait[0])
+    if not waits:
+        return None
+    since_s, cause = waits[0]
+    return UnfinishedWait(since_s, cause, sum(each is cause for _, each in waits))
 
 
 def _waits(
--- a/tests/workflow/planning/test_wait_causes.py
+++ b/tests/workflow/planning/test_wait_causes.py
@@ -183,12 +183,11 @@
     for _ in range(8):
         harness.decide(after_s=WAIT_S / 8)
         waits = [
-            line["cause"]
+            (line["cause"], line["tasks"])
             for line in lines
             if line["message_type"] == "job_waits" and line["job_id"] == job.job_id
         ]
-    assert set(waits) == {cause}
-    assert len(waits) == 1
+    assert waits == [(cause, 1)]
 
 
 def test_task_that_runs_is_not_logged_as_waiting(lines):
