Replace an owner that can't read new jobs

Jobs that other entries accepted were never started while the owner's reader of jobs stood still: it planned what it knew, and its heartbeats said nothing of it.

The entry is not ready then, but remains the owner.

Change: the planning age in the owner's heartbeats counts the age of its jobs, too, beyond 2.5 s, so that an entry that has read them meanwhile replaces it after 4 s. The 2.5 s leave room for a read without an answer and its repetition through another entry, after which the jobs are up to 3.6 s old by the time limits of the calls (1.0 + 1.6 + 1.0 s).

Weighed: the owner reads again by itself (that is what it does in vain); a shorter limit (each read without an answer would cause a claim).

How pages are read is unchanged.

--- a/packages/workflow/briardeal_workflow/control/_messages.py
+++ b/packages/workflow/briardeal_workflow/control/_messages.py
@@ -309,7 +309,7 @@
         Time for which appends of the owner to the store have failed, in seconds.
     planning_age_s
         Time since the owner completed a planning round, in seconds; since its claim before the
-        first one.
+        first one. Longer if the owner has been unable to read new jobs for some time.
     """
 
     epoch: int
--- a/packages/workflow/briardeal_workflow/owner/_control_server.py
+++ b/packages/workflow/briardeal_workflow/owner/_control_server.py
@@ -229,8 +229,8 @@
         if not self.election.is_owner:
             return OwnerHeartbeat(0)
         failing_s = self.owner.store_failing_s() if self.owner is not None else 0.0
-        age_s = self.progress.round_age_s()
-        return OwnerHeartbeat(self.election.epoch, failing_s, round(age_s, 3))
+        idle_s = self.progress.idle_s()
+        return OwnerHeartbeat(self.election.epoch, failing_s, round(idle_s, 3))
 
     def _entry_addresses(self) -> tuple[str, ...]:
         return tuple(sorted(self.election.entries.values()))
--- a/packages/workflow/briardeal_workflow/owner/_planning_progress.py
+++ b/packages/workflow/briardeal_workflow/owner/_planning_progress.py
@@ -20,6 +20,10 @@
 MAX_ROUND_AGE_S = 1.0
 """Age of the newest planning round beyond which it is logged; rounds follow every 0.25 s."""
 
+TOLERATED_JOBS_AGE_S = 2.5
+"""Age of the jobs read that counts as no trouble of the owner. A read without an answer and its
+repetition through another entry make them up to 3.6 s old, which must not cause a claim."""
+
 LOG_INTERVAL_S = 5.0
 """Interval between lines about a planner that goes on waiting for the same."""
 
@@ -66,6 +70,18 @@
         completed = self._round_epoch == election.epoch
         return loop_time() - (self._round_s if completed else election.claimed_s)
 
+    def idle_s(self) -> float:
+        """Return for how long the owner has planned nothing or has not learned of new jobs.
+
+        It is 0 on an entry that is not the owner.
+        """
+        if not self.election.is_owner:
+            return 0.0
+        unread_s = 0.0
+        if self.follower.caught_up.is_set():
+            unread_s = self.follower.age_s - TOLERATED_JOBS_AGE_S
+        return max(self.round_age_s(), unread_s)
+
     async def run(self) -> None:
         """Log when the planner makes no progress, and update the metrics, until cancelled."""
         while True:
--- a/tests/workflow/entry/test_idle_owners.py
+++ b/tests/workflow/entry/test_idle_owners.py
@@ -30,6 +30,18 @@
         await assert_job_starts(site, other)
 
 
+async def test_owner_whose_reader_of_jobs_stands_still_is_replaced():
+    # Guards against accepted jobs of which the owner never learns.
+    async with run_site() as site:
+        owner = await site.wait_for_owner()
+        other = next(name for name in site.entry_names if name != owner)
+        await asyncio.sleep(3.0)
+        site.entry(owner).job_follower.store = LateStore()
+        await asyncio.sleep(2.0)
+        await assert_job_starts(site, other)
+        assert site.owner_name() != owner
+
+
 async def test_entry_whose_reader_of_jobs_stands_still_does_not_own_them():
     # Guards against an owner that waits for its reader while all others wait for the owner.
     async with run_site() as site:
@@ -126,6 +138,16 @@
         assert loop_time() - began_s < 1.5
 
 
+async def test_owner_that_reads_the_jobs_through_another_entry_is_not_replaced():
+    async with run_site() as site:
+        owner = await site.wait_for_owner()
+        await asyncio.sleep(3.0)
+        epoch = site.entry(owner).election.epoch
+        site.store.faults[owner] = StoreFault.SILENT
+        await asyncio.sleep(20.0)
+        assert site.entry(owner).election.epoch == epoch
+
+
 @pytest.mark.parametrize("outage_s", [2.0, 5.0, 9.0])
 async def test_outage_of_the_whole_store_causes_at_most_one_claim(outage_s):
     async with run_site() as site:
