Hand the ownership over only to an entry that could plan

A leaving owner handed over to an entry that was still reading the jobs, so that nobody planned until that entry was ready or the leaving one had been replaced: in a series of restarts, for as long as the reading takes.

Cause: an entry counts as able to take over as soon as it watches the owner, which it does once the claims are read.

Change: an entry that watches says whether it could take over, and says so again when that changes (`WatchRequest`, with a default; an entry of an earlier version counts as able, and an earlier owner reads the first request only).

Weighed: watch only once the entry could take over (it would not notice that the owner is lost meanwhile).

--- a/packages/workflow/briardeal_workflow/control/_messages.py
+++ b/packages/workflow/briardeal_workflow/control/_messages.py
@@ -293,9 +293,19 @@
 
 
 class WatchRequest(msgspec.Struct, frozen=True, tag="join"):
-    """First message of an entry that watches the owner."""
+    """First message of an entry that watches the owner; sent again when `can_take_over` changes.
+
+    Parameters
+    ----------
+    entry_id
+        Name of the entry.
+    can_take_over
+        Whether the entry could plan at once if it owned the jobs. Entries of an earlier version
+        don't say so and count as able.
+    """
 
     entry_id: str
+    can_take_over: bool = True
 
 
 class OwnerHeartbeat(msgspec.Struct, frozen=True, tag="owner"):
--- a/packages/workflow/briardeal_workflow/leadership/_election.py
+++ b/packages/workflow/briardeal_workflow/leadership/_election.py
@@ -138,6 +138,11 @@
         claimed_here = owner is not None and owner.incarnation == self.incarnation
         return claimed_here and owner.epoch > self.resigned_epoch
 
+    @property
+    def can_take_over(self) -> bool:
+        """Whether this entry could claim the ownership and plan at once."""
+        return self.ready_since_s is not None
+
     def resign(self) -> None:
         """Resign the ownership; further orders need a new claim with a new fencing token."""
         self.resigned_epoch = self.epoch
--- a/packages/workflow/briardeal_workflow/leadership/_watch.py
+++ b/packages/workflow/briardeal_workflow/leadership/_watch.py
@@ -86,13 +86,16 @@
             return WatchOutcome.REFUSED
         log_event(Event.LINK_OPENED, peer=address, epoch=epoch)
         try:
-            await connection.send(WatchRequest(self.election.entry_id))
             return await self._receive_heartbeats(connection, epoch)
         finally:
             await connection.close()
 
     async def _receive_heartbeats(self, connection: Connection, epoch: int) -> WatchOutcome:
+        told: bool | None = None
         while self.election.epoch == epoch and not self.election.leaving:
+            if told != self.election.can_take_over:
+                told = self.election.can_take_over
+                await connection.send(WatchRequest(self.election.entry_id, told))
             try:
                 async with asyncio.timeout(RECEIVE_TIMEOUT_S):
                     message = await connection.receive()
--- a/packages/workflow/briardeal_workflow/owner/_control_server.py
+++ b/packages/workflow/briardeal_workflow/owner/_control_server.py
@@ -97,8 +97,8 @@
         Connections of agents by agent name.
     owner
         Owner of the jobs while this entry is elected, otherwise `None`.
-    watcher_count
-        Number of connected entries that are ready to take over the ownership.
+    watchers
+        Whether each connected entry could take over the ownership, by its connection.
     """
 
     def __init__(
@@ -114,9 +114,14 @@
         self.progress = progress
         self.agents: dict[str, AgentLink] = {}
         self.owner: OwnerCallbacks | None = None
-        self.watcher_count = 0
+        self.watchers: dict[Connection, bool] = {}
         self.listener: Listener | None = None
 
+    @property
+    def can_hand_over(self) -> bool:
+        """Whether a connected entry could take over the ownership at once."""
+        return any(self.watchers.values())
+
     async def start(self, address: str) -> None:
         """Listen for agents and entries."""
         self.listener = await self.network.listen(address, self._serve)
@@ -142,19 +147,28 @@
             if isinstance(first, AgentHello):
                 await self._serve_agent(first.agent_id, connection)
             elif isinstance(first, WatchRequest):
-                await self._serve_entry(connection)
+                await self._serve_entry(first, connection)
             elif isinstance(first, RelayHello):
                 await self.relay.serve(connection)
         finally:
             await connection.close()
 
-    async def _serve_entry(self, connection: Connection) -> None:
-        self.watcher_count += 1
+    async def _serve_entry(self, request: WatchRequest, connection: Connection) -> None:
         try:
-            while not isinstance(await connection.send(self._owner_heartbeat()), Closed):
-                await asyncio.sleep(OWNER_HEARTBEAT_INTERVAL_S)
+            async with asyncio.TaskGroup() as tasks:
+                heartbeats = tasks.create_task(self._send_heartbeats(connection))
+                message: object = request
+                while not isinstance(message, Closed):
+                    if isinstance(message, WatchRequest):
+                        self.watchers[connection] = message.can_take_over
+                    message = await connection.receive()
+                heartbeats.cancel()
         finally:
-            self.watcher_count -= 1
+            self.watchers.pop(connection, None)
+
+    async def _send_heartbeats(self, connection: Connection) -> None:
+        while not isinstance(await connection.send(self._owner_heartbeat()), Closed):
+            await asyncio.sleep(OWNER_HEARTBEAT_INTERVAL_S)
 
     async def _serve_agent(self, agent_id: str, connection: Connection) -> None:
         link = AgentLink(agent_id, connection, loop_time(), self._entry_addresses())
--- a/packages/workflow/briardeal_workflow/owner/_owner.py
+++ b/packages/workflow/briardeal_workflow/owner/_owner.py
@@ -371,11 +371,11 @@
     def _remains_owner(self) -> bool:
         """Return whether this entry remains the owner.
 
-        An entry that is shutting down hands over as soon as another entry watches it.
+        An entry that is shutting down hands over as soon as another entry can take over.
         """
         election = self.election
         is_newest_owner = election.is_owner and election.epoch == self.epoch
-        can_hand_over = election.leaving and self.control_server.watcher_count > 0
+        can_hand_over = election.leaving and self.control_server.can_hand_over
         return is_newest_owner and not can_hand_over and not self.writer.fenced
 
     def _handle_timeouts(self) -> None:
--- a/tests/workflow/entry/test_idle_owners.py
+++ b/tests/workflow/entry/test_idle_owners.py
@@ -58,6 +58,22 @@
         await assert_job_starts(site, other)
 
 
+async def test_leaving_owner_does_not_hand_over_to_an_entry_that_cannot_plan():
+    # Guards against jobs without an owner while the only other entry reads them.
+    async with run_site(entries=2) as site:
+        owner = await site.wait_for_owner()
+        (other,) = (name for name in site.entry_names if name != owner)
+        reader = site.entry(other).job_follower
+        store, reader.store = reader.store, LateStore()
+        await asyncio.sleep(5.0)
+        site.entry(owner).election.leaving = True
+        await asyncio.sleep(1.0)
+        await assert_job_starts(site, owner)
+        reader.store = store
+        await asyncio.sleep(2.5)
+        assert site.owner_name() == other
+
+
 async def test_owner_that_has_not_read_the_jobs_is_replaced():
     # Guards against an elected entry that others take for a healthy owner before it can plan.
     async with run_site() as site:
