Name the wait for the record of a start by the attempt, once

A start that waits for its record was logged by the sender of orders and, as a start without an outcome, by the planner, so that one start had two causes that could take turns; the sender counted no tasks. The test of all causes still named the confirmation that the record has replaced and could not be collected; test_start_whose_record_is_not_confirmed_is_not_ordered found three lines instead of one.

The attempt says whether its start waits for a record, and the planner logs it like any other wait. The sender's own lines are removed.

--- a/packages/workflow/briardeal_workflow/owner/_order_sender.py
+++ b/packages/workflow/briardeal_workflow/owner/_order_sender.py
@@ -30,9 +30,6 @@
 MAX_APPEND_ATTEMPTS = 10_000
 """Number of attempts in the records of one append; each takes up to 100 bytes of 2 MB."""
 
-WAIT_LOG_DELAY_S = 1.1
-"""Wait of a start for its record that is not logged."""
-
 
 @attrs.define(eq=False)
 class UnsentStart:
@@ -42,13 +39,10 @@
     ----------
     order, decided_s
         Order, and when it was decided, on the loop's clock.
-    wait_logged
-        Whether its wait has been logged.
     """
 
     order: StartTask
     decided_s: float
-    wait_logged: bool = False
 
 
 class OrderSender:
@@ -143,21 +137,6 @@
         batch = {vm.vm_id: frozenset(vm.attempts) for vm in vms if vm.attempts}
         self.lists_all_starts = not batch or await self._record(batch)
 
-    def log_waits(self, now_s: float) -> None:
-        """Log the jobs of which starts have waited for their record for a while, once each."""
-        late = [
-            each
-            for each in self.unsent.values()
-            if not each.wait_logged and now_s - each.decided_s > WAIT_LOG_DELAY_S
-        ]
-        logged = set()
-        for unsent in late:
-            unsent.wait_logged = True
-            task = unsent.order.task
-            if task.group not in logged:
-                logged.add(task.group)
-                self.planner.record_unrecorded(task, now_s - unsent.decided_s, now_s)
-
     def resend_without_effect(
         self, agent: AgentState, attempts: Iterable[Attempt], now_s: float
     ) -> None:
@@ -214,14 +193,18 @@
 
     def _is_ordered(self, vm_id: str, task: TaskId, number: int) -> bool:
         """Return whether the planner still waits for the start of an attempt."""
-        vm = self.planner.state.vms.get(vm_id)
-        attempt = vm.attempts.get((task, number)) if vm is not None else None
+        attempt = self._find_attempt(vm_id, task, number)
         return attempt is not None and attempt.phase is AttemptPhase.ORDERED
 
+    def _find_attempt(self, vm_id: str, task: TaskId, number: int) -> Attempt | None:
+        vm = self.planner.state.vms.get(vm_id)
+        return vm.attempts.get((task, number)) if vm is not None else None
+
     def _keep(self, order: StartTask) -> None:
         """Keep a start until its record is stored."""
         key = (order.vm_id, order.task, order.number)
         self.unsent.setdefault(key, UnsentStart(order, loop_time()))
+        self._mark_attempt(order, awaits_record=True)
         self.decided.set()
 
     def _send_start(self, order: StartTask, recorded_after_s: float = 0.0) -> None:
@@ -229,6 +212,7 @@
             self._keep(order)
             return
         self._record_first_start(order)
+        self._mark_attempt(order, awaits_record=False)
         self._send(
             Event.TASK_ORDERED,
             order,
@@ -244,6 +228,11 @@
             recorded_after_s=round(recorded_after_s, 3),
         )
 
+    def _mark_attempt(self, order: StartTask, *, awaits_record: bool) -> None:
+        attempt = self._find_attempt(order.vm_id, order.task, order.number)
+        if attempt is not None:
+            attempt.awaits_record = awaits_record
+
     def _send_stop(self, order: StopTask) -> None:
         if self.unsent.pop((order.vm_id, order.task, order.number), None) is None:
             stop = StopOrder(self.epoch, order.task, order.number)
--- a/packages/workflow/briardeal_workflow/owner/_owner.py
+++ b/packages/workflow/briardeal_workflow/owner/_owner.py
@@ -391,7 +391,6 @@
             confirmed_s = self.writer.confirmed_loop_s
             for order in self.planner.decide(now_s, self.clock.now_s(), confirmed_s):
                 self.order_sender.send(order)
-            self.order_sender.log_waits(now_s)
             self.progress.record_round(self.epoch)
             # The loop's timers may fire slightly early, so a round may come just before its time.
             next_preemption_s = max(now_s + ROUND_DELAY_S, self.planner.next_preemption_s)
--- a/packages/workflow/briardeal_workflow/planning/_attempts.py
+++ b/packages/workflow/briardeal_workflow/planning/_attempts.py
@@ -83,6 +83,8 @@
     probation_until_s
         Until when no other job may start on the VM, because the task may crash it, on the event
         loop's clock; `None` if the task is no suspect.
+    awaits_record
+        Whether its start waits for a record in the store.
     earlier_lost_core_s
         Work that earlier preemptions of the task lost, in core-seconds.
     stopping_since_s
@@ -103,6 +105,7 @@
     first_listed_s: float | None = None
     last_progress_s: float = 0.0
     checkpoint: str = ""
+    awaits_record: bool = False
     earlier_lost_core_s: float = 0.0
     probation_until_s: float | None = None
     stopping_since_s: float | None = None
--- a/packages/workflow/briardeal_workflow/planning/_planner.py
+++ b/packages/workflow/briardeal_workflow/planning/_planner.py
@@ -252,14 +252,6 @@
         """When the next waiting urgent task may preempt others; infinity if none waits."""
         return self.starter.next_preemption_s
 
-    def record_unrecorded(self, task: TaskId, waited_s: float, now_s: float) -> None:
-        """Log a task whose start waits for its record in the store."""
-        active_job = self.state.job_of(task)
-        if active_job is not None:
-            self.starter.record_unrecorded(
-                active_job, active_job.groups[task.group], waited_s, now_s
-            )
-
     def _is_outdated(self, order: Order) -> bool:
         """Return whether an attempt has ended since its start was ordered, or ordered again."""
         attempt = self._find_attempt(order.vm_id, order.task, order.number)
--- a/packages/workflow/briardeal_workflow/planning/_task_starter.py
+++ b/packages/workflow/briardeal_workflow/planning/_task_starter.py
@@ -108,12 +108,6 @@
             self.claims.release_incomplete(group, now_s)
             self._reserve(group, group.unplaced_indices(), unreserved, now_s)
 
-    def record_unrecorded(
-        self, active_job: ActiveJob, group: TaskGroup, waited_s: float, now_s: float
-    ) -> None:
-        """Log a group with a start that has waited for its record in the store."""
-        self._log_wait(active_job, group, WaitCause.RECORD, waited_s, now_s)
-
     def start_claimed(self, now_s: float) -> None:
         """Start tasks whose claimed VMs now have enough free capacity."""
         self.claims.release_silent(now_s)
--- a/packages/workflow/briardeal_workflow/planning/_waiting.py
+++ b/packages/workflow/briardeal_workflow/planning/_waiting.py
@@ -75,7 +75,8 @@
             attempt.stopping_since_s = attempt.stopping_since_s or now_s
             yield attempt.stopping_since_s, WaitCause.STOP
         elif attempt.phase is AttemptPhase.ORDERED:
-            yield attempt.ordered_s, WaitCause.START
+            cause = WaitCause.RECORD if attempt.awaits_record else WaitCause.START
+            yield attempt.ordered_s, cause
         elif vm is not None and vm.unreachable_since_s is not None:
             yield vm.unreachable_since_s, WaitCause.LEASE
     if group.lacks_members():
--- a/tests/workflow/planning/test_wait_causes.py
+++ b/tests/workflow/planning/test_wait_causes.py
@@ -95,12 +95,12 @@
     return harness, job
 
 
-def wait_for_confirmation():
+def wait_for_record():
     harness = PlannerHarness(vms=1)
     job = harness.submit(small_step())
-    decide = harness.planner.decide
-    harness.planner.decide = lambda now_s, wall_s: decide(now_s, wall_s, job_added_s - 0.1)
-    job_added_s = harness.now_s
+    (start,) = harness.start_orders()
+    vm = harness.planner.state.vms[start.vm_id]
+    vm.attempts[start.task, start.number].awaits_record = True
     return harness, job
 
 
@@ -155,7 +155,7 @@
     WaitCause.COSTS_MORE: wait_for_cheap_victims,
     WaitCause.ISOLATION: wait_for_isolation,
     WaitCause.VERDICT: wait_for_verdict,
-    WaitCause.CONFIRMATION: wait_for_confirmation,
+    WaitCause.RECORD: wait_for_record,
     WaitCause.MEMBERS: wait_for_members,
     WaitCause.CLAIMED: wait_for_claimed_vms,
     WaitCause.START: wait_for_start,
--- a/tests/workflow/planning/test_waiting.py
+++ b/tests/workflow/planning/test_waiting.py
@@ -41,8 +41,10 @@
     harness = PlannerHarness(vms=1)
     waiting = harness.submit(whole_vm_step())
     (start,) = harness.start_orders()
-    for waited_s in (0.5, 1.2, 2.0):
-        harness.planner.record_unrecorded(start.task, waited_s, waited_s)
+    vm = harness.planner.state.vms[start.vm_id]
+    vm.attempts[start.task, start.number].awaits_record = True
+    for _ in range(3):
+        harness.decide(after_s=0.7)
     cause = "the store had not confirmed the record of the start"
     assert find_waits(lines) == [(waiting.job_id, cause)]
     assert start.inputs["known_for_s"] == 0.0
