Let an entry claim for silence only if agents do not hear the owner either

Callers saw accepted jobs stand still while one entry reached the store and not the owner: owners changed each 1.3 to 1.5 s for as long as the cut lasted, and with a VM lost meanwhile known jobs waited for 11.6 s after it, too.

Cause: an entry claims after 1.2 s without heartbeats of the owner, whether or not the owner works and whether or not the entry could do better. Both sides of a cut do so in turns, as both reach the store.

Change: an acknowledgement to an agent says whether the owner plans and has the store (`plans`), and each heartbeat of an agent, which goes to every entry anyway, says how old the newest message is that was acknowledged so (`owner_age_ms`). The silence counts from the later of the owner's last heartbeat and the time until which more than half of the agents that the entry hears were served. An entry that hears less than half of the listed agents claims after 4.8 s, one that hears none after 24 s, doubled with each such claim until the owner is heard. No further messages. Agents and owners of earlier versions say nothing, so that the entry's own silence counts as before. The line of a claim says how many agents the claiming entry hears.

An outage of 9 s of the whole store, beyond the owner lease, may still cause one claim, as before.

--- a/packages/workflow/briardeal_workflow/control/_messages.py
+++ b/packages/workflow/briardeal_workflow/control/_messages.py
@@ -139,10 +139,14 @@
         Number of the heartbeat or report.
     epoch
         Fencing token of the owner that the agent follows.
+    owner_age_ms
+        Time since the agent sent the newest message that this owner acknowledged while it was
+        planning, in milliseconds; -1 if there is none. Agents of an earlier version don't say it.
     """
 
     sequence: int
     epoch: int
+    owner_age_ms: int = -1
 
 
 class VmReport(msgspec.Struct, frozen=True, tag="report"):
@@ -242,6 +246,9 @@
         stored.
     entries
         Control addresses of all entries if they have changed; empty otherwise.
+    plans
+        Whether the entry owns the jobs under the token of the message, completes planning rounds
+        and has the store.
     """
 
     sequence: int
@@ -249,6 +256,7 @@
     incarnation: str = ""
     ends_kept: int = 0
     entries: tuple[str, ...] = ()
+    plans: bool = False
 
 
 class StartOrder(msgspec.Struct, frozen=True, tag="start", omit_defaults=True):
--- a/packages/workflow/briardeal_workflow/entry/_entry.py
+++ b/packages/workflow/briardeal_workflow/entry/_entry.py
@@ -80,7 +80,13 @@
         self.incarnation = incarnation
         rng = random.Random(incarnation)
         self.election = Election(
-            self.store, entry_id, incarnation, address, rng, lambda: self.can_plan
+            self.store,
+            entry_id,
+            incarnation,
+            address,
+            rng,
+            lambda: self.can_plan,
+            lambda: self.control_server.hear_agents(),
         )
         self.watch = OwnerWatch(self.election, network)
         self.job_table = JobTable()
--- a/packages/workflow/briardeal_workflow/leadership/__init__.py
+++ b/packages/workflow/briardeal_workflow/leadership/__init__.py
@@ -1,6 +1,7 @@
 """Election of the entry that owns the jobs, and failure detection of the owner."""
 
-from briardeal_workflow.leadership._election import Election
+from briardeal_workflow.leadership._agent_reach import HeardAgents
+from briardeal_workflow.leadership._election import MAX_STORE_FAILURE_S, Election
 from briardeal_workflow.leadership._records import (
     CONTROL_TOPIC,
     EntryRecord,
@@ -12,9 +13,11 @@
 
 __all__ = [
     "CONTROL_TOPIC",
+    "MAX_STORE_FAILURE_S",
     "OWNER_HEARTBEAT_INTERVAL_S",
     "Election",
     "EntryRecord",
+    "HeardAgents",
     "ListedAgent",
     "OwnerRecord",
     "OwnerWatch",
--- /dev/null
+++ b/packages/workflow/briardeal_workflow/leadership/_agent_reach.py
@@ -0,0 +1,82 @@
+"""Comparison of the agents that an entry hears with those that the owner hears."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+OWNER_TIMEOUT_S = 1.2
+"""Silence of the owner after which other entries claim the ownership; the owner sends a heartbeat
+every 0.3 s, and agents say every 0.4 s when it last acknowledged a message of theirs."""
+
+MINORITY_TIMEOUT_S = 4.8
+"""The same for an entry that hears less than half of the agents that the owner may send orders to,
+as the owner may be serving the others. Doubles with each such claim until the owner is heard."""
+
+NO_AGENTS_TIMEOUT_S = 24.0
+"""The same for an entry that hears no agent, and so could order nothing."""
+
+LONGEST_TIMEOUT_S = 192.0
+"""Limit of the times that double."""
+
+
+@attrs.frozen
+class HeardAgents:
+    """Agents that an entry hears, and what they say about the owner.
+
+    Parameters
+    ----------
+    count
+        Number of agents that the entry hears.
+    owner_seen_s
+        Time until which more than half of them were served by the owner, on the loop's clock.
+    """
+
+    count: int
+    owner_seen_s: float = -math.inf
+
+
+class AgentReach:
+    """Compares the agents that an entry and the owner hear, which decides when the entry claims.
+
+    Parameters
+    ----------
+    hear_agents
+        Returns which agents the entry hears.
+
+    Attributes
+    ----------
+    minority_timeout_s
+        Silence of the owner after which the entry claims although it hears few agents.
+    """
+
+    def __init__(self, hear_agents: Callable[[], HeardAgents]) -> None:
+        self.hear_agents = hear_agents
+        self.minority_timeout_s = MINORITY_TIMEOUT_S
+
+    def record_owner(self) -> None:
+        """Record that the entry has heard the owner."""
+        self.minority_timeout_s = MINORITY_TIMEOUT_S
+
+    def silence_limit_s(self, heard_count: int, agent_count: int) -> float:
+        """Return the silence of the owner after which an entry claims.
+
+        Parameters
+        ----------
+        heard_count, agent_count
+            Number of agents that the entry hears, and of those that the owner may send orders to.
+        """
+        if heard_count == 0:
+            return max(self.minority_timeout_s, NO_AGENTS_TIMEOUT_S)
+        return self.minority_timeout_s if 2 * heard_count < agent_count else OWNER_TIMEOUT_S
+
+    def lengthen_silence_limit(self, heard_count: int, agent_count: int) -> None:
+        """Double the limit after a claim for silence, if the entry hears few agents."""
+        limit_s = self.silence_limit_s(heard_count, agent_count)
+        if limit_s > OWNER_TIMEOUT_S:
+            self.minority_timeout_s = min(2 * limit_s, LONGEST_TIMEOUT_S)
--- a/packages/workflow/briardeal_workflow/leadership/_election.py
+++ b/packages/workflow/briardeal_workflow/leadership/_election.py
@@ -10,6 +10,11 @@
 from briardeal_core.clock import boottime_s, loop_time
 from briardeal_core.decoding import decode_msgpack
 from briardeal_core.events import Event, log_event
+from briardeal_workflow.leadership._agent_reach import (
+    OWNER_TIMEOUT_S,
+    AgentReach,
+    HeardAgents,
+)
 from briardeal_workflow.leadership._records import (
     CONTROL_TOPIC,
     ENTRY_PREFIX,
@@ -27,10 +32,6 @@
 
     from briardeal_workflow.store import Store
 
-OWNER_TIMEOUT_S = 1.2
-"""Silence of the owner after which other entries claim the ownership; the owner sends a heartbeat
-every 0.3 s."""
-
 MAX_CLAIM_DELAY_S = 0.3
 """Maximum random delay before a claim, so that one of several entries claims first."""
 
@@ -54,6 +55,9 @@
 MAX_READ_AGE_S = 2.5
 """Maximum age of the records read before a claim; the store answers a reader every second."""
 
+OWNER_SILENT = "owner is silent"
+"""Cause of a claim."""
+
 CHECK_INTERVAL_S = 0.1
 """Interval between checks for a lost owner."""
 
@@ -75,6 +79,8 @@
     can_plan
         Returns whether this entry could plan at once if it owned the jobs; it makes no claim
         otherwise. By default it always could.
+    hear_agents
+        Returns which agents this entry hears. By default it hears one that no owner serves.
 
     Attributes
     ----------
@@ -84,6 +90,8 @@
         Control addresses of entries by entry name.
     claimed_s
         When the newest claim became known, on the loop's clock.
+    reach
+        Compares which agents this entry and the owner hear.
     elected
         Set while this entry is the owner.
     previous_owner_stopped
@@ -112,6 +120,7 @@
         address: str,
         rng: random.Random,
         can_plan: Callable[[], bool] = lambda: True,
+        hear_agents: Callable[[], HeardAgents] = lambda: HeardAgents(1),
     ) -> None:
         self.store = store
         self.entry_id = entry_id
@@ -119,6 +128,7 @@
         self.address = address
         self.rng = rng
         self.can_plan = can_plan
+        self.reach = AgentReach(hear_agents)
         self.follower = Follower(store, CONTROL_TOPIC, self._apply, wait_s=1.0)
         self.owner: OwnerRecord | None = None
         self.entries: dict[str, str] = {}
@@ -181,6 +191,7 @@
             self.owner_lost = self.owner_stopped = False
             self.store_failing_s = store_failing_s
             self.planning_age_s = planning_age_s
+            self.reach.record_owner()
             if self.last_heartbeat_s - self.claimed_s > planning_age_s + HEARTBEAT_MARGIN_S:
                 self.owner_has_planned = True
                 self.max_planning_age_s = MAX_PLANNING_AGE_S
@@ -253,8 +264,8 @@
         silent_s = loop_time() - self.last_heartbeat_s
         if self.owner_lost and silent_s > self._delay_s:
             return "owner is gone"
-        if silent_s > OWNER_TIMEOUT_S + self._delay_s:
-            return "owner is silent"
+        if silent_s > OWNER_TIMEOUT_S + self._delay_s and self._is_silent():
+            return OWNER_SILENT
         if self.store_failing_s > MAX_STORE_FAILURE_S + self._delay_s:
             return "owner has no store"
         # Only an entry that was ready all the while is better off than the owner.
@@ -264,6 +275,17 @@
             return "owner plans nothing"
         return ""
 
+    def _is_silent(self) -> bool:
+        """Return whether neither this entry nor most agents have heard the owner for too long."""
+        heard = self.reach.hear_agents()
+        seen_s = self.last_heartbeat_s
+        if heard.owner_seen_s > seen_s:
+            # Agents see no planning during an outage of the store; its end must not cause a claim.
+            seen_s = max(heard.owner_seen_s, self.ready_since_s)
+        silent_s = loop_time() - seen_s
+        limit_s = self.reach.silence_limit_s(heard.count, len(self.owner.agents))
+        return silent_s > limit_s + self._delay_s
+
     async def _claim(self, cause: str) -> None:
         previous = self.owner
         agents = {} if previous is None else previous.find_agents()
@@ -276,7 +298,16 @@
             starts_recorded=previous is None or previous.starts_recorded,
             listed_agents=tuple(agents.values()),
         )
-        log_event(Event.OWNER_CLAIMS, epoch=record.epoch, cause=cause, owner=self._owner_name())
+        heard_count = self.reach.hear_agents().count
+        log_event(
+            Event.OWNER_CLAIMS,
+            epoch=record.epoch,
+            cause=cause,
+            owner=self._owner_name(),
+            agents=heard_count,
+        )
+        if cause == OWNER_SILENT:
+            self.reach.lengthen_silence_limit(heard_count, len(agents))
         if not await self._append(record):
             await asyncio.sleep(self.rng.uniform(0.0, MAX_CLAIM_DELAY_S))
 
--- a/packages/workflow/briardeal_workflow/owner/_control_server.py
+++ b/packages/workflow/briardeal_workflow/owner/_control_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING, Protocol
 
 import attrs
@@ -22,7 +23,11 @@
     VmReport,
     WatchRequest,
 )
-from briardeal_workflow.leadership import OWNER_HEARTBEAT_INTERVAL_S
+from briardeal_workflow.leadership import (
+    MAX_STORE_FAILURE_S,
+    OWNER_HEARTBEAT_INTERVAL_S,
+    HeardAgents,
+)
 
 if TYPE_CHECKING:
     from briardeal_protocol.connections import Connection, Listener, Network
@@ -33,6 +38,14 @@
 AGENT_TIMEOUT_S = 3.0
 """Silence after which the connection of an agent is closed; agents send a heartbeat every 0.4 s."""
 
+HEARD_S = 0.8
+"""Age of the newest heartbeat of an agent from which the agent counts as not heard by an entry that
+may claim. It is less than the silence of the owner before a claim, so that an entry that hears
+nobody any more does not count agents that it heard before."""
+
+MAX_IDLE_S = 1.5
+"""Time without a planning round after which acknowledgements say that the owner plans nothing."""
+
 
 class OwnerCallbacks(Protocol):
     """Methods of the owner that the control server calls while this entry is the owner."""
@@ -73,12 +86,20 @@
         When the newest message was received, on the loop's clock.
     entries
         Control addresses of entries that were last sent to the agent.
+    heartbeat_s
+        When the newest heartbeat or report was received, on the loop's clock.
+    epoch, owner_seen_s
+        Fencing token of the owner that the agent follows, and when it sent the newest message that
+        this owner acknowledged while it was planning, on the loop's clock.
     """
 
     agent_id: str
     connection: Connection
     last_received_s: float
     entries: tuple[str, ...] = ()
+    heartbeat_s: float = -math.inf
+    epoch: int = 0
+    owner_seen_s: float = -math.inf
 
 
 class ControlServer:
@@ -141,6 +162,18 @@
         link = self.agents.get(agent_id)
         return link is not None and self._post(link, message)
 
+    def hear_agents(self) -> HeardAgents:
+        """Return which agents this entry hears, and until when the owner served most of them."""
+        now_s, epoch = loop_time(), self.election.epoch
+        seen_s = sorted(
+            link.owner_seen_s if link.epoch == epoch else -math.inf
+            for link in self.agents.values()
+            if now_s - link.heartbeat_s <= HEARD_S
+        )
+        if not seen_s:
+            return HeardAgents(0)
+        return HeardAgents(len(seen_s), seen_s[(len(seen_s) - 1) // 2])
+
     async def _serve(self, connection: Connection) -> None:
         first = await connection.receive()
         try:
@@ -192,8 +225,18 @@
             if isinstance(message, Closed):
                 return message.detail
             link.last_received_s = loop_time()
+            if isinstance(message, Heartbeat | VmReport):
+                self._record_heartbeat(link, message)
             self._handle_message(link, message)
 
+    def _record_heartbeat(self, link: AgentLink, message: Heartbeat | VmReport) -> None:
+        """Record a message, in which an agent that follows this entry says nothing about others."""
+        link.heartbeat_s = link.last_received_s
+        link.epoch = message.epoch
+        age_ms = message.owner_age_ms if isinstance(message, Heartbeat) else -1
+        age_s = age_ms / 1000 if age_ms >= 0 else math.inf
+        link.owner_seen_s = link.last_received_s - age_s
+
     def _handle_message(self, link: AgentLink, message: object) -> None:
         owner = self.owner
         if owner is not None and getattr(message, "epoch", 0) > owner.epoch:
@@ -207,7 +250,10 @@
     def _acknowledge(self, link: AgentLink, message: VmReport | Heartbeat) -> None:
         owner = self.owner
         answer: Acknowledge | None = None
+        plans = False
         if owner is not None and message.epoch == owner.epoch:
+            plans = self.progress.idle_s() <= MAX_IDLE_S
+            plans = plans and owner.store_failing_s() <= MAX_STORE_FAILURE_S
             if isinstance(message, VmReport):
                 owner.handle_report(link.agent_id, message)
             answer = owner.extend_agent_lease(link.agent_id)
@@ -219,7 +265,12 @@
         self._post(
             link,
             Acknowledge(
-                message.sequence, answer.epoch, answer.incarnation, answer.ends_kept, sent_entries
+                message.sequence,
+                answer.epoch,
+                answer.incarnation,
+                answer.ends_kept,
+                sent_entries,
+                plans,
             ),
         )
 
--- a/packages/workflow/briardeal_workflow/worker/_agent.py
+++ b/packages/workflow/briardeal_workflow/worker/_agent.py
@@ -82,6 +82,9 @@
         Open connections by control address, and the one to the owner; `None` while there is none.
     epoch
         Fencing token of the owner that the agent follows; 0 before the first.
+    owner_planned_s
+        When the newest message was sent that this owner acknowledged while it was planning, on the
+        clock of `boottime_s`; `None` if there is none.
     incarnation
         Incarnation of the worker; empty before its first description.
     table
@@ -127,6 +130,7 @@
         self.links: dict[str, EntryLink] = {}
         self.epoch = 0
         self.owner: EntryLink | None = None
+        self.owner_planned_s: float | None = None
         self.incarnation = ""
         self.table = TaskTable()
         self.listed_epoch = -1
@@ -223,6 +227,7 @@
             return
         if epoch > self.epoch:
             log_event(Event.HOLD_EXTENDED, epoch=epoch, entry=link.address)
+            self.owner_planned_s = boottime_s()
         self.epoch = epoch
         self.owner = link
         self._spawn(self._list_for_owner())
@@ -240,6 +245,8 @@
     def _handle_acknowledgement(self, link: EntryLink, message: Acknowledge) -> None:
         self.entries.update(message.entries)
         sent_s = link.sent_s.pop(message.sequence, None)
+        if message.plans and link is self.owner and sent_s is not None:
+            self.owner_planned_s = max(self.owner_planned_s or sent_s, sent_s)
         if message.epoch != self.epoch or message.epoch == 0 or sent_s is None:
             return
         self.lease_end_s = max(self.lease_end_s, sent_s + LEASE_S)
@@ -477,7 +484,7 @@
 
     async def _send_heartbeat(self, link: EntryLink, *, full: bool) -> None:
         self._sequence += 1
-        message: Heartbeat | VmReport = Heartbeat(self._sequence, self.epoch)
+        message: Heartbeat | VmReport = Heartbeat(self._sequence, self.epoch, self._owner_age_ms())
         if full and link is self.owner:
             message = self._make_report()
         link.sent_s[self._sequence] = boottime_s()
@@ -485,6 +492,11 @@
             del link.sent_s[old]
         await link.connection.send(message)
 
+    def _owner_age_ms(self) -> int:
+        if self.owner_planned_s is None:
+            return -1
+        return int(1000 * (boottime_s() - self.owner_planned_s))
+
     def _is_listed(self) -> bool:
         """Return whether the newest lists belong to the registered worker and to the owner."""
         vm = self.registration.vm
--- a/tests/workflow/leadership/test_election.py
+++ b/tests/workflow/leadership/test_election.py
@@ -10,8 +10,8 @@
 
 from briardeal_core.clock import boottime_s, loop_time
 from briardeal_standins.emulator import MemoryStore, StoreClient
-from briardeal_workflow.control import CONTROL_CODEC, OwnerHeartbeat
-from briardeal_workflow.leadership import Election
+from briardeal_workflow.control import CONTROL_CODEC, Acknowledge, Heartbeat, OwnerHeartbeat
+from briardeal_workflow.leadership import Election, HeardAgents
 from briardeal_workflow.leadership._records import (
     CONTROL_TOPIC,
     OWNER_KEY,
@@ -104,3 +104,55 @@
 async def test_heartbeat_of_an_earlier_version_says_nothing_against_the_owner():
     heartbeat = CONTROL_CODEC.decode(b'{"type":"owner","epoch":3,"store_failing_s":0.5}')
     assert heartbeat == OwnerHeartbeat(3, 0.5, 0.0)
+
+
+@pytest.mark.parametrize(
+    ("line", "message"),
+    [
+        (b'{"type":"beat","sequence":1,"epoch":3}', Heartbeat(1, 3, -1)),
+        (b'{"type":"ack","sequence":1,"epoch":3}', Acknowledge(1, 3, plans=False)),
+    ],
+)
+async def test_agents_and_owners_of_an_earlier_version_say_nothing_about_a_planning_owner(
+    line, message
+):
+    assert CONTROL_CODEC.decode(line) == message
+
+
+@pytest.mark.parametrize(
+    ("silent_s", "heard_count", "owner_age_s", "cause"),
+    [
+        (1.0, 4, 9.0, ""),
+        (1.6, 4, 9.0, "owner is silent"),
+        (90.0, 4, 0.8, ""),
+        (90.0, 4, 1.6, "owner is silent"),
+        (4.0, 1, 9.0, ""),
+        (5.2, 1, 9.0, "owner is silent"),
+        (20.0, 0, 99.0, ""),
+        (25.0, 0, 99.0, "owner is silent"),
+    ],
+)
+async def test_silence_of_the_owner_counts_from_what_this_entry_and_most_agents_heard(
+    silent_s, heard_count, owner_age_s, cause
+):
+    # Guards against claims of an entry that alone does not hear the owner.
+    election = make_election()
+    agents = tuple(f"vm-{number}" for number in range(4))
+    read_claim(election, 0, 1, agents=agents)
+    election.ready_since_s = loop_time() - 100.0
+    election.last_heartbeat_s = loop_time() - silent_s
+    election.reach.hear_agents = lambda: HeardAgents(heard_count, loop_time() - owner_age_s)
+    assert election._claim_cause() == cause
+
+
+async def test_entry_that_could_not_plan_until_now_does_not_claim_as_agents_saw_no_planning():
+    # Guards against claims right after an outage of the whole store.
+    election = make_election()
+    read_claim(election, 0, 1)
+    election.ready_since_s = loop_time()
+    election.last_heartbeat_s = loop_time() - 90.0
+    seen_s = loop_time() - 5.0
+    election.reach.hear_agents = lambda: HeardAgents(4, seen_s)
+    assert election._claim_cause() == ""
+    await asyncio.sleep(1.6)
+    assert election._claim_cause() == "owner is silent"
