Replace an owner that hears far fewer agents than another entry

Cause: other entries watch the owner's heartbeats, its store and its planning rounds, which all are well while no agent reaches it.

Change: the owner's heartbeats say how many agents it hears (`heard_agents`, -1 from an earlier version). An entry that has heard more than twice as many for 2 s claims. The time doubles with each such claim of the entry, up to 24 s, until an owner has heard enough for 24 s. An entry that hears no agent leaves claims that any entry could make to others for a second.

--- a/packages/workflow/briardeal_workflow/control/_messages.py
+++ b/packages/workflow/briardeal_workflow/control/_messages.py
@@ -328,8 +328,11 @@
     planning_age_s
         Time since the owner completed a planning round, in seconds; since its claim before the
         first one. Longer if the owner has been unable to read new jobs for some time.
+    heard_agents
+        Number of agents that the owner hears; -1 if an owner of an earlier version doesn't say it.
     """
 
     epoch: int
     store_failing_s: float = 0.0
     planning_age_s: float = 0.0
+    heard_agents: int = -1
--- a/packages/workflow/briardeal_workflow/leadership/_election.py
+++ b/packages/workflow/briardeal_workflow/leadership/_election.py
@@ -32,6 +32,9 @@
 
     from briardeal_workflow.store import Store
 
+NO_AGENTS_DELAY_S = 1.0
+"""Additional delay before a claim of an entry that hears no agent, so that others claim first."""
+
 MAX_CLAIM_DELAY_S = 0.3
 """Maximum random delay before a claim, so that one of several entries claims first."""
 
@@ -56,7 +59,8 @@
 """Maximum age of the records read before a claim; the store answers a reader every second."""
 
 OWNER_SILENT = "owner is silent"
-"""Cause of a claim."""
+OWNER_UNHEARD = "owner hears too few agents"
+"""Causes of claims."""
 
 CHECK_INTERVAL_S = 0.1
 """Interval between checks for a lost owner."""
@@ -172,7 +176,11 @@
         self.elected.clear()
 
     def record_heartbeat(
-        self, epoch: int, store_failing_s: float, planning_age_s: float = 0.0
+        self,
+        epoch: int,
+        store_failing_s: float,
+        planning_age_s: float = 0.0,
+        heard_agents: int = -1,
     ) -> None:
         """Record a heartbeat of the owner.
 
@@ -185,13 +193,15 @@
         planning_age_s
             Time since the owner completed a planning round, in seconds; since its claim before the
             first one.
+        heard_agents
+            Number of agents that the owner hears; -1 if unknown.
         """
         if epoch == self.epoch:
             self.last_heartbeat_s = loop_time()
             self.owner_lost = self.owner_stopped = False
             self.store_failing_s = store_failing_s
             self.planning_age_s = planning_age_s
-            self.reach.record_owner()
+            self.reach.compare(heard_agents, self.last_heartbeat_s - self.claimed_s)
             if self.last_heartbeat_s - self.claimed_s > planning_age_s + HEARTBEAT_MARGIN_S:
                 self.owner_has_planned = True
                 self.max_planning_age_s = MAX_PLANNING_AGE_S
@@ -262,19 +272,27 @@
             self.owner_stopped = True
             return "owner was restarted"
         silent_s = loop_time() - self.last_heartbeat_s
-        if self.owner_lost and silent_s > self._delay_s:
+        if self.owner_lost and self._is_overdue(silent_s):
             return "owner is gone"
         if silent_s > OWNER_TIMEOUT_S + self._delay_s and self._is_silent():
             return OWNER_SILENT
-        if self.store_failing_s > MAX_STORE_FAILURE_S + self._delay_s:
+        if self._is_overdue(self.store_failing_s - MAX_STORE_FAILURE_S):
             return "owner has no store"
         # Only an entry that was ready all the while is better off than the owner.
         idle_s = min(self.planning_age_s, loop_time() - self.ready_since_s)
         factor = 1.0 if self.owner_has_planned else FIRST_ROUND_FACTOR
-        if idle_s > factor * self.max_planning_age_s + self._delay_s:
+        if self._is_overdue(idle_s - factor * self.max_planning_age_s):
             return "owner plans nothing"
+        if self._is_overdue(self.reach.unheard_s - self.reach.max_unheard_s):
+            return OWNER_UNHEARD
         return ""
 
+    def _is_overdue(self, overdue_s: float) -> bool:
+        """Return whether a claim that any entry may make has been due for long enough."""
+        if overdue_s <= self._delay_s:
+            return False
+        return self.reach.hear_agents().count > 0 or overdue_s > self._delay_s + NO_AGENTS_DELAY_S
+
     def _is_silent(self) -> bool:
         """Return whether neither this entry nor most agents have heard the owner for too long."""
         heard = self.reach.hear_agents()
@@ -306,7 +324,9 @@
             owner=self._owner_name(),
             agents=heard_count,
         )
-        if cause == OWNER_SILENT:
+        if cause == OWNER_UNHEARD:
+            self.reach.lengthen_unheard_time()
+        elif cause == OWNER_SILENT:
             self.reach.lengthen_silence_limit(heard_count, len(agents))
         if not await self._append(record):
             await asyncio.sleep(self.rng.uniform(0.0, MAX_CLAIM_DELAY_S))
@@ -387,6 +407,7 @@
                 self.max_planning_age_s = min(2 * self.max_planning_age_s, LONGEST_PLANNING_AGE_S)
             self.owner_has_planned = False
             self.planning_age_s = 0.0
+            self.reach.restart()
             self._delay_s = self.rng.uniform(0.0, MAX_CLAIM_DELAY_S)
         self.owner = record
         if self.is_owner:
--- a/packages/workflow/briardeal_workflow/leadership/_watch.py
+++ b/packages/workflow/briardeal_workflow/leadership/_watch.py
@@ -109,5 +109,7 @@
                 continue
             if message.epoch != epoch:
                 return WatchOutcome.DENIED
-            self.election.record_heartbeat(epoch, message.store_failing_s, message.planning_age_s)
+            self.election.record_heartbeat(
+                epoch, message.store_failing_s, message.planning_age_s, message.heard_agents
+            )
         return WatchOutcome.REPLACED
--- a/packages/workflow/briardeal_workflow/owner/_control_server.py
+++ b/packages/workflow/briardeal_workflow/owner/_control_server.py
@@ -43,6 +43,9 @@
 may claim. It is less than the silence of the owner before a claim, so that an entry that hears
 nobody any more does not count agents that it heard before."""
 
+HEARD_BY_OWNER_S = 1.5
+"""Silence after which an agent counts as not heard by the owner."""
+
 MAX_IDLE_S = 1.5
 """Time without a planning round after which acknowledgements say that the owner plans nothing."""
 
@@ -295,7 +298,11 @@
             return OwnerHeartbeat(0)
         failing_s = self.owner.store_failing_s() if self.owner is not None else 0.0
         idle_s = self.progress.idle_s()
-        return OwnerHeartbeat(self.election.epoch, failing_s, round(idle_s, 3))
+        now_s = loop_time()
+        heard = sum(
+            now_s - link.last_received_s <= HEARD_BY_OWNER_S for link in self.agents.values()
+        )
+        return OwnerHeartbeat(self.election.epoch, failing_s, round(idle_s, 3), heard)
 
     def _entry_addresses(self) -> tuple[str, ...]:
         return tuple(sorted(self.election.entries.values()))
--- a/tests/workflow/entry/test_partial_cuts.py
+++ b/tests/workflow/entry/test_partial_cuts.py
@@ -19,6 +19,53 @@
 """Time from the loss of an owner to the claim of another entry."""
 
 
+@pytest.mark.parametrize("reached", [0, 2])
+async def test_owner_that_few_agents_reach_is_replaced(reached):
+    # Guards against an owner that only entries and the store reach, while all jobs stand still.
+    async with run_site() as site:
+        owner, other, _ = await settle(site)
+        site.network.cut_off([owner], list(site.vms)[reached:])
+        claims = count_claims(site)
+        await asyncio.sleep(8.0)
+        assert count_claims(site) == claims + 1
+        assert site.owner_name() != owner
+        await assert_job_starts(site, other, tasks=6)
+        await asyncio.sleep(20.0)
+        assert count_claims(site) == claims + 1
+
+
+async def test_owner_whose_messages_to_agents_are_lost_is_replaced():
+    # Guards against an owner that hears agents for as long as their connections last.
+    async with run_site() as site:
+        owner, other, _ = await settle(site)
+        for connection in site.network.connections[1::2]:
+            if connection.client in site.vms and connection.address == site.address_of(owner):
+                connection.silent = True
+        await asyncio.sleep(1.4)
+        # Without answers no new connection can be opened either.
+        site.network.cut_off([owner], site.vms)
+        await asyncio.sleep(6.0)
+        assert site.owner_name() != owner
+        await assert_job_starts(site, other, tasks=6)
+
+
+@pytest.mark.parametrize("cut", ["owner and agents", "agents"])
+async def test_entry_that_hears_no_agent_leaves_the_takeover_to_one_that_does(cut):
+    # Guards against a new owner that no agent reaches.
+    async with run_site() as site:
+        owner, alone, other = await settle(site)
+        site.network.cut_off([alone], site.vms)
+        if cut == "owner and agents":
+            site.network.cut_off([alone], [owner])
+        await asyncio.sleep(4.0)
+        site.entry(other).election._delay_s = 0.3
+        site.entry(alone).election._delay_s = 0.0
+        await site.kill(owner)
+        await asyncio.sleep(2.0)
+        assert site.owner_name() == other
+        await assert_job_starts(site, other)
+
+
 @pytest.mark.parametrize("unheard", [1, 2])
 async def test_owner_that_agents_hear_stays_when_other_entries_do_not_hear_it(unheard):
     # Guards against owners that replace each other for as long as a cut lasts.
--- a/tests/workflow/leadership/test_election.py
+++ b/tests/workflow/leadership/test_election.py
@@ -103,7 +103,7 @@
 
 async def test_heartbeat_of_an_earlier_version_says_nothing_against_the_owner():
     heartbeat = CONTROL_CODEC.decode(b'{"type":"owner","epoch":3,"store_failing_s":0.5}')
-    assert heartbeat == OwnerHeartbeat(3, 0.5, 0.0)
+    assert heartbeat == OwnerHeartbeat(3, 0.5, 0.0, -1)
 
 
 @pytest.mark.parametrize(
@@ -145,6 +145,41 @@
     assert election._claim_cause() == cause
 
 
+@pytest.mark.parametrize(
+    ("owner_count", "heard_count", "replaced"),
+    [(-1, 9, False), (0, 0, False), (0, 1, True), (4, 8, False), (4, 9, True)],
+)
+async def test_owner_is_replaced_by_an_entry_that_hears_more_than_twice_as_many_agents(
+    owner_count, heard_count, replaced
+):
+    # Guards against an owner that no agent reaches, and against claims in turns.
+    election = make_election()
+    read_claim(election, 0, 1)
+    election.ready_since_s = loop_time()
+    election.reach.hear_agents = lambda: HeardAgents(heard_count)
+    for age_s in (0.0, 0.3, 0.6, 0.9, 1.2, 1.5, 1.8, 2.1, 2.4):
+        election.record_heartbeat(1, 0.0, 0.0, owner_count)
+        assert age_s > 2.0 or election._claim_cause() == ""
+        await asyncio.sleep(0.3)
+    assert bool(election._claim_cause()) == replaced
+
+
+async def test_entry_claims_ever_later_if_owners_that_hear_few_agents_follow_each_other():
+    election = make_election()
+    election.reach.hear_agents = lambda: HeardAgents(1)
+    waited_s = []
+    for epoch in range(1, 10, 2):
+        election._offset = -1
+        read_claim(election, 0, epoch)
+        election.ready_since_s = began_s = loop_time()
+        while not (cause := election._claim_cause()):
+            election.record_heartbeat(epoch, 0.0, 0.0, 0)
+            await asyncio.sleep(0.1)
+        waited_s.append(loop_time() - began_s)
+        await election._claim(cause)
+    assert waited_s == pytest.approx([2.2, 4.2, 8.2, 16.2, 24.2], abs=0.4)
+
+
 async def test_entry_that_could_not_plan_until_now_does_not_claim_as_agents_saw_no_planning():
     # Guards against claims right after an outage of the whole store.
     election = make_election()
