Check that agents go on reporting while an entry reads nothing

Trace: an agent writes to one entry after the other and waits for each write. Once an entry has read nothing for 1.5 s the agent closes that connection, but the write that waits for it never ends, so that the agent sends no report and no heartbeat to any entry again.

--- a/tests/workflow/entry/test_idle_owners.py
+++ b/tests/workflow/entry/test_idle_owners.py
@@ -145,6 +145,18 @@
         assert site.entry(owner).election.epoch == epoch
 
 
+async def test_agents_whose_entry_reads_nothing_go_on_reporting():
+    # Guards against VMs that no owner knows any more, as their agents wait for one write.
+    async with run_site() as site:
+        owner = await site.wait_for_owner()
+        await asyncio.sleep(1.0)
+        for connection in site.network.connections[::2]:
+            if connection.client in site.vms and connection.address == site.address_of(owner):
+                connection.stalled = True
+        await asyncio.sleep(5.0)
+        await assert_job_starts(site, owner)
+
+
 async def test_vm_that_reads_nothing_does_not_hold_up_a_takeover():
     # Guards against a new owner that waits for its announcement to one agent.
     async with run_site() as site:
