Send reports of agents without waiting for an entry to read them

Callers would see the jobs of a VM stand still after an entry that its agent writes to has stopped reading, also once another entry owns the jobs.

Cause: the agent waited for each write to each entry, and a write to a connection that was closed meanwhile does not end.

Weighed: a time limit for each write (delays the reports to the other entries by as much each time).

--- a/packages/workflow/briardeal_workflow/worker/_agent.py
+++ b/packages/workflow/briardeal_workflow/worker/_agent.py
@@ -286,13 +286,13 @@
         if self.owner is not None:
             # An owner that has taken over needs the outcome of an order of its predecessor too.
             outcome = msgspec.structs.replace(result, epoch=self.epoch)
-            self._spawn(self._send_outcome(self.owner, outcome))
+            self._send_outcome(self.owner, outcome)
 
-    async def _send_outcome(self, owner: EntryLink, result: StartResult) -> None:
+    def _send_outcome(self, owner: EntryLink, result: StartResult) -> None:
         """Send an outcome; before a refusal, the state of the VM that the owner did not know."""
         if result.outcome is StartOutcome.REFUSED:
-            await self._send_heartbeat(owner, full=True)
-        await owner.connection.send(result)
+            self._send_heartbeat(owner, full=True)
+        owner.connection.post(result)
 
     def _doubt_lists(self) -> None:
         """Report the worker as unreachable until it has listed its tasks again."""
@@ -475,14 +475,15 @@
             if full:
                 reported_s = loop_time()
             for link in list(self.links.values()):
-                await self._send_heartbeat(link, full=full)
+                self._send_heartbeat(link, full=full)
 
     def _log_lease_expiry(self) -> None:
         if self.had_lease and not self.has_lease:
             log_event(Event.HOLD_LOST, epoch=self.epoch, tasks=len(self.table.running))
         self.had_lease = self.has_lease
 
-    async def _send_heartbeat(self, link: EntryLink, *, full: bool) -> None:
+    def _send_heartbeat(self, link: EntryLink, *, full: bool) -> None:
+        """Send a message without waiting, so that no entry delays reports to the others."""
         self._sequence += 1
         message: Heartbeat | VmReport = Heartbeat(self._sequence, self.epoch, self._owner_age_ms())
         if full and link is self.owner:
@@ -490,7 +491,7 @@
         link.sent_s[self._sequence] = boottime_s()
         for old in list(link.sent_s)[:-SEND_TIMES_LIMIT]:
             del link.sent_s[old]
-        await link.connection.send(message)
+        link.connection.post(message)
 
     def _owner_age_ms(self) -> int:
         if self.owner_planned_s is None:
