Check that start records which a takeover could not read are read later

A VM is lost together with the owner, and the pages of `starts` come too late until 0.5 s after the takeover.

Trace: the owner tries to read the records once, at the takeover, for 1.5 s at most, or three times.

--- a/tests/workflow/entry/test_takeover_waits.py
+++ b/tests/workflow/entry/test_takeover_waits.py
@@ -199,6 +199,40 @@
         assert '"offset"' in line
 
 
+async def test_start_records_that_a_takeover_could_not_read_are_read_later():
+    # Guards against a standstill of all jobs after reads that fail for a moment of the takeover.
+    async with run_site() as site:
+        for _ in range(6):
+            job = make_job(small_step(40, accelerators=4, estimate_s=2.5))
+            assert await site.submit(job, TaskBehavior(2.5))
+        await asyncio.sleep(4.0)
+        watch = asyncio.create_task(find_longest_standstill(site, 25.0))
+        site.store.late_pages.add(STARTS_TOPIC)
+        owner = await site.wait_for_owner()
+        await remove(site, "vm-3")
+        await site.kill(owner)
+        await wait_for_next_owner(site, owner)
+        await asyncio.sleep(0.5)
+        site.store.late_pages.clear()
+        assert await watch <= 4.0
+
+
+async def test_task_on_a_lost_vm_waits_for_its_lease_if_start_records_are_read_late():
+    # Guards against a second run of a task whose record was not read at the takeover.
+    async with run_site(vms=4) as site:
+        job = make_job(whole_vm_step(3, estimate_s=60.0))
+        assert await site.submit(job, TaskBehavior(60.0))
+        await site.wait_for_state(job.job_id, "running", 5.0)
+        await asyncio.sleep(2.0)
+        site.store.late_pages.add(STARTS_TOPIC)
+        await isolate_owner_and_a_busy_vm(site)
+        await asyncio.sleep(5.0)
+        site.store.late_pages.clear()
+        await asyncio.sleep(20.0)
+        assert site.checker.start_count == 4
+        assert site.checker.end_counts == {"lapsed": 1}
+
+
 async def test_task_of_an_owner_of_an_earlier_version_waits_at_the_second_takeover_too():
     # Guards against a second run of a task that an owner without start records has started.
     async with run_site(vms=4) as site:
