Read start records later that a takeover could not read in time

Callers would see all known jobs stand still for 11.6 s after a takeover with one VM lost, if the store does not return the pages of `starts` for 1.5 s at that moment.

Cause: the records were read once; an owner without them waits for all VMs, even if the store answers again soon after.

Change: if the store did not answer, the owner reads again each 0.5 s until it has the records or knows all tasks, beside its planning, and holds back only the tasks that they name then. A malformed record is not read again, as it stays the same.

Why nothing runs twice: earlier owners are fenced, so the records of VMs that have not reported can't change; the new owner replaces only records of VMs that have reported, and its own records count before those that it reads. A task known at the takeover has not been started by the new owner before the records were read.

Tried first: to read again after a malformed record, too; test_all_known_tasks_wait_if_the_record_of_a_lost_vm_is_malformed failed (one line for each read).

--- a/packages/workflow/briardeal_workflow/owner/_owner.py
+++ b/packages/workflow/briardeal_workflow/owner/_owner.py
@@ -32,12 +32,13 @@
     CONFIRM_PAUSE_S,
     MAX_ROUND_INTERVAL_S,
     OWNER_LEASE_S,
+    READ_AGAIN_S,
     RENEW_INTERVAL_S,
     REPORT_WAIT_S,
     ROUND_DELAY_S,
 )
 from briardeal_workflow.planning import AttemptOutcome, Planner
-from briardeal_workflow.store import Fenced, FencedWriter
+from briardeal_workflow.store import Fenced, FencedWriter, OutOfReach
 from briardeal_workflow.worker import LEASE_EXPIRY_S, UNHEALTHY
 
 if TYPE_CHECKING:
@@ -165,7 +166,7 @@
         starts = await self._read_starts()
         self.progress.waits_for = "jobs up to the fence"
         await self.follower.wait_until_read(outcome.end)
-        self._load(configuration, starts)
+        self._load(configuration, None if isinstance(starts, OutOfReach) else starts)
         self.metrics.takeover_s.observe({}, self._age_s())
         self.control_server.announce_owner(self)
         try:
@@ -177,6 +178,7 @@
                     self.progress_writer.write_checkpoints(),
                     self.progress_writer.delete_expired(),
                     self.agent_list.run(),
+                    self._read_missing_starts(starts),
                 )
                 running = [tasks.create_task(coroutine) for coroutine in coroutines]
                 await self._plan_until_fenced()
@@ -283,13 +285,40 @@
         since_s = min((each for each in since if each is not None), default=None)
         return 0.0 if since_s is None else boottime_s() - since_s
 
-    async def _read_starts(self) -> dict[str, tuple[tuple[TaskId, int], ...]] | None:
-        """Return the attempts that earlier owners may have started, by VM; `None` if unknown."""
+    async def _read_starts(self) -> dict[str, tuple[tuple[TaskId, int], ...]] | OutOfReach | None:
+        """Return the attempts that earlier owners may have started, by VM; `None` if unknown.
+
+        Returns `OutOfReach` if they could not be read in time.
+        """
         owner = self.election.owner
         if owner is None or not owner.starts_recorded:
             return None
         return await read_starts(self.store, self.pending_agents.epochs)
 
+    async def _read_missing_starts(
+        self, starts: dict[str, tuple[tuple[TaskId, int], ...]] | OutOfReach | None
+    ) -> None:
+        """Read records of starts that could not be read in time, as long as tasks wait.
+
+        No earlier owner can change them any more, and this one changes only those of VMs that have
+        reported.
+        """
+        while isinstance(starts, OutOfReach) and not self.planner.takeover_complete:
+            await asyncio.sleep(READ_AGAIN_S)
+            starts = await self._read_starts()
+            if isinstance(starts, dict) and not self.planner.takeover_complete:
+                held = self._hold_tasks(starts)
+                log_event(Event.LOG_RECOVERED, topic=STARTS_TOPIC, held_tasks=held)
+                self.wake.set()
+
+    def _hold_tasks(self, starts: dict[str, tuple[tuple[TaskId, int], ...]]) -> int:
+        """Hold back the tasks that may run on VMs that have not reported; return their number."""
+        sender = self.order_sender
+        sender.lists_all_starts = True
+        # The owner may have replaced records since; its own are the newer ones.
+        sender.recorded = {key: frozenset(value) for key, value in starts.items()} | sender.recorded
+        return self.planner.takeover.hold_tasks(starts, self.pending_agents.epochs)
+
     def _load(
         self,
         configuration: Configuration,
@@ -305,11 +334,7 @@
                     job_status.job, job_status.progress, now_s, takeover_pending=True
                 )
         self.loaded = True
-        held = None
-        if starts is not None:
-            self.order_sender.lists_all_starts = True
-            self.order_sender.recorded = {key: frozenset(value) for key, value in starts.items()}
-            held = self.planner.takeover.hold_tasks(starts, self.pending_agents.epochs)
+        held = None if starts is None else self._hold_tasks(starts)
         log_event(
             Event.OWNER_STARTED,
             epoch=self.epoch,
--- a/packages/workflow/briardeal_workflow/owner/_start_records.py
+++ b/packages/workflow/briardeal_workflow/owner/_start_records.py
@@ -10,7 +10,7 @@
 from briardeal_core.decoding import decode_msgpack
 from briardeal_core.events import Event, log_event
 from briardeal_workflow.model import TaskId
-from briardeal_workflow.store import Page
+from briardeal_workflow.store import OutOfReach, Page
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -20,10 +20,10 @@
 STARTS_TOPIC = "starts"
 
 READ_TRIES = 3
-"""Number of unanswered reads after which a takeover goes on without the records."""
+"""Number of unanswered reads after which a takeover goes on without the records for now."""
 
 READ_LIMIT_S = 1.5
-"""Time for all reads of a takeover, after which it goes on without the records, too."""
+"""Time for all reads of a takeover, after which it goes on without the records for now, too."""
 
 RETRY_PAUSE_S = 0.25
 """Pause before an unanswered read is repeated."""
@@ -42,20 +42,20 @@
 
 async def read_starts(
     store: Store, required: Collection[str]
-) -> dict[str, tuple[tuple[TaskId, int], ...]] | None:
+) -> dict[str, tuple[tuple[TaskId, int], ...]] | OutOfReach | None:
     """Return the recorded attempts by VM.
 
-    Returns `None`, with a log line, if the store does not answer in time or the record of a
-    required VM is malformed.
+    Returns `OutOfReach` if the store does not answer in time, and `None` if the record of a
+    required VM is malformed, each with a log line.
     """
     try:
         async with asyncio.timeout(READ_LIMIT_S):
             records = await _read_all(store)
     except TimeoutError:
-        log_event(Event.LOG_UNAVAILABLE, topic=STARTS_TOPIC, detail=f"not read in {READ_LIMIT_S} s")
-        return None
-    if records is None:
-        return None
+        records = OutOfReach(f"not read in {READ_LIMIT_S} s")
+    if isinstance(records, OutOfReach):
+        log_event(Event.LOG_UNAVAILABLE, topic=STARTS_TOPIC, detail=records.detail)
+        return records
     starts = {}
     for record in records:
         try:
@@ -67,7 +67,7 @@
     return starts
 
 
-async def _read_all(store: Store) -> list[Record] | None:
+async def _read_all(store: Store) -> list[Record] | OutOfReach:
     records: list[Record] = []
     after_key, failures = "", 0
     while True:
@@ -80,6 +80,5 @@
             continue
         failures += 1
         if failures == READ_TRIES:
-            log_event(Event.LOG_UNAVAILABLE, topic=STARTS_TOPIC, detail=str(page))
-            return None
+            return OutOfReach(str(page))
         await asyncio.sleep(RETRY_PAUSE_S)
--- a/packages/workflow/briardeal_workflow/owner/_timing.py
+++ b/packages/workflow/briardeal_workflow/owner/_timing.py
@@ -28,6 +28,9 @@
 """Time after a takeover in which jobs wait for the reports of all VMs, so that they are served by
 class on all capacity; connected agents report within 0.2 s."""
 
+READ_AGAIN_S = 0.5
+"""Pause before the records of starts are read again that a takeover could not read in time."""
+
 STORE_WAIT_S = 2.0
 """Interval at which the time for which agents have been waited is stored; the next owner may wait
 as much longer."""
