Check that an owner that cannot store its list of agents is replaced

Fails on: TimeoutError, no start within 3 s. The owner's reader of `control` stands still, and the VMs return after 8 s without agents.

Trace: the list is appended on condition of the end that the reader has reached. The first change is stored; the next meets another end and fails as long as the reader stands still. The owner accepts none of the VMs, completes a planning round each 0.25 s and has a confirmed lease, so that its heartbeats say that all is well. The only lines are "reads are behind".

First form of the test: the workers were restarted and their agents not. It failed only because the owner was not replaced; the job started, as the list does not change then.

--- a/tests/workflow/entry/test_idle_owners.py
+++ b/tests/workflow/entry/test_idle_owners.py
@@ -42,6 +42,19 @@
         assert site.owner_name() != owner
 
 
+async def test_owner_whose_reader_of_claims_stands_still_is_replaced():
+    # Guards against an owner that plans but can't accept any VM, as it can't store its list.
+    async with run_site() as site:
+        owner = await site.wait_for_owner()
+        other = next(name for name in site.entry_names if name != owner)
+        await asyncio.sleep(3.0)
+        site.entry(owner).election.follower.store = LateStore()
+        await asyncio.sleep(2.0)
+        await restart_processes(site, list(site.vms), down_s=8.0)
+        await asyncio.sleep(3.0)
+        await assert_job_starts(site, other)
+
+
 async def test_entry_whose_reader_of_jobs_stands_still_does_not_own_them():
     # Guards against an owner that waits for its reader while all others wait for the owner.
     async with run_site() as site:
