Replace an owner that cannot store its list of agents

Callers would see accepted jobs stand still once VMs have left and returned, while the owner plans and its heartbeats say that all is well.

Cause: liveness without progress, as in: the owner counted appends to `jobs` and `starts` that fail, and not those to `control`, without which it may use no VM.

Change: the time since the first failed append of the list counts as time without the store, which the heartbeats tell. It begins when the failure is known, so that one lost answer (1 s) causes no claim, and anew with each claim.

Weighed: to count the age of the reader of `control` (an owner whose list does not change needs no reader).

--- a/packages/workflow/briardeal_workflow/leadership/_election.py
+++ b/packages/workflow/briardeal_workflow/leadership/_election.py
@@ -114,6 +114,9 @@
         `boottime_s`.
     leaving
         Whether this entry is shutting down and so makes no claims.
+    append_failing_since_s
+        Since when no append has succeeded since the newest claim, although some were tried, on the
+        clock of `boottime_s`; `None` after a success.
     """
 
     def __init__(
@@ -148,6 +151,7 @@
         self.owner_has_planned = False
         self.ready_since_s: float | None = None
         self.leaving = False
+        self.append_failing_since_s: float | None = None
         self.resigned_epoch = 0
         self.waiting_since_s: dict[tuple[str, int], float] = {}
         self._offset = -1
@@ -342,7 +346,10 @@
         )
         if isinstance(outcome, Appended):
             self._apply_claim(record, outcome.end - 1)
+            self.append_failing_since_s = None
             return True
+        if self.append_failing_since_s is None:
+            self.append_failing_since_s = boottime_s()
         if isinstance(outcome, Conflict):
             await self._wait_for(outcome.end)
         else:
@@ -403,6 +410,7 @@
             self.claimed_s = self.last_heartbeat_s = loop_time()
             self.owner_lost = False
             self.store_failing_s = 0.0
+            self.append_failing_since_s = None
             if self.planning_age_s > self.max_planning_age_s:
                 self.max_planning_age_s = min(2 * self.max_planning_age_s, LONGEST_PLANNING_AGE_S)
             self.owner_has_planned = False
--- a/packages/workflow/briardeal_workflow/owner/_owner.py
+++ b/packages/workflow/briardeal_workflow/owner/_owner.py
@@ -281,7 +281,11 @@
 
     def store_failing_s(self) -> float:
         """Return for how long appends to the store have failed, in seconds."""
-        since = (self.writer.failing_since_s, self.start_writer.failing_since_s)
+        since = (
+            self.writer.failing_since_s,
+            self.start_writer.failing_since_s,
+            self.election.append_failing_since_s,
+        )
         since_s = min((each for each in since if each is not None), default=None)
         return 0.0 if since_s is None else boottime_s() - since_s
 
