Check that attempt numbers rise although an owner has used over a thousand for a task

Fails on: assert 0 == 1, the third owner holds back no task although one runs on the VM that has not reported.

Trace: each owner has 1000 numbers for a task and goes on above them without a check. A later owner that finds no such attempt in reports begins at its own first number, so that the newer attempt has the lower one. The hold after a takeover goes by the highest number in the records, among which those of ended attempts stay until the next start on the VM.

--- a/tests/workflow/planning/test_adoption.py
+++ b/tests/workflow/planning/test_adoption.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from briardeal_workflow.job_table import Progress
 from briardeal_workflow.model import TaskId
 from briardeal_workflow.planning import AttemptOutcome, RunningTask, StopTask
 from tests.workflow.planning.harness import PlannerHarness
@@ -109,3 +110,18 @@
         lost_after_s += 0.1
         harness.planner.record_task_list("vm-0", [], harness.now_s)
     assert lost_after_s == pytest.approx(limit_s, abs=0.3)
+
+
+def test_task_that_an_owner_has_ordered_over_a_thousand_times_is_held_for_its_newest_attempt():
+    # Guards against a second run of a task whose newer attempt has the lower number.
+    harness = PlannerHarness(vms=3, epoch=2, takeover_complete=False)
+    job = harness.submit(small_step(), takeover_pending=True)
+    task = TaskId(job.job_id, 0, 0, 0)
+    starts = {"vm-2": [(task, 1500)]}
+    harness.planner.takeover.hold_tasks(starts, ())
+    harness.planner.complete_takeover()
+    (start,) = harness.start_orders()
+    later = PlannerHarness(vms=3, epoch=3, takeover_complete=False)
+    later.planner.add_job(job, Progress(), later.now_s, takeover_pending=True)
+    starts["vm-1"] = [(task, start.number)]
+    assert later.planner.takeover.hold_tasks(starts, {"vm-1"}) == 1
