Let attempt numbers rise above those in the start records

Callers could see a task run twice after a takeover, if an earlier owner had ordered it over a thousand times.

Cause: the hold after a takeover relies on numbers that rise from owner to owner, and nothing ensured that beyond 1000 numbers.

Change: a new owner goes on from the highest number of each task in the records that it reads. The rule compares numbers in records only, so that the numbers of later attempts are above all that it can meet.

Weighed: to give up the ownership when the numbers are used up (a takeover each few minutes for one task that is refused), more numbers for each owner (those of an owner of an earlier version would be lower during an upgrade), to hold a task for any attempt in a record (waits for VMs on which it has ended).

Remains: an owner that can't read the records starts from its own first number. A worker may refuse such a start as old.

--- a/packages/workflow/briardeal_workflow/planning/_takeover.py
+++ b/packages/workflow/briardeal_workflow/planning/_takeover.py
@@ -44,9 +44,15 @@
             for task, number in attempts:
                 newest[task] = max(newest.get(task, (-1, "")), (number, vm_id))
         held = 0
-        for task, (_, vm_id) in newest.items():
+        for task, (number, vm_id) in newest.items():
             group = self.state.group_of(task)
-            if vm_id in unreported_vms and group is not None and task.index not in group.done:
+            if group is None:
+                continue
+            # An earlier owner may have used more numbers than it had before those of this one.
+            group.attempt_numbers[task.index] = max(
+                number, group.attempt_numbers.get(task.index, 0)
+            )
+            if vm_id in unreported_vms and task.index not in group.done:
                 group.unreported_vms[task.index] = vm_id
                 held += 1
         return held
