Review stand-ins: end a case that is stopped while it starts

Cause: a signal during the start met a server that did not listen yet, so that the script ended with 1, as if the rule were broken.

--- a/review/deployment_2.py
+++ b/review/deployment_2.py
@@ -125,7 +125,8 @@
         self.server = await asyncio.start_server(self.serve, ip, port, backlog=512)
 
     async def stop(self):
-        self.server.close()
+        if self.server is not None:
+            self.server.close()
         for writer in list(self.writers):
             writer.transport.abort()
 
