Emulator: let one topic fail, and check starts before ends that are stored later

Cause: the store of the emulator failed as a whole, so that nothing started while an end could not be stored. The checker compared a start with the ends stored before it, not with an end that is stored after it.

Change: topics that refuse all calls; SINGLE_RUN and FAILURE_LIMIT are checked again when an end is stored, unless the lease of the worker has lapsed since the end, as the users' rule says.

--- a/packages/standins/briardeal_standins/emulator/_checker.py
+++ b/packages/standins/briardeal_standins/emulator/_checker.py
@@ -105,6 +105,12 @@
     gangs_disturbed_until_s
         Until when a member of a gang may time out, as its others may be unreachable, on the loop's
         clock.
+    started_s
+        When the attempts of each task started, on the loop's clock.
+    ended_s
+        When each attempt ended, by VM, task and number, on the loop's clock.
+    stored_failures_s
+        When the failed attempts of each task ended whose ends have been stored.
     violations
         Violations found so far.
     """
@@ -128,6 +134,9 @@
         self.end_counts: dict[str, int] = {}
         self.start_count = 0
         self.gangs_disturbed_until_s = float("-inf")
+        self.started_s: dict[TaskId, list[float]] = {}
+        self.ended_s: dict[tuple[str, TaskId, int], float] = {}
+        self.stored_failures_s: dict[TaskId, list[float]] = {}
         self.violations: list[Violation] = []
 
     def record_refusal(self, job_id: str) -> None:
@@ -151,6 +160,8 @@
                 Invariant.SINGLE_RUN, f"{attempt}, also running as {self.running.get(task)}"
             )
         self.running.setdefault(task, set()).add((vm.vm_id, number))
+        self.started_s.setdefault(task, []).append(loop_time())
+        self._check_stored_failures(task)
         self._check_order(task, attempt)
         self._check_capacity(vm, attempt)
         cancelled_s = self.cancelled_s.get(task.job_id)
@@ -177,6 +188,7 @@
         """Record the end of an attempt."""
         self.end_counts[end] = self.end_counts.get(end, 0) + 1
         self.running.get(task, set()).discard((vm.vm_id, number))
+        self.ended_s[vm.vm_id, task, number] = loop_time()
         if end == "failed":
             self.failures[task] = self.failures.get(task, 0) + 1
         if end == "alone" and loop_time() > self.gangs_disturbed_until_s:
@@ -185,11 +197,28 @@
             self.ended_done.add(task)
             self.done_s[task.job_id] = loop_time()
 
-    def record_stored_ends(self, vm_id: str, ended: list[EndedTask], stored_position: int) -> None:
-        """Record as done the tasks whose ends the owner has stored."""
+    def record_stored_ends(
+        self, vm_id: str, ended: list[EndedTask], stored_position: int, lapsed_position: int
+    ) -> None:
+        """Record the ends that the owner has stored, and check the starts after them.
+
+        Starts after ends up to `lapsed_position` are allowed, as the lease has lapsed since.
+        """
         for task_end in ended:
-            if task_end.position <= stored_position and task_end.end == "done":
-                self.done_tasks.add(task_end.task)
+            task, position = task_end.task, task_end.position
+            if position > stored_position:
+                continue
+            if task_end.end == "done":
+                self.done_tasks.add(task)
+            if position <= lapsed_position:
+                continue
+            ended_s = self.ended_s[vm_id, task, task_end.number]
+            if task_end.end == "done" and self.started_s[task][-1] > ended_s:
+                detail = f"{task} was started after its end on {vm_id}, stored now"
+                self._add_violation(Invariant.SINGLE_RUN, detail)
+            if task_end.end == "failed":
+                self.stored_failures_s.setdefault(task, []).append(ended_s)
+                self._check_stored_failures(task)
 
     def check_state(self, job_id: str, state: str) -> None:
         """Check a state of a job that a caller was shown."""
@@ -211,6 +240,17 @@
         if loop_time() - self.accepted.get(job_id, float("inf")) > VISIBLE_LIMIT_S:
             self._add_violation(Invariant.JOBS_STORED, job_id)
 
+    def _check_stored_failures(self, task: TaskId) -> None:
+        """Check that a task has not started after as many stored failures as its queue allows."""
+        job = self.jobs.get(task.job_id)
+        failed_s = sorted(self.stored_failures_s.get(task, ()))
+        if job is None or job.steps[task.step].long_running:
+            return
+        limit = self.failure_limits[job.queue]
+        if len(failed_s) >= limit and self.started_s[task][-1] > failed_s[limit - 1]:
+            detail = f"{task} was started after {limit} failures that are stored"
+            self._add_violation(Invariant.FAILURE_LIMIT, detail)
+
     def _failure_count(self, job: Job) -> int:
         """Return the number of failed attempts of the task, or gang, that failed most often."""
         counts: dict[tuple[object, ...], int] = {}
--- a/packages/standins/briardeal_standins/emulator/_store.py
+++ b/packages/standins/briardeal_standins/emulator/_store.py
@@ -74,6 +74,8 @@
         Number of next appends to each topic that are carried out without an answer.
     late_pages
         Topics of which pages of the newest records arrive later than clients wait for them.
+    refusing_topics
+        Topics of which the store rejects all calls of all clients.
     calls
         Number of calls so far.
     """
@@ -83,6 +85,7 @@
         self.faults: dict[str, StoreFault] = {}
         self.lost_answers: dict[str, int] = {}
         self.late_pages: set[str] = set()
+        self.refusing_topics: set[str] = set()
         self.calls = 0
         self._delayed_writes: set[asyncio.Task[None]] = set()
 
@@ -176,7 +179,7 @@
         self.store.calls += 1
         await asyncio.sleep(LATENCY_S)
         fault = self.store.get_fault(self.client)
-        if fault is StoreFault.REFUSES:
+        if fault is StoreFault.REFUSES or topic in self.store.refusing_topics:
             return NotStored("refused")
         arguments = (topic, records, expected_end, position)
         if fault is StoreFault.LOSES_ANSWERS or self.store.lose_answer(topic):
@@ -192,7 +195,7 @@
         """Read records from an offset on, waiting up to `wait_s` seconds for the first."""
         self.store.calls += 1
         await asyncio.sleep(LATENCY_S)
-        if self._is_unreadable():
+        if self._is_unreadable(topic):
             return await self._fail_read()
         found = self.store.get_topic(topic)
         if offset >= found.end:
@@ -201,7 +204,7 @@
                     await found.records_added.wait()
             except TimeoutError:
                 pass
-        if self._is_unreadable():
+        if self._is_unreadable(topic):
             return await self._fail_read()
         if offset < found.first_offset:
             return Trimmed()
@@ -212,7 +215,7 @@
         """Read one page of the newest records, sorted by key."""
         self.store.calls += 1
         await asyncio.sleep(LATENCY_S)
-        if self._is_unreadable():
+        if self._is_unreadable(topic):
             return await self._fail_read()
         if topic in self.store.late_pages:
             await asyncio.sleep(PAGE_TIMEOUT_S)
@@ -223,8 +226,10 @@
         more = len(keys) > PAGE_RECORDS
         return Page(page, found.end, page[-1].key if more else "")
 
-    def _is_unreadable(self) -> bool:
-        return self.store.get_fault(self.client) in (StoreFault.REFUSES, StoreFault.SILENT)
+    def _is_unreadable(self, topic: str) -> bool:
+        fault = self.store.get_fault(self.client)
+        is_refused = topic in self.store.refusing_topics
+        return is_refused or fault in (StoreFault.REFUSES, StoreFault.SILENT)
 
     async def _fail_read(self) -> OutOfReach:
         if self.store.get_fault(self.client) is StoreFault.SILENT:
--- a/packages/standins/briardeal_standins/emulator/_worker.py
+++ b/packages/standins/briardeal_standins/emulator/_worker.py
@@ -146,6 +146,8 @@
         was valid, on the loop's clock.
     restart_at_s
         When a crashed worker starts again, on the loop's clock; `None` if it does not by itself.
+    lapsed_position
+        Position of the newest end before the latest lapse of the lease.
     """
 
     def __init__(
@@ -174,6 +176,7 @@
         self.lease_end_clock_s = float("-inf")
         self.earlier_states: list[tuple[float, VmState]] = []
         self.restart_at_s: float | None = None
+        self.lapsed_position = 0
         self.attempt_ended = asyncio.Event()
         self._position = 0
         self._sequence = 0
@@ -191,7 +194,7 @@
         """Start the worker process again as a new incarnation without earlier state."""
         self.restart_at_s = None
         self._incarnation += 1
-        self._sequence = self._position = self.highest_epoch = 0
+        self._sequence = self._position = self.highest_epoch = self.lapsed_position = 0
         self.state = msgspec.structs.replace(
             self.state, incarnation=f"{self.vm_id}@{self._incarnation}", leaving=False
         )
@@ -306,9 +309,12 @@
         if epoch < self.highest_epoch:
             return NoAnswer("a higher fencing token is known")
         self.highest_epoch = epoch
+        self._record_lapse()
         if lease_end_clock_s is not None:
             self.lease_end_clock_s = max(self.lease_end_clock_s, lease_end_clock_s)
-        self.checker.record_stored_ends(self.vm_id, self.ended, acknowledged_position)
+        self.checker.record_stored_ends(
+            self.vm_id, self.ended, acknowledged_position, self.lapsed_position
+        )
         self.ended = [
             task_end for task_end in self.ended if task_end.position > acknowledged_position
         ]
@@ -339,6 +345,7 @@
         self.highest_epoch = epoch
         if lease_end_clock_s < loop_time():
             return Refused("late")
+        self._record_lapse()
         self.lease_end_clock_s = max(self.lease_end_clock_s, lease_end_clock_s)
         if (task, number) in self.attempts:
             return Started(loop_time())
@@ -351,6 +358,11 @@
         self.checker.record_start(self, task, number)
         return Started(loop_time())
 
+    def _record_lapse(self) -> None:
+        """Record a lapse of the lease before it is extended."""
+        if self.lease_end_clock_s < loop_time():
+            self.lapsed_position = self._position
+
     def _stop(self, task: TaskId, number: int, epoch: int) -> None:
         if epoch < self.highest_epoch:
             return
