Keep an ended attempt in the record of its VM until its end is stored

Cause: the record of the starts on a VM was written anew from the attempts that had not ended. While the progress of jobs could not be stored, a start on the VM dropped an attempt whose end only the owner and the agent knew. When both were lost, the next owner held nothing back and started the task after 0.5 s.

Evidence: in the emulator, owner_started holds the tasks of the second step only, and task_ordered names the first task 0.504 s later.

Change: reported ends stay in the record until the progress with them is stored, in each place that writes or removes records. A further attempt of a task or gang that has failed is recorded once the failure is stored, as a new owner holds back only the newest attempt. A further attempt of a gang is stopped when an earlier one is done.

Why it works: an end is now at any moment in the record, in stored progress, or both; the agent reports it until it is stored, and the next owner waits for that agent.

--- a/packages/workflow/briardeal_workflow/owner/_order_sender.py
+++ b/packages/workflow/briardeal_workflow/owner/_order_sender.py
@@ -21,7 +21,7 @@
 
     from briardeal_core.clock import Clock
     from briardeal_workflow.metrics import WorkflowMetrics
-    from briardeal_workflow.model import TaskId
+    from briardeal_workflow.model import TaskGroupId, TaskId
     from briardeal_workflow.owner._agents import AgentState
     from briardeal_workflow.owner._control_server import ControlServer
     from briardeal_workflow.planning import Attempt, Order, Planner
@@ -48,8 +48,9 @@
 class OrderSender:
     """Sends the orders of the planner, each start once the store has its record.
 
-    The record of a VM lists all attempts that may run there. A new owner appends to the same topic
-    before it reads the records, so that it finds each start that an earlier owner may still order.
+    The record of a VM lists all attempts that may run there, or whose end is not in the store yet.
+    A new owner appends to the same topic before it reads the records, so that it finds each start
+    that an earlier owner may still order, and each end that only the agent of the VM can report.
     The append also proves that no other owner had taken over when the job of the start became
     known.
 
@@ -77,7 +78,7 @@
     lists_all_starts
         Whether the store lists all attempts that this and earlier owners may have started.
     decided
-        Set when starts wait for their record.
+        Set when starts wait for their record, or when what they wait for has been stored.
     """
 
     def __init__(
@@ -116,8 +117,8 @@
         while not self.writer.fenced:
             await self.decided.wait()
             self.decided.clear()
-            while self.unsent and not self.writer.fenced:
-                await self._record_and_send()
+            while self.unsent and not self.writer.fenced and await self._record_and_send():
+                pass
 
     def send(self, order: Order) -> None:
         """Send an order, or keep it until its record is stored."""
@@ -133,8 +134,9 @@
 
         An owner of an earlier version has not recorded those that it started.
         """
-        vms = self.planner.state.vms.values()
-        batch = {vm.vm_id: frozenset(vm.attempts) for vm in vms if vm.attempts}
+        state = self.planner.state
+        batch = {vm_id: self._attempts_of(vm_id, frozenset()) for vm_id in state.vms}
+        batch = {vm_id: attempts for vm_id, attempts in batch.items() if attempts}
         self.lists_all_starts = not batch or await self._record(batch)
 
     def resend_without_effect(
@@ -146,14 +148,16 @@
             if now_s - sent_s > RESEND_TIMEOUT_S:
                 self.planner.state.orders.append(self._rebuild_order(attempt))
 
-    async def _record_and_send(self) -> None:
+    async def _record_and_send(self) -> bool:
+        """Record starts and send them; return whether there were any to record."""
         batch = self._next_batch()
         if not batch or not await self._record(batch):
-            return
+            return False
         for key, unsent in list(self.unsent.items()):
             if key in self.unsent and self._is_recorded(unsent.order) and self._is_ordered(*key):
                 del self.unsent[key]
                 self._send_start(unsent.order, loop_time() - unsent.decided_s)
+        return True
 
     async def _record(self, batch: dict[str, frozenset[tuple[TaskId, int]]]) -> bool:
         records = [
@@ -173,21 +177,51 @@
 
         Starts of attempts that have ended since they were decided are dropped.
         """
-        vms = self.planner.state.vms
+        state = self.planner.state
         for key in [key for key in self.unsent if not self._is_ordered(*key)]:
             del self.unsent[key]
         batch: dict[str, frozenset[tuple[TaskId, int]]] = {}
         count = 0
-        for vm_id in dict.fromkeys(vm_id for vm_id, _, _ in self.unsent):
-            count += len(vms[vm_id].attempts)
+        waiting = self._find_starts_after_unstored_failures()
+        for vm_id in dict.fromkeys(key[0] for key in self.unsent if key not in waiting):
+            attempts = self._attempts_of(vm_id, waiting)
+            count += len(attempts)
             if batch and count > MAX_APPEND_ATTEMPTS:
                 break
-            batch[vm_id] = frozenset(vms[vm_id].attempts)
+            batch[vm_id] = attempts
         if batch:
-            gone = self.recorded.keys() - vms.keys() - self.pending_agents
-            batch.update(dict.fromkeys(gone, frozenset()))
+            kept = state.vms.keys() | self.pending_agents | state.unstored_ends.keys()
+            batch.update(dict.fromkeys(self.recorded.keys() - kept, frozenset()))
         return batch
 
+    def _find_starts_after_unstored_failures(self) -> frozenset[tuple[str, TaskId, int]]:
+        """Return the starts that wait until a failure of their task, or gang, is in the store.
+
+        A new owner holds back only the newest attempt of a task that it finds recorded.
+        """
+        failed = {
+            self._failure_key(task)
+            for ends in self.planner.state.unstored_ends.values()
+            for (task, _), outcome in ends.items()
+            if outcome is AttemptOutcome.FAILED
+        }
+        return frozenset(
+            key for key in self.unsent if failed and self._failure_key(key[1]) in failed
+        )
+
+    def _failure_key(self, task: TaskId) -> TaskId | TaskGroupId:
+        """Return what the failures of a task are counted for: itself, or its gang."""
+        group = self.planner.state.group_of(task)
+        return task.group if group is not None and group.step.gang else task
+
+    def _attempts_of(
+        self, vm_id: str, waiting: Set[tuple[str, TaskId, int]]
+    ) -> frozenset[tuple[TaskId, int]]:
+        """Return the attempts to record for a VM, without the starts that have to wait."""
+        state = self.planner.state
+        listed = (each for each in state.vms[vm_id].attempts if (vm_id, *each) not in waiting)
+        return frozenset((*listed, *state.unstored_ends.get(vm_id, ())))
+
     def _is_recorded(self, order: StartTask) -> bool:
         return (order.task, order.number) in self.recorded.get(order.vm_id, ())
 
--- a/packages/workflow/briardeal_workflow/owner/_owner.py
+++ b/packages/workflow/briardeal_workflow/owner/_owner.py
@@ -137,7 +137,12 @@
             self.pending_agents,
         )
         self.progress_writer = ProgressWriter(
-            self.writer, self.planner.state, job_table, self.agent_states, metrics
+            self.writer,
+            self.planner.state,
+            job_table,
+            self.agent_states,
+            metrics,
+            self.order_sender.decided,
         )
 
     @property
--- a/packages/workflow/briardeal_workflow/owner/_progress_writer.py
+++ b/packages/workflow/briardeal_workflow/owner/_progress_writer.py
@@ -44,6 +44,8 @@
         State of agents by name; their `ends_stored` is updated after each write.
     metrics
         Metrics that record how long it takes to store the final state of a job.
+    starts_due
+        Set when ends have been stored that starts may wait for.
 
     Attributes
     ----------
@@ -58,8 +60,10 @@
         job_table: JobTable,
         agent_states: dict[str, AgentState],
         metrics: WorkflowMetrics,
+        starts_due: asyncio.Event,
     ) -> None:
         self.metrics = metrics
+        self.starts_due = starts_due
         self.writer = writer
         self.state = state
         self.job_table = job_table
@@ -107,6 +111,7 @@
                 agent_id: (agent.incarnation, agent.ends_received)
                 for agent_id, agent in self.agent_states.items()
             }
+            ends = {vm_id: tuple(each) for vm_id, each in self.state.unstored_ends.items()}
             unsaved_jobs = self._pop_unsaved_jobs()
             records = self._encode(unsaved_jobs)
             finished = self._finished_jobs(unsaved_jobs)
@@ -120,6 +125,9 @@
                 agent = self.agent_states[agent_id]
                 if agent.incarnation == incarnation:
                     agent.ends_stored = max(agent.ends_stored, ends_received)
+            if ends:
+                self.state.forget_stored_ends(ends)
+                self.starts_due.set()
 
     def _pop_unsaved_jobs(self) -> set[str]:
         unsaved_jobs, self.state.unsaved_jobs = self.state.unsaved_jobs, set()
--- a/packages/workflow/briardeal_workflow/planning/_completions.py
+++ b/packages/workflow/briardeal_workflow/planning/_completions.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from briardeal_core.events import Event, log_event
-from briardeal_workflow.planning._attempts import RESTART_S, AttemptOutcome, AttemptPhase
+from briardeal_workflow.planning._attempts import RESTART_S, AttemptOutcome
 from briardeal_workflow.planning._task_groups import UnfinishedAttempts
 
 if TYPE_CHECKING:
@@ -83,7 +83,7 @@
         group = active_job.groups[task.group]
         self.state.record_checkpoint(task, checkpoint, ended=True)
         if outcome is AttemptOutcome.DONE and not group.step.long_running:
-            self._record_done(active_job, group, task, now_s)
+            self._record_done(active_job, group, task, number, now_s)
             return
         if (
             outcome is AttemptOutcome.FAILED
@@ -129,14 +129,18 @@
         return not any(each is not None and each.early_failure_jobs == {job_id} for each in others)
 
     def _record_done(
-        self, active_job: ActiveJob, group: TaskGroup, task: TaskId, now_s: float
+        self, active_job: ActiveJob, group: TaskGroup, task: TaskId, number: int, now_s: float
     ) -> None:
         group.done.update(range(group.step.tasks) if group.step.gang else (task.index,))
         group.checkpoints.pop(group.recorded_index(task.index), None)
         self.state.release_claims(group, "tasks are done", list(group.done))
-        for attempt in group.attempts.get(task.index, ()):
-            if not group.step.gang and attempt.phase is not AttemptPhase.STOPPING:
-                self.state.stop(attempt, "another copy is done")
+        if group.step.gang:
+            # The members of the same attempt end together.
+            others = [each for each in group.active_attempts() if each.number != number]
+        else:
+            others = group.attempts.get(task.index, ())
+        for attempt in others:
+            self.state.stop(attempt, "another attempt is done")
         self.state.unsaved_jobs.add(active_job.job.job_id)
         if all(each.complete for each in active_job.groups.values()):
             self._finish_job(active_job, "completed", "all tasks are done", now_s)
--- a/packages/workflow/briardeal_workflow/planning/_planner.py
+++ b/packages/workflow/briardeal_workflow/planning/_planner.py
@@ -209,7 +209,9 @@
         checkpoint: str,
         now_s: float,
     ) -> None:
-        """Record that an attempt has ended."""
+        """Record that an attempt has ended, or that its start was refused."""
+        if outcome is not AttemptOutcome.REFUSED:
+            self.state.unstored_ends.setdefault(vm_id, {})[task, number] = outcome
         attempt = self._find_attempt(vm_id, task, number)
         if attempt is not None:
             self.completions.end_attempt(self.state.vms[vm_id], attempt, outcome, checkpoint, now_s)
--- a/packages/workflow/briardeal_workflow/planning/_state.py
+++ b/packages/workflow/briardeal_workflow/planning/_state.py
@@ -13,11 +13,11 @@
 from briardeal_workflow.planning._task_groups import PreemptionHistory
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
     from briardeal_workflow.model import TaskGroupId, TaskId
     from briardeal_workflow.planning._active_jobs import ActiveJob
-    from briardeal_workflow.planning._attempts import Attempt
+    from briardeal_workflow.planning._attempts import Attempt, AttemptOutcome
     from briardeal_workflow.planning._orders import Order
     from briardeal_workflow.planning._task_groups import TaskGroup
     from briardeal_workflow.planning._vms import Vm
@@ -43,6 +43,9 @@
         Jobs with new checkpoints of running tasks or new preemptions; these may be written later.
     finished_jobs
         Jobs that finished under this owner.
+    unstored_ends
+        Outcomes of attempts whose ends have been reported and are not in the store yet, by VM, and
+        by task and number.
     orders
         Orders that have not been returned yet.
     claiming_groups
@@ -62,6 +65,7 @@
     unsaved_jobs: set[str] = attrs.field(factory=set)
     unsaved_checkpoints: set[str] = attrs.field(factory=set)
     finished_jobs: set[str] = attrs.field(factory=set)
+    unstored_ends: dict[str, dict[tuple[TaskId, int], AttemptOutcome]] = attrs.field(factory=dict)
     orders: list[Order] = attrs.field(factory=list)
     claiming_groups: set[TaskGroupId] = attrs.field(factory=set)
     unstable_vms: dict[str, float] = attrs.field(factory=dict)
@@ -131,6 +135,14 @@
             active_job.started = True
             self.unsaved_jobs.add(task.job_id)
 
+    def forget_stored_ends(self, stored: Mapping[str, Iterable[tuple[TaskId, int]]]) -> None:
+        """Forget the ends of attempts that are in the store now, given by VM."""
+        for vm_id, attempts in stored.items():
+            for attempt in attempts:
+                self.unstored_ends[vm_id].pop(attempt, None)
+            if not self.unstored_ends[vm_id]:
+                del self.unstored_ends[vm_id]
+
     def record_checkpoint(self, task: TaskId, checkpoint: str, *, ended: bool) -> None:
         """Record the newest checkpoint of a task.
 
--- a/tests/workflow/planning/test_adoption.py
+++ b/tests/workflow/planning/test_adoption.py
@@ -125,3 +125,19 @@
     later.planner.add_job(job, Progress(), later.now_s, takeover_pending=True)
     starts["vm-1"] = [(task, start.number)]
     assert later.planner.takeover.hold_tasks(starts, {"vm-1"}) == 1
+
+
+def test_further_attempt_of_a_gang_is_stopped_when_an_earlier_one_is_done():
+    # Guards against a gang that runs on after its job is shown as completed.
+    harness = PlannerHarness(vms=2, epoch=2, takeover_complete=False)
+    job = harness.submit(whole_vm_step(2, gang=True), takeover_pending=True)
+    harness.planner.takeover.release_others()
+    starts = harness.start_orders()
+    assert len(starts) == 2
+    task = TaskId(job.job_id, 0, 0, 1)
+    harness.planner.record_outcome("vm-0", task, 1, AttemptOutcome.DONE, "", harness.now_s)
+    stops = harness.decide()
+    assert {(each.task, each.number) for each in stops} == {
+        (each.task, each.number) for each in starts
+    }
+    assert all(isinstance(each, StopTask) for each in stops)
