Checker: allow deployments without failure limits, and test the checks of stored ends

Change: the limit is looked up only with stored failures. Tests for starts before ends and failures that are stored later.

--- a/packages/standins/briardeal_standins/emulator/_checker.py
+++ b/packages/standins/briardeal_standins/emulator/_checker.py
@@ -198,7 +198,7 @@
             self.done_s[task.job_id] = loop_time()
 
     def record_stored_ends(
-        self, vm_id: str, ended: list[EndedTask], stored_position: int, lapsed_position: int
+        self, vm_id: str, ended: list[EndedTask], stored_position: int, lapsed_position: int = 0
     ) -> None:
         """Record the ends that the owner has stored, and check the starts after them.
 
@@ -244,7 +244,7 @@
         """Check that a task has not started after as many stored failures as its queue allows."""
         job = self.jobs.get(task.job_id)
         failed_s = sorted(self.stored_failures_s.get(task, ()))
-        if job is None or job.steps[task.step].long_running:
+        if not failed_s or job is None or job.steps[task.step].long_running:
             return
         limit = self.failure_limits[job.queue]
         if len(failed_s) >= limit and self.started_s[task][-1] > failed_s[limit - 1]:
--- a/tests/standins/test_checker.py
+++ b/tests/standins/test_checker.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from tests.standins.test_progress_check import Deployment
@@ -41,3 +43,36 @@
     await site.finish(site.vms[0])
     await site.start(site.vms[1], job, step=1)
     assert found(site) == []
+
+
+@pytest.mark.parametrize(("lapsed", "expected"), [(False, ["SINGLE_RUN"]), (True, [])])
+async def test_start_after_an_end_that_is_stored_later_is_found(lapsed, expected):
+    site = Deployment()
+    job = site.accept(make_job(small_step()))
+    await site.start(site.vms[0], job)
+    await site.finish(site.vms[0], acknowledged=False)
+    await asyncio.sleep(0.1)
+    await site.start(site.vms[1], job)
+    await site.finish(site.vms[1], acknowledged=False)
+    ended = site.vms[0].ended
+    position = ended[-1].position
+    site.checker.record_stored_ends("vm-0", ended, position, position if lapsed else 0)
+    assert found(site) == expected
+
+
+@pytest.mark.parametrize("stored_first", [False, True])
+async def test_start_after_as_many_stored_failures_as_the_queue_allows_is_found(stored_first):
+    site = Deployment()
+    job = site.accept(make_job(small_step()))
+    site.checker.failure_limits[job.queue] = 1
+    first, second = site.vms[:2]
+    await site.start(first, job)
+    first._finish(next(iter(first.attempts.values())), "failed")
+    if stored_first:
+        site.checker.record_stored_ends(first.vm_id, first.ended, first.ended[-1].position)
+    await asyncio.sleep(0.1)
+    await site.start(second, job)
+    if not stored_first:
+        assert found(site) == []
+        site.checker.record_stored_ends(first.vm_id, first.ended, first.ended[-1].position)
+    assert found(site) == ["FAILURE_LIMIT"]
