Give each incarnation of a worker a fencing token of its own

Cause: the worker kept its instance ID, and the token of the call was that of the owner, still in force. The agent rules out only starts without an outcome when its worker is replaced; this one had been settled by its second call. An agent that is replaced as well remembers nothing. The run was then adopted beside the newer attempt.

Change: the owner counts the incarnations that each agent reports, and the token of calls to a worker is made from its epoch and that number. A VM whose worker has restarted is used once the worker has listed its tasks under the new token. Of two attempts of a task, or gang, that are found, the older one is stopped.

Why it works: the first call under the new token makes the worker refuse every call for an earlier incarnation, however late, renewals with an end of the lease on an earlier clock too; the number outlasts the agent, and a later owner's epoch is above all of them.

--- a/packages/core/briardeal_core/events/_catalogue.py
+++ b/packages/core/briardeal_core/events/_catalogue.py
@@ -78,6 +78,10 @@
         "A worker knows a newer owner, so an order of the earlier one has no more effect.",
     )
     WORKER_DENIED = (436, "A worker is not the incarnation that a description names.")
+    INCARNATION_FENCED = (
+        437,
+        "A worker has restarted; calls for earlier incarnations have a lower fencing token.",
+    )
     CLOCKS_DIFFER = (
         440,
         "A job was accepted at a time that is still to come by the clock of the owner.",
--- a/packages/standins/briardeal_standins/emulator/_worker.py
+++ b/packages/standins/briardeal_standins/emulator/_worker.py
@@ -139,13 +139,16 @@
         Ended attempts that the owner has not acknowledged yet.
     closed_numbers
         Highest number of an ended or stopped attempt of each task; up to it none may start.
-    highest_epoch
-        Highest epoch received from an owner.
+    highest_token
+        Highest fencing token received.
     earlier_states
         Earlier states of this incarnation whose capacity differed, with the time until which each
         was valid, on the loop's clock.
     restart_at_s
         When a crashed worker starts again, on the loop's clock; `None` if it does not by itself.
+    instance_incarnations
+        Incarnations under the present instance ID; calls for an earlier one of them are carried out
+        by the present one.
     lapsed_position
         Position of the newest end before the latest lapse of the lease.
     """
@@ -172,10 +175,11 @@
         self.attempts: dict[tuple[TaskId, int], _Attempt] = {}
         self.ended: list[EndedTask] = []
         self.closed_numbers: dict[TaskId, int] = {}
-        self.highest_epoch = 0
+        self.highest_token = 0
         self.lease_end_clock_s = float("-inf")
         self.earlier_states: list[tuple[float, VmState]] = []
         self.restart_at_s: float | None = None
+        self.instance_incarnations = {state.incarnation}
         self.lapsed_position = 0
         self.attempt_ended = asyncio.Event()
         self._position = 0
@@ -190,14 +194,20 @@
         while self.attempts:
             self._finish(next(iter(self.attempts.values())), "lost")
 
-    def restart(self) -> None:
-        """Start the worker process again as a new incarnation without earlier state."""
+    def restart(self, *, keep_instance: bool = False) -> None:
+        """Start the worker process again as a new incarnation without earlier state.
+
+        If it keeps its instance ID, calls that were meant for earlier incarnations reach it.
+        """
         self.restart_at_s = None
         self._incarnation += 1
-        self._sequence = self._position = self.highest_epoch = self.lapsed_position = 0
+        if not keep_instance:
+            self.instance_incarnations.clear()
+        self._sequence = self._position = self.highest_token = self.lapsed_position = 0
         self.state = msgspec.structs.replace(
             self.state, incarnation=f"{self.vm_id}@{self._incarnation}", leaving=False
         )
+        self.instance_incarnations.add(self.state.incarnation)
         self.ended.clear()
         self.earlier_states.clear()
         self.closed_numbers.clear()
@@ -251,7 +261,7 @@
         checkpoint: str,
         ticket: str,
         *,
-        epoch: int,
+        fencing_token: int,
         lease_end_clock_s: float,
     ) -> Started | Refused | Replaced | NoAnswer:
         """Start an attempt of a task; repeating the call has no effect."""
@@ -260,39 +270,39 @@
             return Refused("connection refused", unreached=True)
         if self.fault in UNREACHABLE:
             return await self._no_answer()
-        if incarnation != self.state.incarnation:
+        if incarnation not in self.instance_incarnations:
             return Replaced()
         if self.fault is VmFault.REJECTS_STARTS and (task, number) not in self.attempts:
             return Refused(UNHEALTHY)
-        arguments = (task, number, command, checkpoint, epoch, lease_end_clock_s)
+        arguments = (task, number, command, checkpoint, fencing_token, lease_end_clock_s)
         if self.fault is VmFault.DELAYS_ORDERS:
-            self._carry_out_later(self._start, *arguments)
+            self._carry_out_later(incarnation, self._start, *arguments)
             return await self._no_answer()
         started = self._start(*arguments)
         return await self._no_answer() if self.fault is VmFault.LOSES_START_ANSWERS else started
 
     async def stop(
-        self, incarnation: str, task: TaskId, number: int, *, epoch: int
+        self, incarnation: str, task: TaskId, number: int, *, fencing_token: int
     ) -> StopAccepted | Superseded | Replaced | NoAnswer:
         """Stop an attempt."""
         await asyncio.sleep(LATENCY_S)
         if self.fault in UNREACHABLE:
             return await self._no_answer()
-        if incarnation != self.state.incarnation:
+        if incarnation not in self.instance_incarnations:
             return Replaced()
         if self.fault is VmFault.DELAYS_ORDERS:
-            self._carry_out_later(self._stop, task, number, epoch)
+            self._carry_out_later(incarnation, self._stop, task, number, fencing_token)
             return await self._no_answer()
-        if epoch < self.highest_epoch:
+        if fencing_token < self.highest_token:
             return Superseded()
-        self._stop(task, number, epoch)
+        self._stop(task, number, fencing_token)
         return StopAccepted()
 
     async def renew_lease(
         self,
         incarnation: str,
         *,
-        epoch: int,
+        fencing_token: int,
         acknowledged_position: int,
         lease_end_clock_s: float | None,
         wait_s: float,
@@ -305,10 +315,12 @@
         if self.fault in UNREACHABLE:
             return await self._no_answer()
         if incarnation != self.state.incarnation:
+            if incarnation in self.instance_incarnations:
+                self.highest_token = max(fencing_token, self.highest_token)
             return Replaced()
-        if epoch < self.highest_epoch:
+        if fencing_token < self.highest_token:
             return NoAnswer("a higher fencing token is known")
-        self.highest_epoch = epoch
+        self.highest_token = fencing_token
         self._record_lapse()
         if lease_end_clock_s is not None:
             self.lease_end_clock_s = max(self.lease_end_clock_s, lease_end_clock_s)
@@ -337,12 +349,12 @@
         number: int,
         command: str,
         checkpoint: str,
-        epoch: int,
+        fencing_token: int,
         lease_end_clock_s: float,
     ) -> Started | Refused:
-        if epoch < self.highest_epoch:
+        if fencing_token < self.highest_token:
             return Refused("fence")
-        self.highest_epoch = epoch
+        self.highest_token = fencing_token
         if lease_end_clock_s < loop_time():
             return Refused("late")
         self._record_lapse()
@@ -363,8 +375,8 @@
         if self.lease_end_clock_s < loop_time():
             self.lapsed_position = self._position
 
-    def _stop(self, task: TaskId, number: int, epoch: int) -> None:
-        if epoch < self.highest_epoch:
+    def _stop(self, task: TaskId, number: int, fencing_token: int) -> None:
+        if fencing_token < self.highest_token:
             return
         self.closed_numbers[task] = max(number, self.closed_numbers.get(task, 0))
         attempt = self.attempts.get((task, number))
@@ -445,12 +457,12 @@
         await asyncio.sleep(0.5)
         return NoAnswer("no answer")
 
-    def _carry_out_later(self, call: Callable[..., object], *arguments: object) -> None:
-        incarnation = self.state.incarnation
-
+    def _carry_out_later(
+        self, incarnation: str, call: Callable[..., object], *arguments: object
+    ) -> None:
         async def carry_out() -> None:
             await asyncio.sleep(ORDER_DELAY_S)
-            if incarnation == self.state.incarnation and self.fault is not VmFault.DOWN:
+            if incarnation in self.instance_incarnations and self.fault is not VmFault.DOWN:
                 call(*arguments)
 
         task = asyncio.get_running_loop().create_task(carry_out())
--- a/packages/workflow/briardeal_workflow/control/__init__.py
+++ b/packages/workflow/briardeal_workflow/control/__init__.py
@@ -28,9 +28,11 @@
     RelayList,
     RelayRead,
 )
+from briardeal_workflow.control._tokens import make_fencing_token
 
 __all__ = [
     "CONTROL_CODEC",
+    "make_fencing_token",
     "UNKNOWN_RUN_MS",
     "CrashedTask",
     "WorkerCrash",
--- a/packages/workflow/briardeal_workflow/control/_messages.py
+++ b/packages/workflow/briardeal_workflow/control/_messages.py
@@ -170,6 +170,9 @@
         Age of the task lists, in milliseconds.
     crashes
         Recent crashes of the worker; repeated, since an owner may not have stored them.
+    generation
+        Generation of the worker, from the owner, under which the task lists were read; -1 from
+        agents of an earlier version.
     """
 
     sequence: int
@@ -181,6 +184,7 @@
     idle: bool = False
     age_ms: int = 0
     crashes: tuple[WorkerCrash, ...] = ()
+    generation: int = -1
 
 
 class StartOutcome(enum.StrEnum):
@@ -226,10 +230,20 @@
     entries: tuple[str, ...]
 
 
-class OwnerAnnouncement(msgspec.Struct, frozen=True, tag="lead"):
-    """Announces an owner to an agent and asks for a report under its fencing token."""
+class OwnerAnnouncement(msgspec.Struct, frozen=True, tag="lead", omit_defaults=True):
+    """Announces an owner to an agent and asks for a report under its fencing token.
+
+    Parameters
+    ----------
+    epoch
+        Fencing token of the owner.
+    generation
+        Number of incarnations of the agent's worker that this owner has known before the present
+        one; owners of an earlier version don't say it.
+    """
 
     epoch: int
+    generation: int = 0
 
 
 class Acknowledge(msgspec.Struct, frozen=True, tag="ack", omit_defaults=True):
--- a/packages/workflow/briardeal_workflow/owner/_agent_list.py
+++ b/packages/workflow/briardeal_workflow/owner/_agent_list.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING
 
 from briardeal_core.clock import loop_time
-from briardeal_workflow.control import OwnerAnnouncement
 from briardeal_workflow.leadership import ListedAgent
 from briardeal_workflow.owner._timing import ACCEPT_INTERVAL_S, STORE_WAIT_S
 
@@ -116,4 +115,4 @@
         self.stored_settled = settled
         self.accepted = own
         for agent_id in added:
-            self.control_server.send(agent_id, OwnerAnnouncement(self.epoch))
+            self.control_server.announce(agent_id)
--- a/packages/workflow/briardeal_workflow/owner/_agents.py
+++ b/packages/workflow/briardeal_workflow/owner/_agents.py
@@ -18,8 +18,8 @@
 
     Attributes
     ----------
-    incarnation
-        Incarnation of the agent's worker.
+    incarnation, generation
+        Incarnation of the agent's worker, and the number of those before it that this owner knew.
     ends_received, ends_stored
         Position of the newest completed attempt of this incarnation that was received, and of the
         newest that is stored.
@@ -35,6 +35,7 @@
     """
 
     incarnation: str = ""
+    generation: int = 0
     ends_received: int = 0
     ends_stored: int = 0
     last_received_s: float = 0.0
--- a/packages/workflow/briardeal_workflow/owner/_control_server.py
+++ b/packages/workflow/briardeal_workflow/owner/_control_server.py
@@ -16,7 +16,6 @@
     AgentHello,
     EntryHello,
     Heartbeat,
-    OwnerAnnouncement,
     OwnerHeartbeat,
     RelayHello,
     StartResult,
@@ -31,6 +30,7 @@
 
 if TYPE_CHECKING:
     from briardeal_protocol.connections import Connection, Listener, Network
+    from briardeal_workflow.control import OwnerAnnouncement
     from briardeal_workflow.leadership import Election
     from briardeal_workflow.owner._planning_progress import PlanningProgress
     from briardeal_workflow.relay import RelayServer
@@ -58,6 +58,9 @@
     def handle_report(self, agent_id: str, report: VmReport) -> None:
         """Process the report of a VM."""
 
+    def make_announcement(self, agent_id: str) -> OwnerAnnouncement:
+        """Return the announcement of this owner to an agent."""
+
     def handle_start_result(self, agent_id: str, result: StartResult) -> None:
         """Process the outcome of a start order."""
 
@@ -154,7 +157,12 @@
         """Announce to all agents that this entry is the owner."""
         self.owner = owner
         for link in list(self.agents.values()):
-            self._post(link, OwnerAnnouncement(owner.epoch))
+            self._post(link, owner.make_announcement(link.agent_id))
+
+    def announce(self, agent_id: str) -> None:
+        """Announce the owner, if this entry is it, to one agent again."""
+        if self.owner is not None:
+            self.send(agent_id, self.owner.make_announcement(agent_id))
 
     def clear_owner(self) -> None:
         """Stop passing messages to the owner, as this entry has lost the ownership."""
@@ -214,8 +222,7 @@
             await replaced.connection.close()
         log_event(Event.AGENT_JOINED, agent=agent_id)
         self._post(link, EntryHello(self.election.entry_id, link.entries))
-        if self.owner is not None:
-            self._post(link, OwnerAnnouncement(self.owner.epoch))
+        self.announce(agent_id)
         self._remove(link, await self._receive_messages(link))
 
     async def _receive_messages(self, link: AgentLink) -> str:
--- a/packages/workflow/briardeal_workflow/owner/_owner.py
+++ b/packages/workflow/briardeal_workflow/owner/_owner.py
@@ -9,6 +9,7 @@
 from briardeal_core.events import Event, log_event
 from briardeal_workflow.control import (
     Acknowledge,
+    OwnerAnnouncement,
     StartOutcome,
 )
 from briardeal_workflow.owner._agent_list import AgentList
@@ -230,8 +231,10 @@
         if agent_id not in self.agent_list.accepted:
             return
         if agent.incarnation != report.vm.incarnation:
-            agent.incarnation = report.vm.incarnation
-            agent.ends_received = agent.ends_stored = 0
+            self._follow_incarnation(agent_id, agent, report.vm.incarnation, now_s)
+        if 0 <= report.generation < agent.generation:
+            # Calls for an earlier incarnation may still be carried out after these lists.
+            return
         description = describe_vm(agent_id, report.vm)
         known = self.planner.state.vms.get(agent_id)
         needs_planning = known is None or known.description != description or bool(report.ended)
@@ -243,6 +246,11 @@
         if needs_planning:
             self.wake.set()
 
+    def make_announcement(self, agent_id: str) -> OwnerAnnouncement:
+        """Return the announcement of this owner to an agent."""
+        agent = self.agent_states.get(agent_id)
+        return OwnerAnnouncement(self.epoch, 0 if agent is None else agent.generation)
+
     def handle_start_result(self, agent_id: str, result: StartResult) -> None:
         """Process the outcome of a start order."""
         now_s = loop_time()
@@ -353,6 +361,25 @@
         if self.epoch == 1 or not self.pending_agents.epochs:
             self.planner.complete_takeover()
 
+    def _follow_incarnation(
+        self, agent_id: str, agent: AgentState, incarnation: str, now_s: float
+    ) -> None:
+        """Follow a new incarnation of a worker; from the second on, under a higher token."""
+        if agent.incarnation:
+            agent.generation += 1
+            log_event(
+                Event.INCARNATION_FENCED,
+                vm=agent_id,
+                incarnation=incarnation,
+                epoch=self.epoch,
+                generation=agent.generation,
+            )
+            self.planner.remove_vm(agent_id, now_s)
+            self.wake.set()
+            self.control_server.announce(agent_id)
+        agent.incarnation = incarnation
+        agent.ends_received = agent.ends_stored = 0
+
     def _apply_report(
         self, agent_id: str, agent: AgentState, report: VmReport, now_s: float
     ) -> None:
--- a/packages/workflow/briardeal_workflow/planning/_planner.py
+++ b/packages/workflow/briardeal_workflow/planning/_planner.py
@@ -33,6 +33,7 @@
     from briardeal_workflow.planning._job_order import JobOrder
     from briardeal_workflow.planning._orders import Order
     from briardeal_workflow.planning._running_task import RunningTask
+    from briardeal_workflow.planning._task_groups import TaskGroup
     from briardeal_workflow.planning._vms import VmDescription
 
 MISSING_LIMIT_S = 3.0
@@ -281,6 +282,7 @@
             self.state.record_started(running_task.task)
         if active_job.finished or running_task.task.index in group.done:
             self.state.stop(attempt, "task is over")
+        self._stop_older_attempts(group, attempt)
         log_event(
             Event.JOB_ADOPTED,
             job_id=running_task.task.job_id,
@@ -289,6 +291,16 @@
         )
         return attempt
 
+    def _stop_older_attempts(self, group: TaskGroup, adopted: Attempt) -> None:
+        """Stop all attempts of a task, or of a gang, but the newest."""
+        attempts = list(
+            group.active_attempts() if group.step.gang else group.attempts[adopted.task.index]
+        )
+        newest = max(each.number for each in attempts)
+        for attempt in attempts:
+            if attempt.number < newest:
+                self.state.stop(attempt, "a newer attempt may run")
+
     def _stop_leftover_attempt(self, vm: Vm, running_task: RunningTask, now_s: float) -> Attempt:
         """Stop an attempt of a job that has finished; it occupies its capacity until it has ended.
 
--- a/packages/workflow/briardeal_workflow/worker/_agent.py
+++ b/packages/workflow/briardeal_workflow/worker/_agent.py
@@ -21,6 +21,7 @@
     StartResult,
     StopOrder,
     VmReport,
+    make_fencing_token,
 )
 from briardeal_workflow.worker._crashes import CrashRecorder
 from briardeal_workflow.worker._interface import (
@@ -82,6 +83,8 @@
         Open connections by control address, and the one to the owner; `None` while there is none.
     epoch
         Fencing token of the owner that the agent follows; 0 before the first.
+    generation
+        Number of incarnations of the worker that this owner has known before the present one.
     owner_planned_s
         When the newest message was sent that this owner acknowledged while it was planning, on the
         clock of `boottime_s`; `None` if there is none.
@@ -89,7 +92,7 @@
         Incarnation of the worker; empty before its first description.
     table
         Tasks of that incarnation.
-    listed_epoch, listed_s
+    listed_token, listed_s
         Fencing token under which the worker last listed its tasks, or -1 if the lists are out of
         date, and when the lists were received, on the clock of `boottime_s`.
     acknowledged_position
@@ -129,11 +132,12 @@
         self.entries = set(entries)
         self.links: dict[str, EntryLink] = {}
         self.epoch = 0
+        self.generation = 0
         self.owner: EntryLink | None = None
         self.owner_planned_s: float | None = None
         self.incarnation = ""
         self.table = TaskTable()
-        self.listed_epoch = -1
+        self.listed_token = -1
         self.listed_s = float("-inf")
         self.acknowledged_position = 0
         self.lease_end_s = float("-inf")
@@ -149,6 +153,7 @@
             self._handle_outcome,
             self._find_in_lists,
             self._doubt_lists,
+            self._make_token,
         )
         self.crashes = CrashRecorder()
         self.leaving = False
@@ -215,20 +220,25 @@
         if isinstance(message, EntryHello):
             self.entries.update(message.entries)
         elif isinstance(message, OwnerAnnouncement):
-            self._follow_owner(link, message.epoch)
+            self._follow_owner(link, message)
         elif isinstance(message, Acknowledge):
             self._handle_acknowledgement(link, message)
         elif isinstance(message, StartOrder | StopOrder):
             self._handle_order(link, message)
 
-    def _follow_owner(self, link: EntryLink, epoch: int) -> None:
+    def _make_token(self, epoch: int) -> int:
+        """Return the fencing token of calls to the worker for an owner."""
+        return make_fencing_token(epoch, self.generation if epoch == self.epoch else 0)
+
+    def _follow_owner(self, link: EntryLink, announcement: OwnerAnnouncement) -> None:
         """Follow an owner unless one with a higher fencing token is known."""
-        if epoch < self.epoch:
+        epoch, generation = announcement.epoch, announcement.generation
+        if (epoch, generation) < (self.epoch, self.generation):
             return
         if epoch > self.epoch:
             log_event(Event.HOLD_EXTENDED, epoch=epoch, entry=link.address)
             self.owner_planned_s = boottime_s()
-        self.epoch = epoch
+        self.epoch, self.generation = epoch, generation
         self.owner = link
         self._spawn(self._list_for_owner())
 
@@ -296,7 +306,7 @@
 
     def _doubt_lists(self) -> None:
         """Report the worker as unreachable until it has listed its tasks again."""
-        self.listed_epoch = -1
+        self.listed_token = -1
         self._spawn(self._list_for_owner())
 
     async def _watch_registration(self) -> None:
@@ -324,7 +334,7 @@
         """
         answer = await self.worker.renew_lease(
             incarnation,
-            epoch=self.epoch,
+            fencing_token=self._make_token(self.epoch),
             acknowledged_position=0,
             lease_end_clock_s=None,
             wait_s=0.0,
@@ -343,7 +353,7 @@
         self.incarnation = incarnation
         self.table = TaskTable()
         self.acknowledged_position = 0
-        self.listed_epoch = -1
+        self.listed_token = -1
         self.clock_offset_s = None
         under_way = list(self.orders.unresolved.values())
         self.orders.cancel_all()
@@ -360,12 +370,12 @@
 
     async def _renew_and_list(self, wait_s: float) -> bool:
         """Renew the lease, read the worker's lists, and return whether the worker answered."""
-        incarnation, epoch = self.incarnation, self.epoch
+        incarnation, token = self.incarnation, self._make_token(self.epoch)
         if not incarnation:
             return False
         listing = await self.worker.renew_lease(
             incarnation,
-            epoch=epoch,
+            fencing_token=token,
             acknowledged_position=self.acknowledged_position,
             lease_end_clock_s=self._lease_end_clock(),
             wait_s=wait_s,
@@ -381,9 +391,9 @@
         self._record_worker_answer()
         self.listed_s = boottime_s()
         self.clock_offset_s = listing.clock_s - self.listed_s
-        is_first_of_epoch = self.listed_epoch < epoch
-        self.listed_epoch = max(self.listed_epoch, epoch)
-        if self.table.update(listing) or is_first_of_epoch:
+        is_first_of_token = self.listed_token < token
+        self.listed_token = max(self.listed_token, token)
+        if self.table.update(listing) or is_first_of_token:
             self.report_due.set()
         self.crashes.forget_orders(self._unfinished_attempts())
         return True
@@ -396,7 +406,7 @@
 
     def _record_worker_silence(self, outcome: Replaced | NoAnswer) -> None:
         """Record that the worker did not list its tasks."""
-        self.listed_epoch = -1
+        self.listed_token = -1
         now_s = boottime_s()
         if self.silent_since_s is None:
             self.silent_since_s = now_s
@@ -502,7 +512,9 @@
         """Return whether the newest lists belong to the registered worker and to the owner."""
         vm = self.registration.vm
         known = vm is not None and vm.incarnation == self.incarnation
-        return known and self.registration.alive and self.listed_epoch == self.epoch
+        return (
+            known and self.registration.alive and self.listed_token == self._make_token(self.epoch)
+        )
 
     def _make_report(self) -> VmReport:
         if not self._is_listed():
@@ -518,4 +530,5 @@
             tuple(self.orders.unresolved),
             age_ms=int(1000 * (boottime_s() - self.listed_s)),
             crashes=self.crashes.recent(),
+            generation=self.generation,
         )
--- a/packages/workflow/briardeal_workflow/worker/_interface.py
+++ b/packages/workflow/briardeal_workflow/worker/_interface.py
@@ -108,7 +108,7 @@
         checkpoint: str,
         ticket: str,
         *,
-        epoch: int,
+        fencing_token: int,
         lease_end_clock_s: float,
     ) -> Started | Refused | Replaced | NoAnswer:
         """Start an attempt of a task; repeating the call has no further effect.
@@ -122,14 +122,14 @@
         command, checkpoint, ticket
             Command to run, checkpoint to resume from, and ticket passed to the worker; the last
             two are empty for none.
-        epoch
-            Fencing token of the owner that ordered the start.
+        fencing_token
+            Token of the owner that ordered the start, for this incarnation.
         lease_end_clock_s
             When the lease expires, on the worker's clock, in seconds.
         """
 
     async def stop(
-        self, incarnation: str, task: TaskId, number: int, *, epoch: int
+        self, incarnation: str, task: TaskId, number: int, *, fencing_token: int
     ) -> StopAccepted | Superseded | Replaced | NoAnswer:
         """Stop an attempt, or prevent its start if it has not started."""
 
@@ -137,7 +137,7 @@
         self,
         incarnation: str,
         *,
-        epoch: int,
+        fencing_token: int,
         acknowledged_position: int,
         lease_end_clock_s: float | None,
         wait_s: float,
@@ -148,8 +148,8 @@
         ----------
         incarnation
             Incarnation of the worker that the call is meant for.
-        epoch
-            Fencing token of the owner that the agent follows.
+        fencing_token
+            Token of the owner that the agent follows, for this incarnation.
         acknowledged_position
             Position up to which ended attempts are recorded, so that the worker drops them.
         lease_end_clock_s
--- a/packages/workflow/briardeal_workflow/worker/_orders.py
+++ b/packages/workflow/briardeal_workflow/worker/_orders.py
@@ -48,6 +48,8 @@
         Reads the worker's lists until it answers, and returns whether they contain an attempt.
     on_missed
         Called when a start shows that nothing listens, or that another incarnation does.
+    make_token
+        Returns the fencing token of calls to the worker for that of an owner.
 
     Attributes
     ----------
@@ -65,12 +67,14 @@
         on_resolved: Callable[[StartResult, float], None],
         find_in_lists: Callable[[TaskId, int], Awaitable[bool]],
         on_missed: Callable[[], None],
+        make_token: Callable[[int], int],
     ) -> None:
         self.worker = worker
         self.lease_end_clock = lease_end_clock
         self.on_resolved = on_resolved
         self.find_in_lists = find_in_lists
         self.on_missed = on_missed
+        self.make_token = make_token
         self.unresolved: dict[tuple[TaskId, int], StartOrder] = {}
         self.stopping: dict[tuple[TaskId, int], int] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -125,7 +129,7 @@
                 order.command,
                 order.checkpoint,
                 order.ticket,
-                epoch=order.epoch,
+                fencing_token=self.make_token(order.epoch),
                 lease_end_clock_s=lease_end_clock_s,
             )
             if isinstance(answer, Started):
@@ -172,22 +176,28 @@
         The worker accepts it, is replaced, or knows an owner that is newer than all that have
         ordered the stop.
         """
-        key = (order.task, order.number)
         pause_s = RETRY_PAUSE_S
         while True:
-            epoch = max(order.epoch, self.stopping.get(key, 0))
-            answer = await self.worker.stop(incarnation, order.task, order.number, epoch=epoch)
+            token = self._stop_token(order)
+            answer = await self.worker.stop(
+                incarnation, order.task, order.number, fencing_token=token
+            )
             if isinstance(answer, StopAccepted | Replaced):
                 return
             if isinstance(answer, Superseded):
-                if epoch < self.stopping.get(key, 0):
+                if token < self._stop_token(order):
                     continue
-                log_event(Event.STOP_SUPERSEDED, task=str(order.task), epoch=epoch)
+                log_event(Event.STOP_SUPERSEDED, task=str(order.task), epoch=order.epoch)
                 return
             log_event(Event.REQUEST_RETRIED, task=str(order.task), detail=answer.detail)
             await asyncio.sleep(pause_s)
             pause_s = min(2 * pause_s, MAX_RETRY_PAUSE_S)
 
+    def _stop_token(self, order: StartOrder | StopOrder) -> int:
+        """Return the token for the newest owner that has ordered the stop of an attempt."""
+        newest_epoch = self.stopping.get((order.task, order.number), 0)
+        return self.make_token(max(order.epoch, newest_epoch))
+
     def _resolve(
         self, order: StartOrder, outcome: StartOutcome, reason: str, clock_s: float = 0.0
     ) -> None:
--- a/tests/standins/test_progress_check.py
+++ b/tests/standins/test_progress_check.py
@@ -44,7 +44,14 @@
     ) -> None:
         task = TaskId(job.job_id, 0, step, index)
         await vm.start(
-            vm.state.incarnation, task, 1, "", "", "", epoch=epoch, lease_end_clock_s=10_000.0
+            vm.state.incarnation,
+            task,
+            1,
+            "",
+            "",
+            "",
+            fencing_token=epoch,
+            lease_end_clock_s=10_000.0,
         )
 
     async def finish(self, vm: StandinVm, *, acknowledged: bool = True) -> None:
--- a/tests/workflow/planning/test_adoption.py
+++ b/tests/workflow/planning/test_adoption.py
@@ -141,3 +141,19 @@
         (each.task, each.number) for each in starts
     }
     assert all(isinstance(each, StopTask) for each in stops)
+
+
+@pytest.mark.parametrize("listed_first", ["vm-0", "vm-1"])
+@pytest.mark.parametrize("gang", [False, True])
+def test_older_of_two_attempts_is_stopped_as_soon_as_both_are_known(listed_first, gang):
+    # Guards against two runs of a task that go on beside each other until one is done.
+    harness = PlannerHarness(vms=2, epoch=2, takeover_complete=False)
+    job = harness.submit(small_step(2, gang=gang), takeover_pending=True)
+    rows = {
+        "vm-0": [RunningTask(TaskId(job.job_id, 0, 0, 0), 1)],
+        "vm-1": [RunningTask(TaskId(job.job_id, 0, 0, 0), 2)],
+    }
+    for vm_id in sorted(rows, reverse=listed_first == "vm-1"):
+        harness.planner.record_task_list(vm_id, rows[vm_id], harness.now_s)
+    stops = [each for each in harness.decide() if isinstance(each, StopTask)]
+    assert [(each.vm_id, each.number) for each in stops] == [("vm-0", 1)]
--- a/tests/workflow/worker/test_incarnations.py
+++ b/tests/workflow/worker/test_incarnations.py
@@ -149,3 +149,30 @@
         job = make_job(small_step())
         await site.submit(job, TaskBehavior(3.0))
         await site.wait_for_state(job.job_id, "completed", 12.0)
+
+
+@pytest.mark.parametrize("agent_restarts", [False, True])
+async def test_start_for_an_earlier_incarnation_with_the_same_instance_id_is_refused(
+    agent_restarts,
+):
+    # Guards against a late start beside the newer attempt of its task on another VM.
+    async with run_site() as site:
+        await asyncio.sleep(1.0)
+        for vm in site.vms.values():
+            vm.fault = VmFault.DELAYS_ORDERS
+        job = make_job(small_step(estimate_s=8.0))
+        await site.submit(job, TaskBehavior(8.0))
+        await asyncio.sleep(0.2)
+        for vm in site.vms.values():
+            vm.fault = VmFault.NONE
+        while not (running := [vm for vm in site.vms.values() if vm.attempts]):
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(0.5)
+        (vm,) = running
+        vm.kill()
+        if agent_restarts:
+            await restart_processes(site, [vm.vm_id], down_s=0.5)
+        await asyncio.sleep(1.0)
+        vm.restart(keep_instance=True)
+        await site.wait_for_state(job.job_id, "completed", 25.0)
+        assert site.checker.start_count == 2
