Keep the newest configuration in force through a takeover

Cause: the entry passed the configuration of the moment in which a takeover began, and the owner applied it after fences and reads, over any version that came in between.

Evidence: in the emulator, all entries have version 2 while task_ordered of the owner says configuration 1 for three starts in a row. In test_configuration_changes.py, three of four tests failed before: one change and two in a row during a takeover, and an older version that is applied over a newer one. The fourth, a takeover that is given up and begun again, held before.

Change: a new owner has the configuration of its entry before the takeover begins, and every change from then on; the load of the jobs applies none.

Why it works: there is one place from which the planner gets versions, in the order in which the entry applies them.

The tests of planning, leadership and the new file pass, 255.

--- a/packages/core/briardeal_core/events/_catalogue.py
+++ b/packages/core/briardeal_core/events/_catalogue.py
@@ -111,6 +111,7 @@
         "A change of the configuration has no effect because another one was first.",
     )
     CONFIGURATION_UNREADABLE = (522, "This process is too old to read a configuration; upgrade it.")
+    CONFIGURATION_OUTDATED = (523, "A configuration was ignored, as a newer one is in force here.")
 
     def __init__(self, number: int, meaning: str) -> None:
         self.number = number
--- a/packages/workflow/briardeal_workflow/entry/_entry.py
+++ b/packages/workflow/briardeal_workflow/entry/_entry.py
@@ -11,6 +11,7 @@
 from briardeal_workflow.job_table import JobTable
 from briardeal_workflow.leadership import Election, OwnerWatch
 from briardeal_workflow.metrics import WorkflowMetrics
+from briardeal_workflow.model import reject_outdated
 from briardeal_workflow.owner import JOBS_TOPIC, ControlServer, Owner, PlanningProgress
 from briardeal_workflow.relay import RelayedStore, RelayServer
 from briardeal_workflow.store import Follower
@@ -130,7 +131,9 @@
             await self._run_owner_when_elected()
 
     def configure(self, configuration: Configuration) -> None:
-        """Put a configuration into force."""
+        """Put a configuration into force, unless a newer one is."""
+        if self.configuration is not None and reject_outdated(configuration, self.configuration):
+            return
         self.configuration = configuration
         self.configured.set()
         if self.owner is not None:
@@ -163,7 +166,8 @@
                 self.metrics,
                 self.progress,
             )
-            await self.owner.run(self.configuration)
+            self.owner.configure(self.configuration)
+            await self.owner.run()
             self.owner = None
             self.election.resign()
             await asyncio.sleep(RECLAIM_PAUSE_S)
--- a/packages/workflow/briardeal_workflow/model/__init__.py
+++ b/packages/workflow/briardeal_workflow/model/__init__.py
@@ -1,6 +1,12 @@
 """Data model: jobs, tasks, and the operators' configuration."""
 
-from briardeal_workflow.model._configuration import Configuration, Customer, Queue, Service
+from briardeal_workflow.model._configuration import (
+    Configuration,
+    Customer,
+    Queue,
+    Service,
+    reject_outdated,
+)
 from briardeal_workflow.model._job import Job, JobTerms, Step, find_validation_error
 from briardeal_workflow.model._task import TaskGroupId, TaskId
 
@@ -15,4 +21,5 @@
     "Step",
     "TaskId",
     "find_validation_error",
+    "reject_outdated",
 ]
--- a/packages/workflow/briardeal_workflow/model/_configuration.py
+++ b/packages/workflow/briardeal_workflow/model/_configuration.py
@@ -7,6 +7,7 @@
 import attrs
 import msgspec
 
+from briardeal_core.events import Event, log_event
 from briardeal_workflow.model._job import JobTerms
 
 if TYPE_CHECKING:
@@ -148,3 +149,15 @@
             if each.name == customer:
                 return each.guaranteed_accelerators
         return 0
+
+
+def reject_outdated(configuration: Configuration, in_force: Configuration) -> bool:
+    """Return whether a configuration is older than the one in force, and log it if so."""
+    outdated = configuration.version < in_force.version
+    if outdated:
+        log_event(
+            Event.CONFIGURATION_OUTDATED,
+            version=configuration.version,
+            in_force=in_force.version,
+        )
+    return outdated
--- a/packages/workflow/briardeal_workflow/owner/_owner.py
+++ b/packages/workflow/briardeal_workflow/owner/_owner.py
@@ -12,6 +12,7 @@
     OwnerAnnouncement,
     StartOutcome,
 )
+from briardeal_workflow.model import reject_outdated
 from briardeal_workflow.owner._agent_list import AgentList
 from briardeal_workflow.owner._agents import AgentState
 from briardeal_workflow.owner._order_sender import OrderSender
@@ -158,7 +159,7 @@
     def _fenced(self) -> bool:
         return self.writer.fenced or self.start_writer.fenced
 
-    async def run(self, configuration: Configuration) -> None:
+    async def run(self) -> None:
         """Schedule jobs until another entry has taken over."""
         self.progress.waits_for = "the fence of earlier owners"
         # A start is recorded after its job, so the jobs of all records that are read are known.
@@ -172,7 +173,7 @@
         starts = await self._read_starts()
         self.progress.waits_for = "jobs up to the fence"
         await self.follower.wait_until_read(outcome.end)
-        self._load(configuration, None if isinstance(starts, OutOfReach) else starts)
+        self._load(None if isinstance(starts, OutOfReach) else starts)
         self.metrics.takeover_s.observe({}, self._age_s())
         self.control_server.announce_owner(self)
         try:
@@ -195,9 +196,10 @@
             log_event(Event.OWNER_REPLACED, epoch=self.epoch, newer=self.election.epoch)
 
     def configure(self, configuration: Configuration) -> None:
-        """Apply a new configuration."""
-        self.planner.configure(configuration)
-        self.wake.set()
+        """Apply a configuration, before or after the jobs are loaded, unless a newer one is."""
+        if not reject_outdated(configuration, self.planner.state.configuration):
+            self.planner.configure(configuration)
+            self.wake.set()
 
     def handle_job_change(self, job_id: str) -> None:
         """Pass a job to the planner after its record has changed."""
@@ -336,12 +338,7 @@
         sender.recorded = {key: frozenset(value) for key, value in starts.items()} | sender.recorded
         return self.planner.takeover.hold_tasks(starts, self.pending_agents.epochs)
 
-    def _load(
-        self,
-        configuration: Configuration,
-        starts: dict[str, tuple[tuple[TaskId, int], ...]] | None,
-    ) -> None:
-        self.planner.configure(configuration)
+    def _load(self, starts: dict[str, tuple[tuple[TaskId, int], ...]] | None) -> None:
         now_s = loop_time()
         self.planner.state.wall_offset_s = self.clock.now_s() - now_s
         for job_status in self.job_table.jobs.values():
