Let a released role be claimed whatever the log's clock says

Cause: a release was a renewal with a lease of 0 s, and the claim after it had to be later by the log's clock.

Change: a released role has no lease. Its test failed before.

--- a/packages/core/briardeal_core/log/_claims.py
+++ b/packages/core/briardeal_core/log/_claims.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import uuid
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -61,7 +62,8 @@
     token
         Fencing token: offset of the claim that won. Each new holder has a higher token.
     expires_at_s
-        When the lease expires, by the clock of the log, in seconds since the epoch.
+        When the lease expires, by the clock of the log, in seconds since the epoch; negative
+        infinity once the role is released.
     renewed_offset
         Offset of the claim or renewal that started the current lease.
     """
@@ -99,7 +101,8 @@
             held = live and (holder.claimant, holder.token) == (claim.claimant, token)
             effective = first_met or held
         if effective:
-            expires_at_s = appended_at_s + claim.lease_s
+            # A release counts in the order of the log; the log's clock may go back slightly.
+            expires_at_s = appended_at_s + claim.lease_s if claim.lease_s else -math.inf
             self.holders[claim.role] = RoleHolder(claim.claimant, token, expires_at_s, offset)
 
 
--- a/tests/core/log/test_claims.py
+++ b/tests/core/log/test_claims.py
@@ -9,6 +9,8 @@
 
 from briardeal_core.log import (
     AppendRateLimiter,
+    Claim,
+    ClaimTable,
     LogUnavailable,
     RoleAcquired,
     RoleClaim,
@@ -45,6 +47,15 @@
     assert isinstance(await second.acquire(), RoleAcquired)
 
 
+def test_released_role_can_be_claimed_by_a_clock_that_went_back():
+    # Guards against a role that stays held as two readings of the log's clock differ slightly.
+    table = ClaimTable()
+    table.apply(Claim("role", "a", 30.0), 0, 100.0)
+    table.apply(Claim("role", "a", 0.0, token=0), 1, 101.0)
+    table.apply(Claim("role", "b", 30.0), 2, 100.9998)
+    assert table.holders["role"].claimant == "b"
+
+
 async def test_lease_counts_from_before_the_claim_was_sent():
     store = MemoryLog().store
     slow = make_claim(MemoryLog(store, Faults(delay_s=31)), "a")
