Emulator: topics that fail, workers that keep their ID, changes during a takeover

Cause: no kind of disruption let an end wait for the store while starts went on, brought a late order to a later incarnation, or changed the configuration while an owner loads.

Change: three kinds, and a check that no owner plans by an older configuration than the one in force in its entry. Seeds played by hand keep their kinds; 30 further seeds play the new ones.

--- a/packages/standins/briardeal_standins/emulator/_checker.py
+++ b/packages/standins/briardeal_standins/emulator/_checker.py
@@ -53,6 +53,7 @@
     JOBS_PROGRESS = "no accepted job has nothing running for 3 s while one of its tasks could run"
     COMPLETED_STATE = "no job is reported as completed while one of its tasks runs"
     FAILED_STATE = "no job is reported as failed before a task has reached its limit"
+    CONFIGURATION = "no owner plans by an older configuration than the one in force"
 
 
 @attrs.frozen
@@ -235,6 +236,12 @@
         if state == "failed" and not failed_too_often and not self._crashes_workers(job_id):
             self._add_violation(Invariant.FAILED_STATE, f"{job_id} failed too early")
 
+    def check_configuration(self, owner: str, planned: int, in_force: int) -> None:
+        """Check the version by which an owner plans against the one in force in its entry."""
+        if planned < in_force:
+            detail = f"{owner} plans by version {planned}, {in_force} is in force"
+            self._add_violation(Invariant.CONFIGURATION, detail)
+
     def check_unknown(self, job_id: str) -> None:
         """Check that an entry may still report a job as unknown."""
         if loop_time() - self.accepted.get(job_id, float("inf")) > VISIBLE_LIMIT_S:
--- a/packages/standins/briardeal_standins/emulator/_emulator.py
+++ b/packages/standins/briardeal_standins/emulator/_emulator.py
@@ -174,6 +174,17 @@
             if name in self.processes:
                 self.entry(name).configure(configuration)
 
+    def check_configuration(self) -> None:
+        """Check that the owner plans by the configuration that is in force in its entry."""
+        name = self.owner_name()
+        if name is not None:
+            entry = self.entry(name)
+            self.checker.check_configuration(
+                name,
+                entry.owner.planner.state.configuration.version,
+                entry.configuration.version,
+            )
+
     def shift_clock(self, name: str, seconds: float) -> None:
         """Let the clock of an entry differ from the right time of day, from its next start on."""
         self.entry_clocks[name] = WallClock(EPOCH_S + seconds)
--- a/packages/standins/briardeal_standins/emulator/_scenarios.py
+++ b/packages/standins/briardeal_standins/emulator/_scenarios.py
@@ -12,7 +12,7 @@
 
 from briardeal_core.clock import loop_time
 from briardeal_standins.emulator._store import StoreFault
-from briardeal_standins.emulator._worker import TaskBehavior, VmFault
+from briardeal_standins.emulator._worker import ORDER_DELAY_S, TaskBehavior, VmFault
 from briardeal_workflow.model import Job, Queue, Step
 
 if TYPE_CHECKING:
@@ -29,6 +29,12 @@
 FLAP_INTERVAL_S = 1.4
 """Seconds between two changes of a VM that goes down and up by turns."""
 
+TOPIC_FAULT_S = 4.5
+"""Longest time for which a topic of the store fails, in seconds."""
+
+TAKEOVER_POLL_S = 0.001
+"""Seconds between two looks at whether a takeover is under way, which takes about 0.03 s."""
+
 NOTICE_S = 2.0
 """Seconds between the announcement that a VM leaves and its end."""
 
@@ -110,6 +116,12 @@
     """Queues with jobs are removed from the configuration and added again later."""
     OTHER_WRITERS = "other writers"
     """Agents receive descriptions of workers that are not there."""
+    FAILING_TOPIC = "failing topic"
+    """One topic of the store fails, and the owner and some agents are lost at its end."""
+    SAME_INSTANCE = "same instance"
+    """Workers restart under their instance ID and carry out calls for their earlier incarnation."""
+    TAKEOVER_CHANGES = "takeover changes"
+    """The configuration changes while a new owner takes over."""
 
 
 @attrs.define(eq=False)
@@ -166,6 +178,9 @@
         Disruption.ISOLATION: partial(_isolate, site),
         Disruption.REMOVED_QUEUES: partial(_remove_queue, site),
         Disruption.OTHER_WRITERS: partial(_describe_another_worker, site),
+        Disruption.FAILING_TOPIC: partial(_fail_topic, site),
+        Disruption.SAME_INSTANCE: partial(_restart_workers, site),
+        Disruption.TAKEOVER_CHANGES: partial(_change_during_takeover, site),
     }[disruption]
     end_s = loop_time() + duration_s
     while loop_time() < end_s:
@@ -300,8 +315,12 @@
 
 
 async def _change_configuration(site: Emulator) -> None:
-    """Change guarantees, targets, and queues that nobody uses."""
     await asyncio.sleep(CONFIGURATION_INTERVAL_S)
+    _configure_anew(site)
+
+
+def _configure_anew(site: Emulator) -> None:
+    """Change guarantees, targets, and queues that nobody uses."""
     rng = site.rng
     old = site.configuration
     used = tuple(
@@ -396,5 +415,66 @@
     vm.registration.update(another, ANOTHER_START_MS, site.rng.randint(1, 10))
 
 
+async def _fail_topic(site: Emulator) -> None:
+    """Let a topic refuse all calls; kill the owner and some agents shortly before it is back."""
+    topic = site.rng.choice(("jobs", "jobs", "starts", "control"))
+    site.store.refusing_topics.add(topic)
+    await asyncio.sleep(site.rng.uniform(1.0, TOPIC_FAULT_S))
+    names = [name for name in (site.owner_name(), *_pick_vms(site)) if name in site.processes]
+    site.checker.excuse_gangs(RESTART_S)
+    for name in names:
+        await site.kill(name)
+    await asyncio.sleep(site.rng.uniform(0.0, 0.3))
+    site.store.refusing_topics.discard(topic)
+    await asyncio.sleep(RESTART_S)
+    for name in names:
+        site.start_process(name)
+    await asyncio.sleep(site.rng.uniform(0.0, FAULT_S))
+
+
+async def _restart_workers(site: Emulator) -> None:
+    """Leave orders unanswered, and crash the workers before they have carried them out."""
+    names = [name for name in _pick_vms(site) if site.vms[name].fault is VmFault.NONE]
+    for name in names:
+        site.vms[name].fault = VmFault.DELAYS_ORDERS
+    site.checker.excuse_gangs(ORDER_DELAY_S)
+    await asyncio.sleep(site.rng.uniform(0.3, 1.5))
+    for name in names:
+        if site.vms[name].fault is VmFault.DELAYS_ORDERS:
+            site.vms[name].fault = VmFault.NONE
+    await asyncio.sleep(site.rng.uniform(0.2, 1.0))
+    for name in names:
+        site.vms[name].kill()
+    await asyncio.sleep(site.rng.uniform(0.2, 1.0))
+    for name in names:
+        site.vms[name].restart(keep_instance=True)
+    await asyncio.sleep(site.rng.uniform(ORDER_DELAY_S, ORDER_DELAY_S + FAULT_S))
+
+
+async def _change_during_takeover(site: Emulator) -> None:
+    """Kill the owner, and change the configuration once or twice while the next one loads."""
+    await asyncio.sleep(site.rng.uniform(0.5, FAULT_S))
+    owner = site.owner_name()
+    if owner is None:
+        return
+    site.checker.excuse_gangs(RESTART_S)
+    await site.kill(owner)
+    until_s = loop_time() + 2 * RESTART_S
+    while loop_time() < until_s and not _is_loading(site):
+        await asyncio.sleep(TAKEOVER_POLL_S)
+    for _ in range(site.rng.randint(1, 2)):
+        _configure_anew(site)
+        await asyncio.sleep(TAKEOVER_POLL_S)
+    await asyncio.sleep(RESTART_S)
+    site.check_configuration()
+    site.start_process(owner)
+
+
+def _is_loading(site: Emulator) -> bool:
+    """Return whether an entry has begun to take over and has not loaded the jobs yet."""
+    owners = (site.entry(name).owner for name in site.entry_names if name in site.processes)
+    return any(owner is not None and not owner.loaded for owner in owners)
+
+
 def _pick_vms(site: Emulator) -> list[str]:
     return site.rng.sample(list(site.vms), k=max(1, int(FAULTY_SHARE * len(site.vms))))
--- a/tests/workflow/entry/soak_scenarios.py
+++ b/tests/workflow/entry/soak_scenarios.py
@@ -25,6 +25,9 @@
 )
 """The kinds of the seeds that KNOWN-RED.txt lists; further kinds would change what a seed plays."""
 
+LATER = (Disruption.FAILING_TOPIC, Disruption.SAME_INSTANCE, Disruption.TAKEOVER_CHANGES)
+"""Kinds that were added later, and that would change what listed seeds play."""
+
 
 @pytest.mark.parametrize("seed", range(101, 131))
 async def test_invariants_hold_with_crashing_tasks_and_all_other_disruptions(seed):
@@ -42,5 +45,12 @@
 @pytest.mark.parametrize("seed", range(1, 11))
 async def test_invariants_hold_under_all_kinds_with_any_hash_seed(seed):
     async with run_site(vms=12, seed=seed) as site:
-        kinds = [each for each in Disruption if each is not Disruption.CRASHING_TASKS]
+        kinds = [each for each in Disruption if each not in (Disruption.CRASHING_TASKS, *LATER)]
+        await run_scenario(site, kinds, DURATION_S)
+
+
+@pytest.mark.parametrize("seed", range(301, 331))
+async def test_invariants_hold_while_topics_fail_and_workers_keep_their_instance(seed):
+    async with run_site(vms=12, seed=seed) as site:
+        kinds = [*LATER, Disruption.RESTARTS, Disruption.LOST_ANSWERS, Disruption.SHORT_NOTICE]
         await run_scenario(site, kinds, DURATION_S)
