Test that the record of a removed VM stays until its ends are stored

Cause: the tests of ends that wait for the store did not cover VMs that leave the planner meanwhile.

--- a/packages/workflow/briardeal_workflow/owner/_order_sender.py
+++ b/packages/workflow/briardeal_workflow/owner/_order_sender.py
@@ -205,9 +205,9 @@
             for (task, _), outcome in ends.items()
             if outcome is AttemptOutcome.FAILED
         }
-        return frozenset(
-            key for key in self.unsent if failed and self._failure_key(key[1]) in failed
-        )
+        if not failed:
+            return frozenset()
+        return frozenset(key for key in self.unsent if self._failure_key(key[1]) in failed)
 
     def _failure_key(self, task: TaskId) -> TaskId | TaskGroupId:
         """Return what the failures of a task are counted for: itself, or its gang."""
--- a/tests/workflow/entry/test_configuration_changes.py
+++ b/tests/workflow/entry/test_configuration_changes.py
@@ -45,7 +45,7 @@
 @pytest.mark.parametrize("changes", [1, 2])
 async def test_configurations_that_change_during_a_takeover_stay_in_force(changes):
     # Guards against a new owner that goes back to the configuration with which it began to load.
-    async with run_site() as site:
+    async with run_site() as site, asyncio.timeout(60.0):
         site.checker.failure_limits = dict.fromkeys(site.checker.failure_limits, 1)
         owner = await site.wait_for_owner()
         restart = asyncio.create_task(restart_processes(site, [owner], 2.0))
@@ -61,7 +61,7 @@
 
 async def test_owner_that_begins_anew_has_the_configuration_in_force():
     # Guards against the configuration of a takeover that was given up.
-    async with run_site() as site:
+    async with run_site() as site, asyncio.timeout(60.0):
         site.checker.failure_limits = dict.fromkeys(site.checker.failure_limits, 1)
         restart = asyncio.create_task(
             restart_processes(site, [await site.wait_for_owner()], down_s=2.0)
--- a/tests/workflow/entry/test_unstored_ends.py
+++ b/tests/workflow/entry/test_unstored_ends.py
@@ -8,7 +8,7 @@
 import pytest
 
 from briardeal_standins.emulator import CONFIGURATION, TaskBehavior
-from briardeal_workflow.owner import JOBS_TOPIC
+from briardeal_workflow.owner import JOBS_TOPIC, STARTS_TOPIC
 from tests.workflow.samples import make_job, small_step
 from tests.workflow.sites import restart_processes, run_site
 
@@ -110,7 +110,7 @@
 
 async def test_end_that_a_new_owner_could_not_store_is_known_to_its_successor():
     # Guards against a second run if the end is reported to an owner that has just taken over.
-    async with run_site(vms=2) as site:
+    async with run_site(vms=2) as site, asyncio.timeout(60.0):
         first = make_job(FIRST_STEP, ON_BOTH_VMS)
         assert await site.submit(first, TaskBehavior(RUN_S))
         await site.wait_for_state(first.job_id, "running", 2.0)
@@ -127,3 +127,26 @@
         await lose_owner_after_outage(site, vms)
         await site.wait_for_state(first.job_id, "completed", 20.0)
         assert site.checker.start_count == 3
+
+
+async def test_record_of_a_removed_vm_stays_until_its_ends_are_stored():
+    # Guards against a task that is not held back as its VM left the planner during an outage.
+    async with run_site(vms=2) as site, asyncio.timeout(60.0):
+        job = make_job(small_step(), *(small_step(after=(step,)) for step in range(4)))
+        assert await site.submit(job, TaskBehavior(1.5))
+        await site.wait_for_state(job.job_id, "running", 2.0)
+        (name,) = vms_of(site, job)
+        site.store.refusing_topics.add(JOBS_TOPIC)
+        while not site.checker.ended_done:
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(0.2)
+        site.vms[name].kill()
+        owner = site.entry(await site.wait_for_owner()).owner
+        while name in owner.planner.state.vms:
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(2.0)
+        assert name in site.store.get_topic(STARTS_TOPIC).newest
+        site.store.refusing_topics.clear()
+        await site.wait_for_state(job.job_id, "completed", 20.0)
+        assert name not in site.store.get_topic(STARTS_TOPIC).newest
+        site.vms[name].restart()
