--- a/tests/workflow/worker/test_incarnations.py
+++ b/tests/workflow/worker/test_incarnations.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from briardeal_standins.emulator import TaskBehavior, VmFault
@@ -176,3 +177,23 @@
         vm.restart(keep_instance=True)
         await site.wait_for_state(job.job_id, "completed", 25.0)
         assert site.checker.start_count == 2
+
+
+async def test_vm_of_an_agent_that_knows_no_generations_is_used_after_its_worker_restarts():
+    # Guards against agents of an earlier version that the owner ignores from then on.
+    async with run_site(vms=1) as site, asyncio.timeout(30.0):
+        agent = site.processes["vm-0"].program
+        make_report, follow_owner = agent._make_report, agent._follow_owner
+        agent._make_report = lambda: msgspec.structs.replace(make_report(), generation=-1)
+        agent._follow_owner = lambda link, message: follow_owner(
+            link, msgspec.structs.replace(message, generation=0)
+        )
+        await asyncio.sleep(1.0)
+        site.vms["vm-0"].kill()
+        await asyncio.sleep(1.0)
+        site.vms["vm-0"].restart(keep_instance=True)
+        job = make_job(small_step())
+        assert await site.submit(job, TaskBehavior(1.0))
+        await site.wait_for_state(job.job_id, "completed", 10.0)
+        fenced = [line for line in site.logs.lines if "incarnation_fenced" in line]
+        assert len(fenced) == 1
