--- a/packages/standins/briardeal_standins/emulator/_scenarios.py
+++ b/packages/standins/briardeal_standins/emulator/_scenarios.py
@@ -11,9 +11,16 @@
 import msgspec
 
 from briardeal_core.clock import loop_time
+from briardeal_standins.emulator._callers import (
+    RETRY_PAUSE_S,
+    Callers,
+    service_of,
+    submit_crashing_job,
+    submit_jobs,
+)
 from briardeal_standins.emulator._store import StoreFault
-from briardeal_standins.emulator._worker import ORDER_DELAY_S, TaskBehavior, VmFault
-from briardeal_workflow.model import Job, Queue, Step
+from briardeal_standins.emulator._worker import ORDER_DELAY_S, VmFault
+from briardeal_workflow.model import Queue
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -44,24 +51,6 @@
 CONFIGURATION_INTERVAL_S = 0.33
 """Seconds between two configurations of a storm."""
 
-SUBMIT_INTERVAL_S = 0.8
-"""Average seconds between two jobs of the load."""
-
-RETRY_PAUSE_S = 0.3
-"""Seconds after which a caller repeats a call that was refused or not answered."""
-
-CRASH_DELAYS_S = (0.01, 0.01, 0.01, 0.3, 2.0)
-"""Seconds after its start at which a task crashes its worker; most do so at once."""
-
-CRASHING_JOB_INTERVAL_S = 6.0
-"""Average seconds between two jobs with a task that crashes its workers."""
-
-CANCELLED_SHARE = 0.1
-"""Share of the jobs that their callers cancel."""
-
-CANCEL_DELAYS_S = (0.1, 4.0)
-"""Range of the seconds after which a caller cancels its job."""
-
 LATE_SHARE = 0.3
 """Share of the lost answers whose appends are carried out late."""
 
@@ -124,22 +113,6 @@
     """The configuration changes while a new owner takes over."""
 
 
-@attrs.define(eq=False)
-class Callers:
-    """Callers who submit and cancel jobs.
-
-    Attributes
-    ----------
-    entries
-        Names of the entries that they call.
-    pending
-        Jobs that have been accepted and not cancelled, by job ID.
-    """
-
-    entries: Sequence[str]
-    pending: dict[str, Job] = attrs.field(factory=dict)
-
-
 async def run_scenario(
     site: Emulator, disruptions: Sequence[Disruption], duration_s: float
 ) -> None:
@@ -154,7 +127,7 @@
     async with asyncio.TaskGroup() as tasks:
         for disruption in disruptions:
             tasks.create_task(run_disruption(site, disruption, callers, duration_s))
-        tasks.create_task(_submit_jobs(site, callers, duration_s))
+        tasks.create_task(submit_jobs(site, callers, duration_s))
     async with asyncio.timeout(FINISH_LIMIT_S):
         while not all(_has_ended(site, job_id) for job_id in callers.pending):
             await asyncio.sleep(RETRY_PAUSE_S)
@@ -171,7 +144,7 @@
         Disruption.SHORT_NOTICE: partial(_take_away, site),
         Disruption.CONFIGURATION_STORM: partial(_change_configuration, site),
         Disruption.CHANGING_CAPACITY: partial(_change_capacity, site),
-        Disruption.CRASHING_TASKS: partial(_submit_crashing_job, site, callers),
+        Disruption.CRASHING_TASKS: partial(submit_crashing_job, site, callers),
         Disruption.LOST_ANSWERS: partial(_lose_answers, site),
         Disruption.UNANSWERED_ORDERS: partial(_leave_orders_unanswered, site),
         Disruption.RESTARTS: partial(_restart_processes, site),
@@ -187,77 +160,12 @@
         await cause_next()
 
 
-async def _submit_jobs(site: Emulator, callers: Callers, duration_s: float) -> None:
-    end_s = loop_time() + duration_s
-    async with asyncio.TaskGroup() as tasks:
-        while loop_time() < end_s:
-            await asyncio.sleep(site.rng.expovariate(1.0 / SUBMIT_INTERVAL_S))
-            tasks.create_task(_submit_job(site, callers))
-
-
-async def _submit_job(site: Emulator, callers: Callers) -> None:
-    """Submit one job until it is accepted; cancel some of the jobs."""
-    job, behavior = _make_job(site)
-    while not await site.submit(job, behavior, site.rng.choice(callers.entries)):
-        await asyncio.sleep(RETRY_PAUSE_S)
-    if site.rng.random() >= CANCELLED_SHARE:
-        callers.pending[job.job_id] = job
-        return
-    await asyncio.sleep(site.rng.uniform(*CANCEL_DELAYS_S))
-    while not await site.cancel(job.job_id, site.rng.choice(callers.entries)):
-        await asyncio.sleep(RETRY_PAUSE_S)
-
-
-async def _submit_crashing_job(site: Emulator, callers: Callers) -> None:
-    """Submit a job of which one task crashes each worker that starts it."""
-    await asyncio.sleep(site.rng.expovariate(1.0 / CRASHING_JOB_INTERVAL_S))
-    job, behavior = _make_job(site)
-    crashing = attrs.evolve(
-        behavior,
-        crash_after_s=site.rng.choice(CRASH_DELAYS_S),
-        crashing_index=site.rng.randrange(job.steps[0].tasks),
-    )
-    while not await site.submit(job, crashing, site.rng.choice(callers.entries)):
-        await asyncio.sleep(RETRY_PAUSE_S)
-    callers.pending[job.job_id] = job
-
-
 def _has_ended(site: Emulator, job_id: str) -> bool:
     """Return whether all running entries report a job as completed or failed."""
     running = [name for name in site.entry_names if name in site.processes]
     return all(site.state(job_id, name) in ("completed", "failed") for name in running)
 
 
-def _make_job(site: Emulator) -> tuple[Job, TaskBehavior]:
-    """Return a random job: single tasks, a gang, or an urgent gang of whole VMs."""
-    rng = site.rng
-    job_id = f"{rng.getrandbits(64):016x}"
-    run_s = rng.uniform(1.0, 4.0)
-    queue, step = rng.choice(
-        (
-            ("bulk", Step(rng.randint(1, 12), 1000, 1000, 1, run_s, checkpointable=True)),
-            ("bulk", Step(rng.randint(1, 12), 1000, 1000, 1, run_s)),
-            ("batch", Step(rng.randint(2, 4), 1000, 1000, 4, run_s, gang=True)),
-            ("urgent", Step(rng.randint(1, 3), 1000, 1000, 8, run_s, gang=True)),
-        )
-    )
-    steps = (step,) if rng.random() < 0.7 else (step, msgspec.structs.replace(step, after=(0,)))
-    job = Job(
-        job_id,
-        queue,
-        _service(site),
-        rng.choice(("north", "south")),
-        f"run {job_id}",
-        steps,
-        accepted_s=site.clock.now_s(),
-    )
-    return job, TaskBehavior(run_s)
-
-
-def _service(site: Emulator) -> str:
-    return site.configuration.services[0].name
-
-
 async def _falsify_health(site: Emulator) -> None:
     kinds = (VmFault.FAILS_ALL, VmFault.NO_PROGRESS, VmFault.REJECTS_STARTS)
     vms = _pick_vms(site)
@@ -329,7 +237,7 @@
         if not queue.name.startswith("idle-")
     )
     idle = tuple(
-        Queue(f"idle-{number}", "a.example", f"/idle-{number}/", _service(site))
+        Queue(f"idle-{number}", "a.example", f"/idle-{number}/", service_of(site))
         for number in range(rng.randint(0, 40))
     )
     customers = tuple(
--- a/tests/workflow/entry/test_unstored_ends.py
+++ b/tests/workflow/entry/test_unstored_ends.py
@@ -39,7 +39,10 @@
     await site.wait_for_owner()
 
 
-def vms_of(site, job):
+async def run_job(site, job, behavior):
+    """Submit a job, wait until it runs, and return the VMs that run it."""
+    assert await site.submit(job, behavior)
+    await site.wait_for_state(job.job_id, "running", 2.0)
     return [
         name
         for name, vm in site.vms.items()
@@ -51,9 +54,7 @@
     # Guards against a second run of a task whose end the store could not take before a takeover.
     async with run_site(vms=2) as site:
         job = make_job(FIRST_STEP, ON_BOTH_VMS)
-        assert await site.submit(job, TaskBehavior(RUN_S))
-        await site.wait_for_state(job.job_id, "running", 2.0)
-        vms = vms_of(site, job)
+        vms = await run_job(site, job, TaskBehavior(RUN_S))
         await asyncio.sleep(RUN_S - 0.8)
         await lose_owner_after_outage(site, vms)
         await site.wait_for_state(job.job_id, "completed", 20.0)
@@ -64,12 +65,10 @@
     # Guards against a start beyond the failure limit after a failure that could not be stored.
     async with run_site(vms=2, configuration=ONE_FAILURE) as site:
         failing = make_job(small_step(estimate_s=RUN_S), customer="south")
-        assert await site.submit(failing, TaskBehavior(2 * RUN_S, failures=1))
+        vms = await run_job(site, failing, TaskBehavior(2 * RUN_S, failures=1))
         other = make_job(FIRST_STEP, ON_BOTH_VMS)
-        assert await site.submit(other, TaskBehavior(RUN_S))
-        await site.wait_for_state(failing.job_id, "running", 2.0)
-        vms = vms_of(site, failing)
-        await asyncio.sleep(RUN_S - 0.8)
+        await run_job(site, other, TaskBehavior(RUN_S))
+        await asyncio.sleep(RUN_S - 0.9)
         await lose_owner_after_outage(site, vms)
         await site.wait_for_state(failing.job_id, "failed", 20.0)
         await site.wait_for_state(other.job_id, "completed", 20.0)
@@ -79,8 +78,7 @@
     # Guards against a failure that only the agent knows once a newer attempt is recorded.
     async with run_site(vms=2) as site:
         job = make_job(small_step(estimate_s=RUN_S))
-        assert await site.submit(job, TaskBehavior(RUN_S, failures=1))
-        await site.wait_for_state(job.job_id, "running", 2.0)
+        await run_job(site, job, TaskBehavior(RUN_S, failures=1))
         site.store.refusing_topics.add(JOBS_TOPIC)
         await asyncio.sleep(OUTAGE_S)
         assert site.checker.failures
@@ -99,9 +97,7 @@
     async with run_site(vms=3) as site:
         gang = small_step(2, accelerators=3, gang=True, estimate_s=RUN_S)
         job = make_job(gang, small_step(3, accelerators=5, estimate_s=RUN_S, after=(0,)))
-        assert await site.submit(job, TaskBehavior(RUN_S))
-        await site.wait_for_state(job.job_id, "running", 2.0)
-        vms = vms_of(site, job)
+        vms = await run_job(site, job, TaskBehavior(RUN_S))
         await asyncio.sleep(RUN_S - 0.8)
         await lose_owner_after_outage(site, vms)
         await site.wait_for_state(job.job_id, "completed", 20.0)
@@ -112,9 +108,7 @@
     # Guards against a second run if the end is reported to an owner that has just taken over.
     async with run_site(vms=2) as site, asyncio.timeout(60.0):
         first = make_job(FIRST_STEP, ON_BOTH_VMS)
-        assert await site.submit(first, TaskBehavior(RUN_S))
-        await site.wait_for_state(first.job_id, "running", 2.0)
-        vms = vms_of(site, first)
+        vms = await run_job(site, first, TaskBehavior(RUN_S))
         await asyncio.sleep(RUN_S - 1.5)
         agents = asyncio.create_task(restart_processes(site, vms, 2.5))
         await restart_processes(site, [await site.wait_for_owner()], RESTART_S)
@@ -133,9 +127,7 @@
     # Guards against a task that is not held back as its VM left the planner during an outage.
     async with run_site(vms=2) as site, asyncio.timeout(60.0):
         job = make_job(small_step(), *(small_step(after=(step,)) for step in range(4)))
-        assert await site.submit(job, TaskBehavior(1.5))
-        await site.wait_for_state(job.job_id, "running", 2.0)
-        (name,) = vms_of(site, job)
+        (name,) = await run_job(site, job, TaskBehavior(1.5))
         site.store.refusing_topics.add(JOBS_TOPIC)
         while not site.checker.ended_done:
             await asyncio.sleep(0.02)
