--- a/packages/core/briardeal_core/http/_client.py
+++ b/packages/core/briardeal_core/http/_client.py
@@ -40,11 +40,14 @@
         Whether the request may have reached the server.
     refused
         Whether the server refused the connection.
+    received_bytes
+        Size of the part of the response that has arrived.
     """
 
     detail: str
     sent: bool = True
     refused: bool = False
+    received_bytes: int = 0
 
 
 class HttpClient:
@@ -96,9 +99,7 @@
         except (OSError, OverflowError, h11.ProtocolError) as error:
             if connection is not None:
                 connection.close()
-            refused = isinstance(error, ConnectionRefusedError)
-            detail = f"{type(error).__name__}: {error}"
-            return HttpFailure(detail, sent=connection is not None, refused=refused)
+            return _describe_failure(error, connection)
         except asyncio.CancelledError:
             if connection is not None:
                 connection.close()
@@ -147,8 +148,28 @@
     return reply
 
 
+def _describe_failure(error: Exception, connection: _ClientConnection | None) -> HttpFailure:
+    received_bytes = 0 if connection is None else connection.received_bytes
+    detail = f"{type(error).__name__}: {error}".removesuffix(": ")
+    if received_bytes:
+        # Tells a server that is still sending from one that is silent.
+        detail += f" after {received_bytes} bytes of the response"
+    return HttpFailure(
+        detail,
+        sent=connection is not None,
+        refused=isinstance(error, ConnectionRefusedError),
+        received_bytes=received_bytes,
+    )
+
+
 class _ClientConnection:
-    """One connection to a server."""
+    """One connection to a server.
+
+    Attributes
+    ----------
+    received_bytes
+        Size of the part of the newest response that has arrived.
+    """
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.reader = reader
@@ -156,6 +177,7 @@
         self.protocol = h11.Connection(h11.CLIENT)
         self.last_used_s = 0.0
         self.reusable = False
+        self.received_bytes = 0
 
     async def exchange(
         self,
@@ -169,6 +191,7 @@
         fields = [("Host", host), ("Content-Length", str(len(body))), *headers]
         request = h11.Request(method=method, target=path, headers=fields)
         self.reusable = False
+        self.received_bytes = 0
         data = self.protocol.send(request) + self.protocol.send(h11.Data(data=body))
         self.writer.write(data + self.protocol.send(h11.EndOfMessage()))
         reply = await self._read_reply()
@@ -187,7 +210,9 @@
         while True:
             event = self.protocol.next_event()
             if event is h11.NEED_DATA:
-                self.protocol.receive_data(await self.reader.read(READ_BYTES))
+                data = await self.reader.read(READ_BYTES)
+                self.received_bytes += len(data)
+                self.protocol.receive_data(data)
             elif isinstance(event, h11.Response):
                 status = event.status_code
             elif isinstance(event, h11.Data):
