Store client: let an answer take as long as its bytes arrive

Cause: a read had its wait and 0.6 s for the whole answer. The document needs 0.8 s at 5 Mbit/s, so each read was dropped before its end and begun again from the start. The same held for pages of list_newest, and for every topic. Class of fault: a time limit on a whole transfer, whose repetition starts from the beginning.

An answer now has to begin within 0.6 s beyond the wait. So a store that is silent is detected as soon as before, and one that is sending is waited for, however large a record is.

--- a/packages/core/briardeal_core/http/_client.py
+++ b/packages/core/briardeal_core/http/_client.py
@@ -4,9 +4,15 @@
 
 import asyncio
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 import h11
 
+from briardeal_core.http._transfer import TransferDeadline
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 READ_BYTES = 65_536
 IDLE_LIMIT_S = 10.0
 """Maximum idle time of a connection; servers close idle connections after 15 s or more."""
@@ -83,9 +89,20 @@
         *,
         headers: tuple[tuple[str, str], ...] = (),
         timeout_s: float,
+        on_data: Callable[[], None] | None = None,
     ) -> HttpReply | HttpFailure:
         """Send a request and wait for the complete response.
 
+        Parameters
+        ----------
+        method, path, body, headers
+            The request.
+        timeout_s
+            Longest time until the response is complete, in seconds; with `on_data`, until it
+            begins. `TransferDeadline` then decides how long the rest of it may take.
+        on_data
+            Called whenever a part of the response has arrived.
+
         Raises
         ------
         asyncio.CancelledError
@@ -93,8 +110,9 @@
         """
         connection: _ClientConnection | None = None
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as timeout:
                 connection = self._pop_idle() or await self._open()
+                connection.on_data = _extend(timeout, timeout_s, on_data)
                 reply = await connection.exchange(method, self.host, path, body, headers)
         except (OSError, OverflowError, h11.ProtocolError) as error:
             if connection is not None:
@@ -148,6 +166,23 @@
     return reply
 
 
+def _extend(
+    timeout: asyncio.Timeout, timeout_s: float, on_data: Callable[[], None] | None
+) -> Callable[[int], None]:
+    """Return a function that extends a timeout with each part of a response that arrives."""
+    if on_data is None:
+        return lambda received_bytes: None
+    loop = asyncio.get_running_loop()
+    deadline = TransferDeadline(timeout.when() - timeout_s, timeout_s)
+
+    def extend(received_bytes: int) -> None:
+        if not timeout.expired():
+            timeout.reschedule(deadline.record(received_bytes, loop.time()))
+        on_data()
+
+    return extend
+
+
 def _describe_failure(error: Exception, connection: _ClientConnection | None) -> HttpFailure:
     received_bytes = 0 if connection is None else connection.received_bytes
     detail = f"{type(error).__name__}: {error}".removesuffix(": ")
@@ -169,6 +204,8 @@
     ----------
     received_bytes
         Size of the part of the newest response that has arrived.
+    on_data
+        Called with the size of each part of a response that arrives, in bytes.
     """
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -178,6 +215,7 @@
         self.last_used_s = 0.0
         self.reusable = False
         self.received_bytes = 0
+        self.on_data: Callable[[int], None] = lambda received_bytes: None
 
     async def exchange(
         self,
@@ -212,6 +250,8 @@
             if event is h11.NEED_DATA:
                 data = await self.reader.read(READ_BYTES)
                 self.received_bytes += len(data)
+                if data:
+                    self.on_data(len(data))
                 self.protocol.receive_data(data)
             elif isinstance(event, h11.Response):
                 status = event.status_code
--- a/packages/workflow/briardeal_workflow/store/__init__.py
+++ b/packages/workflow/briardeal_workflow/store/__init__.py
@@ -15,6 +15,7 @@
     Store,
     Trimmed,
     Unconfirmed,
+    ignore_progress,
 )
 from briardeal_workflow.store._writer import FencedWriter
 
@@ -34,4 +35,5 @@
     "Store",
     "Trimmed",
     "Unconfirmed",
+    "ignore_progress",
 ]
--- a/packages/workflow/briardeal_workflow/store/_interface.py
+++ b/packages/workflow/briardeal_workflow/store/_interface.py
@@ -8,7 +8,7 @@
 import attrs
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
 
 @attrs.frozen
@@ -119,6 +119,10 @@
 ReadOutcome = Page | Trimmed | OutOfReach
 
 
+def ignore_progress() -> None:
+    """Take no notice of the progress of a read."""
+
+
 class Store(Protocol):
     """Calls to a store of topics with keyed records."""
 
@@ -145,8 +149,29 @@
             Longest time to wait for an answer, in seconds.
         """
 
-    async def read(self, topic: str, offset: int, *, wait_s: float) -> ReadOutcome:
-        """Read records from an offset on; wait up to `wait_s` seconds for the first one."""
+    async def read(
+        self,
+        topic: str,
+        offset: int,
+        *,
+        wait_s: float,
+        on_progress: Callable[[], None] = ignore_progress,
+    ) -> ReadOutcome:
+        """Read records from an offset on.
+
+        The answer may take as long as parts of it arrive; see `TransferDeadline`.
+
+        Parameters
+        ----------
+        topic, offset
+            Topic, and position of the first record to read.
+        wait_s
+            Longest time for which the store waits for the first record, in seconds.
+        on_progress
+            Called whenever a part of the answer has arrived.
+        """
 
-    async def list_newest(self, topic: str, after_key: str) -> ReadOutcome:
+    async def list_newest(
+        self, topic: str, after_key: str, on_progress: Callable[[], None] = ignore_progress
+    ) -> ReadOutcome:
         """Read a page of the newest record of each key; `after_key` is empty for the first page."""
