Relay: send large answers in parts, and report the progress of reads

Seen by callers: an entry that the store turned away could not read a large configuration through another entry, and answered by an old one.

Cause: a relayed read had its wait and 0.9 s for the answer to cross the links of both entries. Class of fault: the same limit on a whole transfer as in the store client.

The relaying entry now reports each 0.25 s that the answer of the store is arriving, and sends records above 16 kB in parts, between which other answers are sent. Each part extends the wait by the rule of the store client. Entries of an earlier version don't ask for parts, and get none.

--- a/packages/protocol/briardeal_protocol/connections/__init__.py
+++ b/packages/protocol/briardeal_protocol/connections/__init__.py
@@ -2,7 +2,7 @@
 
 from briardeal_protocol.connections._codec import Codec
 from briardeal_protocol.connections._connection import Closed, Connection, Listener, Network
-from briardeal_protocol.connections._link import Call, Link, TimedOut
+from briardeal_protocol.connections._link import Call, Link, Part, TimedOut
 from briardeal_protocol.connections._memory import MemoryHost, MemoryNetwork
 from briardeal_protocol.connections._tcp import TcpNetwork
 
@@ -16,6 +16,7 @@
     "MemoryHost",
     "MemoryNetwork",
     "Network",
+    "Part",
     "TcpNetwork",
     "TimedOut",
 ]
--- a/packages/standins/briardeal_standins/emulator/_store.py
+++ b/packages/standins/briardeal_standins/emulator/_store.py
@@ -17,10 +17,11 @@
     Page,
     Trimmed,
     Unconfirmed,
+    ignore_progress,
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from briardeal_workflow.store import AppendOutcome, Position, ReadOutcome, Record
 
@@ -194,7 +195,14 @@
         await asyncio.sleep(timeout_s)
         return Unconfirmed("no answer")
 
-    async def read(self, topic: str, offset: int, *, wait_s: float) -> ReadOutcome:
+    async def read(
+        self,
+        topic: str,
+        offset: int,
+        *,
+        wait_s: float,
+        on_progress: Callable[[], None] = ignore_progress,
+    ) -> ReadOutcome:
         """Read records from an offset on, waiting up to `wait_s` seconds for the first."""
         self.store.calls += 1
         await asyncio.sleep(LATENCY_S)
@@ -216,7 +224,9 @@
         records = tuple(found.records[offset - found.first_offset :])
         return Page(records, offset + len(records))
 
-    async def list_newest(self, topic: str, after_key: str) -> ReadOutcome:
+    async def list_newest(
+        self, topic: str, after_key: str, on_progress: Callable[[], None] = ignore_progress
+    ) -> ReadOutcome:
         """Read one page of the newest records, sorted by key."""
         self.store.calls += 1
         await asyncio.sleep(LATENCY_S)
--- a/packages/workflow/briardeal_workflow/control/__init__.py
+++ b/packages/workflow/briardeal_workflow/control/__init__.py
@@ -26,6 +26,7 @@
     RelayAppend,
     RelayHello,
     RelayList,
+    RelayPart,
     RelayRead,
 )
 from briardeal_workflow.control._tokens import make_fencing_token
@@ -50,6 +51,7 @@
     "RelayAppend",
     "RelayHello",
     "RelayList",
+    "RelayPart",
     "RelayRead",
     "VmReport",
     "StartResult",
--- a/packages/workflow/briardeal_workflow/control/_codec.py
+++ b/packages/workflow/briardeal_workflow/control/_codec.py
@@ -23,6 +23,7 @@
     | relay.RelayAppend
     | relay.RelayRead
     | relay.RelayList
+    | relay.RelayPart
     | relay.RelayAnswer
 )
 """Any control message."""
--- a/packages/workflow/briardeal_workflow/relay/_client.py
+++ b/packages/workflow/briardeal_workflow/relay/_client.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from briardeal_core.clock import loop_time
 from briardeal_core.events import Event, log_event
 from briardeal_protocol.connections import Closed, Link, TimedOut
@@ -15,12 +17,13 @@
     RelayList,
     RelayRead,
 )
-from briardeal_workflow.store import NotStored, OutOfReach, Unconfirmed
+from briardeal_workflow.store import NotStored, OutOfReach, Unconfirmed, ignore_progress
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
     from briardeal_protocol.connections import Call, Network
+    from briardeal_workflow.control import RelayPart
     from briardeal_workflow.store import AppendOutcome, Position, ReadOutcome, Record, Store
 
 RELAY_DURATION_S = 1.0
@@ -35,8 +38,9 @@
 RELAY_MARGIN_S = 0.3
 """Time that a relay through another entry may add to a call."""
 
-READ_TIMEOUT_S = 0.6
-"""Timeout of a read beyond the requested wait; slow responses of the store take 0.25 s."""
+ANSWER_TIMEOUT_S = 0.6
+"""Time beyond the requested wait until the answer to a read has to begin; slow responses of the
+store take 0.25 s."""
 
 
 class RelayedStore:
@@ -99,27 +103,39 @@
         answer = await self._relay_call(lambda call_id: RelayAppend(call_id, *fields), timeout_s)
         return answer if isinstance(answer, NotStored | Unconfirmed) else answer.append_outcome()
 
-    async def read(self, topic: str, offset: int, *, wait_s: float) -> ReadOutcome:
-        """Read from an offset on; wait up to `wait_s` for the first record."""
+    async def read(
+        self,
+        topic: str,
+        offset: int,
+        *,
+        wait_s: float,
+        on_progress: Callable[[], None] = ignore_progress,
+    ) -> ReadOutcome:
+        """Read from an offset on; see `Store.read`."""
         if not self._uses_relay():
-            outcome = await self.direct.read(topic, offset, wait_s=wait_s)
+            outcome = await self.direct.read(topic, offset, wait_s=wait_s, on_progress=on_progress)
             self._record_direct_outcome(outcome)
             if not isinstance(outcome, OutOfReach):
                 return outcome
-        timeout_s = wait_s + READ_TIMEOUT_S
         return await self._relay_read(
-            lambda call_id: RelayRead(call_id, topic, offset, wait_s), timeout_s
+            lambda call_id: RelayRead(call_id, topic, offset, wait_s, in_parts=True),
+            wait_s + ANSWER_TIMEOUT_S,
+            on_progress,
         )
 
-    async def list_newest(self, topic: str, after_key: str) -> ReadOutcome:
-        """Read a page of the newest record of each key."""
+    async def list_newest(
+        self, topic: str, after_key: str, on_progress: Callable[[], None] = ignore_progress
+    ) -> ReadOutcome:
+        """Read a page of the newest record of each key; see `Store.list_newest`."""
         if not self._uses_relay():
-            outcome = await self.direct.list_newest(topic, after_key)
+            outcome = await self.direct.list_newest(topic, after_key, on_progress)
             self._record_direct_outcome(outcome)
             if not isinstance(outcome, OutOfReach):
                 return outcome
         return await self._relay_read(
-            lambda call_id: RelayList(call_id, topic, after_key), READ_TIMEOUT_S
+            lambda call_id: RelayList(call_id, topic, after_key, in_parts=True),
+            ANSWER_TIMEOUT_S,
+            on_progress,
         )
 
     def _uses_relay(self) -> bool:
@@ -139,14 +155,31 @@
             self.relay_until_s = loop_time() + RELAY_DURATION_S
         self.direct_available = not failed
 
-    async def _relay_read(self, make_call: Callable[[int], Call], timeout_s: float) -> ReadOutcome:
-        answer = await self._relay_call(make_call, timeout_s)
+    async def _relay_read(
+        self,
+        make_call: Callable[[int], Call],
+        timeout_s: float,
+        on_progress: Callable[[], None],
+    ) -> ReadOutcome:
+        parts: list[bytes] = []
+
+        def collect(part: RelayPart) -> None:
+            parts.append(part.data)
+            on_progress()
+
+        answer = await self._relay_call(make_call, timeout_s, collect)
         if isinstance(answer, NotStored | Unconfirmed):
             return OutOfReach(answer.detail)
-        return answer.read_outcome()
+        try:
+            return answer.join(parts).read_outcome()
+        except msgspec.DecodeError as error:
+            return OutOfReach(f"unreadable answer of a relay: {error}")
 
     async def _relay_call(
-        self, make_call: Callable[[int], Call], timeout_s: float
+        self,
+        make_call: Callable[[int], Call],
+        timeout_s: float,
+        on_part: Callable[[RelayPart], None] | None = None,
     ) -> RelayAnswer | NotStored | Unconfirmed:
         """Make a call through the first entry that reaches the store.
 
@@ -165,7 +198,7 @@
             if link is None:
                 continue
             call = make_call(link.next_call_id())
-            answer = await link.call(call, timeout_s + RELAY_MARGIN_S)
+            answer = await link.call(call, timeout_s + RELAY_MARGIN_S, on_part)
             if isinstance(answer, Closed | TimedOut):
                 self._close_link(address)
                 return Unconfirmed(f"no response from relay {address}")
--- a/packages/workflow/briardeal_workflow/relay/_server.py
+++ b/packages/workflow/briardeal_workflow/relay/_server.py
@@ -5,15 +5,19 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from briardeal_core.clock import loop_time
 from briardeal_protocol.connections import Closed
-from briardeal_workflow.control import RelayAnswer, RelayAppend, RelayList, RelayRead
-from briardeal_workflow.store import NotStored, OutOfReach
+from briardeal_workflow.control import RelayAnswer, RelayAppend, RelayList, RelayPart, RelayRead
+from briardeal_workflow.store import NotStored, OutOfReach, ignore_progress
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from briardeal_protocol.connections import Connection
-    from briardeal_workflow.store import Store
+    from briardeal_workflow.store import ReadOutcome, Store
+
+PROGRESS_INTERVAL_S = 0.25
+"""Interval at which the other entry is told that records arrive for it."""
 
 
 class RelayServer:
@@ -52,10 +56,35 @@
                 position=message.position,
                 timeout_s=message.timeout_s,
             )
-        elif isinstance(message, RelayRead):
-            outcome = await self.store.read(message.topic, message.offset, wait_s=message.wait_s)
-        elif isinstance(message, RelayList):
-            outcome = await self.store.list_newest(message.topic, message.after_key)
+        elif isinstance(message, RelayRead | RelayList):
+            outcome = await self._read(connection, message)
         else:
             return
-        await connection.send(RelayAnswer.from_outcome(message.call_id, outcome))
+        answer = RelayAnswer.from_outcome(message.call_id, outcome)
+        for each in answer.split() if getattr(message, "in_parts", False) else [answer]:
+            if await connection.send(each) is not None:
+                return
+
+    async def _read(self, connection: Connection, message: RelayRead | RelayList) -> ReadOutcome:
+        progress = _Progress(connection, message.call_id)
+        on_progress = progress.report if message.in_parts else ignore_progress
+        if isinstance(message, RelayRead):
+            return await self.store.read(
+                message.topic, message.offset, wait_s=message.wait_s, on_progress=on_progress
+            )
+        return await self.store.list_newest(message.topic, message.after_key, on_progress)
+
+
+class _Progress:
+    """Tells the other entry that the answer of the store to its call is arriving."""
+
+    def __init__(self, connection: Connection, call_id: int) -> None:
+        self.connection = connection
+        self.call_id = call_id
+        self.reported_s = float("-inf")
+
+    def report(self) -> None:
+        """Send a part without records, unless one was sent just before."""
+        if loop_time() - self.reported_s >= PROGRESS_INTERVAL_S:
+            self.reported_s = loop_time()
+            self.connection.post(RelayPart(self.call_id))
--- a/tests/workflow/relay/test_client.py
+++ b/tests/workflow/relay/test_client.py
@@ -4,13 +4,14 @@
 
 import asyncio
 
+import attrs
 import msgspec
 import pytest
 
 from briardeal_core.clock import loop_time
 from briardeal_protocol.connections import MemoryNetwork
 from briardeal_standins.emulator import MemoryStore, StoreClient, StoreFault
-from briardeal_workflow.control import CONTROL_CODEC
+from briardeal_workflow.control import CONTROL_CODEC, RelayAnswer, RelayRead
 from briardeal_workflow.relay import RelayedStore, RelayServer
 from briardeal_workflow.store import Appended, Record
 from tests.workflow.sites import run_site
@@ -101,3 +102,16 @@
     assert loop_time() - began_s < MAX_CALL_S
     for task in network.tasks:
         task.cancel()
+
+
+async def test_entry_of_an_earlier_version_gets_a_large_answer_in_one_message():
+    store, network = await serve_store_without_entry_0()
+    record = Record("key", b"v" * 100_000)
+    store.write("jobs", [record], None, None)
+    connection = await network.connect(ADDRESS)
+    await connection.send(RelayRead(1, "jobs", 0, 0.0))
+    answer = await connection.receive()
+    assert isinstance(answer, RelayAnswer)
+    assert answer.read_outcome().records == (attrs.evolve(record, offset=0),)
+    for task in network.tasks:
+        task.cancel()
