Follower: start no second read of an unreachable store while the first one is answered

Seen by callers: where evacuations are promised, a store that is back after a failure is read twice at the same time, and a large configuration arrives after twice the time its bytes need.

Cause: a read that had not ended after 0.5 s counted as unanswered, also while its answer arrived. Reads now report their progress, and no read is added within 0.5 s of a part of an answer.

test_unreachable_store_is_not_read_again_while_it_sends failed before: the link carried 412 kB for a record of 240 kB.

--- a/packages/workflow/briardeal_workflow/store/_follower.py
+++ b/packages/workflow/briardeal_workflow/store/_follower.py
@@ -18,8 +18,7 @@
 """Pause after a failed read; a store that has recovered is detected within this time."""
 
 MAX_PROBES = 2
-"""Reads of a store that does not answer which may overlap. More of them would share the slowest
-links, on which a read of the largest record takes 0.42 s alone."""
+"""Reads of a store that does not answer which may overlap."""
 
 PROBE_INTERVAL_S = 0.5
 """Time after which an unanswered read of an unreachable store is repeated."""
@@ -76,6 +75,7 @@
         self.confirmed_s = float("-inf")
         self.next_offset = 0
         self.reachable = True
+        self._progress_s = float("-inf")
         self._changed = asyncio.Event()
 
     @property
@@ -148,17 +148,24 @@
             self._advance(max(self.next_offset, page.next_offset), sent_s)
 
     async def _read(self, wait_s: float) -> ReadOutcome:
-        return await self.store.read(self.topic, self.next_offset, wait_s=wait_s)
+        return await self.store.read(
+            self.topic, self.next_offset, wait_s=wait_s, on_progress=self._record_progress
+        )
+
+    def _record_progress(self) -> None:
+        self._progress_s = boottime_s()
 
     async def _probe(self) -> tuple[ReadOutcome, float]:
         """Read an unreachable store with reads that overlap, until one is answered or none is left.
 
-        Returns the outcome, and when its read was sent.
+        While an answer is arriving, no read is added, as it would fetch the same records over the
+        same link. Returns the outcome, and when its read was sent.
         """
         sent_s: dict[asyncio.Task[ReadOutcome], float] = {}
         async with asyncio.TaskGroup() as tasks:
             while True:
-                if len(sent_s) < MAX_PROBES:
+                is_arriving = boottime_s() - self._progress_s < PROBE_INTERVAL_S
+                if not sent_s or (len(sent_s) < MAX_PROBES and not is_arriving):
                     sent_s[tasks.create_task(self._read(0.0))] = boottime_s()
                 ended, _ = await asyncio.wait(
                     sent_s, timeout=PROBE_INTERVAL_S, return_when=asyncio.FIRST_COMPLETED
