Follower: go on with a load after the last page that was read

Seen by callers: an entry that starts while the store fails now and then, or over a link on which some pages fail, comes back late or never, since each failed page sends it back to the first one.

Cause: an interrupted load forgot its pages. Class of fault: a transfer that starts again from the beginning.

The event load_restarted (517) becomes load_interrupted (518).

--- a/packages/core/briardeal_core/events/_catalogue.py
+++ b/packages/core/briardeal_core/events/_catalogue.py
@@ -123,9 +123,9 @@
     SNAPSHOT_WRITTEN = (514, "A snapshot was written to the log.")
     SNAPSHOT_REJECTED = (515, "A snapshot in the log is damaged or incomplete and was skipped.")
     APPEND_UNCERTAIN = (516, "An append was not acknowledged; the log is read to check for it.")
-    LOAD_RESTARTED = (
-        517,
-        "A page of the newest records did not come; they are read again from the first page.",
+    LOAD_INTERRUPTED = (
+        518,
+        "A page of the newest records did not come; it is read again, after those before it.",
     )
     CONFIGURATION_IN_FORCE = (520, "A configuration is in force in this process.")
     CONFIGURATION_LOST = (
--- a/packages/workflow/briardeal_workflow/store/_follower.py
+++ b/packages/workflow/briardeal_workflow/store/_follower.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import attrs
+
 from briardeal_core.clock import boottime_s
 from briardeal_core.events import Event, log_event
 from briardeal_workflow.store._interface import OutOfReach, Page, Trimmed
@@ -85,12 +87,14 @@
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
+        load = _Load()
         while True:
-            if not await self._load():
+            if not await self._continue(load):
                 await asyncio.sleep(RETRY_PAUSE_S)
                 continue
             self.caught_up.set()
-            await self._follow()
+            await self._follow(self.wait_s)
+            load = _Load()
 
     async def wait_until_read(self, offset: int) -> None:
         """Wait until all records before an offset have been read."""
@@ -98,44 +102,37 @@
             self._changed.clear()
             await self._changed.wait()
 
-    async def _load(self) -> bool:
-        """Read the newest record of each key and return whether the store answered every read."""
-        after_key = ""
-        pages = 0
-        first_end: int | None = None
-        keys: set[str] = set()
-        while True:
+    async def _continue(self, load: _Load) -> bool:
+        """Read the remaining pages of a load; return whether the store answered every read."""
+        while not load.complete:
             sent_s = boottime_s()
-            page = await self.store.list_newest(self.topic, after_key)
+            page = await self.store.list_newest(self.topic, load.after_key, self._record_progress)
+            self._update_reachable(page)
             if not isinstance(page, Page):
-                self._update_reachable(page)
-                log_event(Event.LOAD_RESTARTED, topic=self.topic, pages=pages, detail=str(page))
+                log_event(
+                    Event.LOAD_INTERRUPTED, topic=self.topic, pages=load.pages, detail=str(page)
+                )
                 return False
-            self._update_reachable(page)
-            if first_end is None:
-                first_end = page.next_offset
-            pages += 1
+            load.add(page, sent_s)
+            if self.on_loaded is not None:
+                load.keys.update(record.key for record in page.records)
             for record in page.records:
                 self.apply(record)
-            if self.on_loaded is not None:
-                keys.update(record.key for record in page.records)
-            if not page.next_key:
-                break
-            after_key = page.next_key
         if self.on_loaded is not None:
-            self.on_loaded(frozenset(keys), first_end)
+            self.on_loaded(frozenset(load.keys), load.first_end)
         # Records written while the pages were read have offsets from the end of the first page on.
-        self._advance(first_end, sent_s)
+        self._advance(load.first_end, load.sent_s)
         return True
 
-    async def _follow(self) -> None:
+    async def _follow(self, wait_s: float) -> None:
+        """Read new records until there is a gap; the first read waits up to `wait_s` seconds."""
         while True:
             sent_s = boottime_s()
             if self.probes_overlap and not self.reachable:
                 page, sent_s = await self._probe()
             else:
                 # Without a wait, the recovery of an unreachable store is detected at once.
-                page = await self._read(self.wait_s if self.reachable else 0.0)
+                page = await self._read(wait_s if self.reachable else 0.0)
             self._update_reachable(page)
             if isinstance(page, Trimmed):
                 log_event(Event.LOG_GAP_FOUND, topic=self.topic, offset=self.next_offset)
@@ -146,6 +143,7 @@
             for record in page.records:
                 self.apply(record)
             self._advance(max(self.next_offset, page.next_offset), sent_s)
+            wait_s = self.wait_s
 
     async def _read(self, wait_s: float) -> ReadOutcome:
         return await self.store.read(
@@ -195,3 +193,43 @@
             log_event(Event.LOG_RECOVERED, topic=self.topic)
         else:
             log_event(Event.LOG_UNAVAILABLE, topic=self.topic, detail=outcome.detail)
+
+
+@attrs.define
+class _Load:
+    """Progress of reading the newest record of each key, over reads that fail.
+
+    Pages are not a snapshot, so that a page may be read any time after the one before it: records
+    written since the first page have offsets from `first_end` on, and are read after the load.
+
+    Attributes
+    ----------
+    sent_s
+        When the newest page was requested, on the clock of `boottime_s`.
+    first_end
+        End of the topic when the first page was read.
+    after_key
+        Key after which the next page begins.
+    pages
+        Number of pages read.
+    keys
+        Keys that they list, if the follower reports them.
+    complete
+        Whether the last page has been read.
+    """
+
+    sent_s: float = float("-inf")
+    first_end: int = 0
+    after_key: str = ""
+    pages: int = 0
+    keys: set[str] = attrs.field(factory=set)
+    complete: bool = False
+
+    def add(self, page: Page, sent_s: float) -> None:
+        """Add the next page, which was requested at `sent_s`."""
+        if not self.pages:
+            self.first_end = page.next_offset
+        self.sent_s = sent_s
+        self.pages += 1
+        self.after_key = page.next_key
+        self.complete = not page.next_key
--- a/tests/workflow/entry/test_planning_progress.py
+++ b/tests/workflow/entry/test_planning_progress.py
@@ -23,7 +23,7 @@
         await asyncio.sleep(2.0)
         (line,) = lines_of(site, "planning_stalled")
         assert '"waits_for":"jobs"' in line
-        assert '"topic":"jobs","pages":0' in lines_of(site, "load_restarted")[0]
+        assert '"topic":"jobs","pages":0' in lines_of(site, "load_interrupted")[0]
         assert entry.metrics.planning_age_s.get({}) > 1.0
         site.store.late_pages.clear()
         await asyncio.sleep(2.0)
