Follower: count the age of a load from its first page

Seen by callers: after a load of several pages an entry could take a record that had changed since its page was read for confirmed, by up to the time of the load, and answer by it.

Cause: the age counted from the request of the last page. It now counts from the first one, and the first read after several pages does not wait, so that the age is short again at once.

--- a/packages/workflow/briardeal_workflow/store/_follower.py
+++ b/packages/workflow/briardeal_workflow/store/_follower.py
@@ -93,7 +93,8 @@
                 await asyncio.sleep(RETRY_PAUSE_S)
                 continue
             self.caught_up.set()
-            await self._follow(self.wait_s)
+            # Records may have been written while several pages were read.
+            await self._follow(self.wait_s if load.pages == 1 else 0.0)
             load = _Load()
 
     async def wait_until_read(self, offset: int) -> None:
@@ -205,7 +206,7 @@
     Attributes
     ----------
     sent_s
-        When the newest page was requested, on the clock of `boottime_s`.
+        When the first page was requested, on the clock of `boottime_s`.
     first_end
         End of the topic when the first page was read.
     after_key
@@ -228,8 +229,7 @@
     def add(self, page: Page, sent_s: float) -> None:
         """Add the next page, which was requested at `sent_s`."""
         if not self.pages:
-            self.first_end = page.next_offset
-        self.sent_s = sent_s
+            self.sent_s, self.first_end = sent_s, page.next_offset
         self.pages += 1
         self.after_key = page.next_key
         self.complete = not page.next_key
--- a/tests/workflow/store/test_follower.py
+++ b/tests/workflow/store/test_follower.py
@@ -7,6 +7,7 @@
 import attrs
 import pytest
 
+from briardeal_core.clock import boottime_s
 from briardeal_standins.emulator import MemoryStore, StoreClient
 from briardeal_workflow.store import Follower, OutOfReach, Record
 
@@ -85,3 +86,12 @@
     task.cancel()
     assert values["key-0000"] == b"2"
     assert values.get("key-1599") is None
+
+
+async def test_age_counts_from_the_first_page_of_a_load():
+    # Guards against records that changed during a load and count as confirmed at its last page.
+    _, client = make_store(fails=False)
+    follower = Follower(client, TOPIC, lambda record: None, WAIT_S)
+    began_s = boottime_s()
+    await load(follower)
+    assert follower.confirmed_s == pytest.approx(began_s, abs=0.1)
