Relay: stay with a store that answers other calls when one answer is lost

The links of the relaying entries filled up, reads of jobs and claims failed as well, and entries claimed the ownership: owner has no store.

Cause: any failed direct call diverted all calls of an entry for a second. A call now diverts the others only if no part of an answer to a direct call has arrived since its own answer was due.

test_lost_answer_does_not_divert_calls_from_a_store_that_answers failed before; test_answers_before_a_lost_one_was_due_do_not_count holds before and after.

--- a/packages/core/briardeal_core/http/_client.py
+++ b/packages/core/briardeal_core/http/_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 import h11
@@ -101,7 +102,7 @@
             Longest time until the response is complete, in seconds; with `on_data`, until it
             begins. `TransferDeadline` then decides how long the rest of it may take.
         on_data
-            Called whenever a part of the response has arrived.
+            Called whenever a part of the body of a successful response has arrived.
 
         Raises
         ------
@@ -168,21 +169,26 @@
 
 def _extend(
     timeout: asyncio.Timeout, timeout_s: float, on_data: Callable[[], None] | None
-) -> Callable[[int], None]:
+) -> Callable[[int, int], None]:
     """Return a function that extends a timeout with each part of a response that arrives."""
     if on_data is None:
-        return lambda received_bytes: None
+        return _ignore_data
     loop = asyncio.get_running_loop()
     deadline = TransferDeadline(timeout.when() - timeout_s, timeout_s)
 
-    def extend(received_bytes: int) -> None:
+    def extend(status: int, received_bytes: int) -> None:
         if not timeout.expired():
             timeout.reschedule(deadline.record(received_bytes, loop.time()))
-        on_data()
+        if status == HTTPStatus.OK:
+            on_data()
 
     return extend
 
 
+def _ignore_data(status: int, received_bytes: int) -> None:
+    """Let the timeout hold for the whole response."""
+
+
 def _describe_failure(error: Exception, connection: _ClientConnection | None) -> HttpFailure:
     received_bytes = 0 if connection is None else connection.received_bytes
     detail = f"{type(error).__name__}: {error}".removesuffix(": ")
@@ -205,7 +211,7 @@
     received_bytes
         Size of the part of the newest response that has arrived.
     on_data
-        Called with the size of each part of a response that arrives, in bytes.
+        Called with the status of a response and the size of each part of its body, in bytes.
     """
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -215,7 +221,7 @@
         self.last_used_s = 0.0
         self.reusable = False
         self.received_bytes = 0
-        self.on_data: Callable[[int], None] = lambda received_bytes: None
+        self.on_data: Callable[[int, int], None] = _ignore_data
 
     async def exchange(
         self,
@@ -250,13 +256,12 @@
             if event is h11.NEED_DATA:
                 data = await self.reader.read(READ_BYTES)
                 self.received_bytes += len(data)
-                if data:
-                    self.on_data(len(data))
                 self.protocol.receive_data(data)
             elif isinstance(event, h11.Response):
                 status = event.status_code
             elif isinstance(event, h11.Data):
                 body += event.data
+                self.on_data(status, len(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 return HttpReply(status, bytes(body))
             elif isinstance(event, h11.ConnectionClosed):
--- a/packages/workflow/briardeal_workflow/relay/_client.py
+++ b/packages/workflow/briardeal_workflow/relay/_client.py
@@ -62,6 +62,8 @@
         Whether the newest direct call to the store succeeded.
     relay_until_s
         Until when calls go through other entries, on the loop's clock.
+    direct_answer_s
+        When the newest part of an answer to a direct call arrived, on the loop's clock.
     """
 
     def __init__(
@@ -72,6 +74,7 @@
         self.network = network
         self.peers = peers
         self.relay_until_s = float("-inf")
+        self.direct_answer_s = float("-inf")
         self.direct_available = True
         self.direct_failing_since_s = float("-inf")
         self._links: dict[str, tuple[Link, asyncio.Task[object]]] = {}
@@ -90,6 +93,7 @@
         """Append records, all or none; see `Store.append`."""
         fields = (topic, tuple(records), expected_end, position, timeout_s)
         if not self._uses_relay():
+            sent_s = loop_time()
             outcome = await self.direct.append(
                 topic,
                 records,
@@ -97,7 +101,7 @@
                 position=position,
                 timeout_s=timeout_s,
             )
-            self._record_direct_outcome(outcome)
+            self._record_direct_outcome(outcome, sent_s)
             if not isinstance(outcome, NotStored):
                 return outcome
         answer = await self._relay_call(lambda call_id: RelayAppend(call_id, *fields), timeout_s)
@@ -113,9 +117,12 @@
     ) -> ReadOutcome:
         """Read from an offset on; see `Store.read`."""
         if not self._uses_relay():
-            outcome = await self.direct.read(topic, offset, wait_s=wait_s, on_progress=on_progress)
-            self._record_direct_outcome(outcome)
-            if not isinstance(outcome, OutOfReach):
+            due_s = loop_time() + wait_s
+            outcome = await self.direct.read(
+                topic, offset, wait_s=wait_s, on_progress=self._record_answers(on_progress)
+            )
+            self._record_direct_outcome(outcome, due_s)
+            if not isinstance(outcome, OutOfReach) or not self._uses_relay():
                 return outcome
         return await self._relay_read(
             lambda call_id: RelayRead(call_id, topic, offset, wait_s, in_parts=True),
@@ -128,9 +135,12 @@
     ) -> ReadOutcome:
         """Read a page of the newest record of each key; see `Store.list_newest`."""
         if not self._uses_relay():
-            outcome = await self.direct.list_newest(topic, after_key, on_progress)
-            self._record_direct_outcome(outcome)
-            if not isinstance(outcome, OutOfReach):
+            due_s = loop_time()
+            outcome = await self.direct.list_newest(
+                topic, after_key, self._record_answers(on_progress)
+            )
+            self._record_direct_outcome(outcome, due_s)
+            if not isinstance(outcome, OutOfReach) or not self._uses_relay():
                 return outcome
         return await self._relay_read(
             lambda call_id: RelayList(call_id, topic, after_key, in_parts=True),
@@ -141,9 +151,24 @@
     def _uses_relay(self) -> bool:
         return loop_time() < self.relay_until_s
 
-    def _record_direct_outcome(self, outcome: AppendOutcome | ReadOutcome) -> None:
-        """Record whether a direct call succeeded, and switch between direct calls and relays."""
+    def _record_answers(self, on_progress: Callable[[], None]) -> Callable[[], None]:
+        """Return a function to call when a part of an answer to a direct call has arrived."""
+
+        def record() -> None:
+            self.direct_answer_s = loop_time()
+            on_progress()
+
+        return record
+
+    def _record_direct_outcome(self, outcome: AppendOutcome | ReadOutcome, due_s: float) -> None:
+        """Record whether a direct call succeeded, and switch between direct calls and relays.
+
+        A call whose answer is lost does not divert the others from a store that has answered one of
+        them since `due_s`, when the answer was due.
+        """
         failed = isinstance(outcome, NotStored | Unconfirmed | OutOfReach)
+        if failed and self.direct_answer_s > due_s:
+            return
         if failed and self.direct_available:
             log_event(Event.STORE_DETOUR, detail=outcome.detail)
             self.direct_failing_since_s = loop_time()
@@ -153,6 +178,8 @@
             )
         if failed:
             self.relay_until_s = loop_time() + RELAY_DURATION_S
+        else:
+            self.direct_answer_s = loop_time()
         self.direct_available = not failed
 
     async def _relay_read(
--- a/packages/workflow/briardeal_workflow/store/_interface.py
+++ b/packages/workflow/briardeal_workflow/store/_interface.py
@@ -168,7 +168,7 @@
         wait_s
             Longest time for which the store waits for the first record, in seconds.
         on_progress
-            Called whenever a part of the answer has arrived.
+            Called whenever a part of the records has arrived.
         """
 
     async def list_newest(
--- a/tests/workflow/relay/test_client.py
+++ b/tests/workflow/relay/test_client.py
@@ -13,7 +13,7 @@
 from briardeal_standins.emulator import MemoryStore, StoreClient, StoreFault
 from briardeal_workflow.control import CONTROL_CODEC, RelayAnswer, RelayRead
 from briardeal_workflow.relay import RelayedStore, RelayServer
-from briardeal_workflow.store import Appended, Record
+from briardeal_workflow.store import Appended, OutOfReach, Page, Record
 from tests.workflow.sites import run_site
 
 pytestmark = pytest.mark.looptime
@@ -24,6 +24,9 @@
 MAX_DETOUR_S = 0.7
 """One connection that is not answered, and a relayed call."""
 
+LOST_READ_S = 0.6
+"""Time after which a read that is not answered has failed, beyond its wait."""
+
 MAX_CALL_S = 0.1
 """A relayed call over an open connection."""
 
@@ -115,3 +118,54 @@
     assert answer.read_outcome().records == (attrs.evolve(record, offset=0),)
     for task in network.tasks:
         task.cancel()
+
+
+class StoreWithLostRead:
+    """Store of which one read is not answered, while it answers all other calls."""
+
+    def __init__(self, store):
+        self.store = store
+        self.lost = ["op"]
+
+    async def read(self, topic, offset, *, wait_s, on_progress):
+        if topic in self.lost:
+            self.lost.remove(topic)
+            await asyncio.sleep(wait_s + LOST_READ_S)
+            return OutOfReach("no answer")
+        return await self.store.read(topic, offset, wait_s=wait_s, on_progress=on_progress)
+
+    async def append(self, *arguments, **fields):
+        return await self.store.append(*arguments, **fields)
+
+
+async def test_lost_answer_does_not_divert_calls_from_a_store_that_answers():
+    # Guards against calls that all go through another entry because one answer did not come.
+    store, network = await serve_store_without_entry_0()
+    store.faults.clear()
+    direct = StoreWithLostRead(StoreClient(store, "entry-0"))
+    client = RelayedStore("entry-0", direct, network, lambda: [ADDRESS])
+    read = asyncio.create_task(client.read("op", 0, wait_s=1.0))
+    await asyncio.sleep(1.0 + LOST_READ_S / 2)
+    await client.append("jobs", [Record("key", b"1")], timeout_s=1.0)
+    assert await read == OutOfReach("no answer")
+    await client.append("jobs", [Record("key", b"2")], timeout_s=1.0)
+    assert await client.read("op", 0, wait_s=0.0) == Page((), 0)
+    assert client.direct_available
+    assert network.connections == []
+    for task in network.tasks:
+        task.cancel()
+
+
+async def test_answers_before_a_lost_one_was_due_do_not_count():
+    # Guards against an entry that stays with a store which has answered until just before.
+    store, network = await serve_store_without_entry_0()
+    store.faults.clear()
+    direct = StoreWithLostRead(StoreClient(store, "entry-0"))
+    client = RelayedStore("entry-0", direct, network, lambda: [ADDRESS])
+    read = asyncio.create_task(client.read("op", 0, wait_s=1.0))
+    await asyncio.sleep(0.9)
+    await client.append("jobs", [Record("key", b"1")], timeout_s=1.0)
+    assert await read == Page((), 0)
+    assert not client.direct_available
+    for task in network.tasks:
+        task.cancel()
