Owner: read start records that take longer than a takeover waits

Seen by callers: after a takeover over a thin link, tasks that may run on VMs that have not reported could wait until those leases end, as their records were never read.

Cause: each try had 1.5 s for all pages and began with the first one, also after the takeover, when nothing but these tasks waits for it. A reader now keeps the pages that it has read, and has no limit after the takeover. Class of fault: a limit on a whole transfer that starts again from the beginning.

--- a/packages/workflow/briardeal_workflow/owner/_owner.py
+++ b/packages/workflow/briardeal_workflow/owner/_owner.py
@@ -28,7 +28,11 @@
     log_start_result,
     parse_outcome,
 )
-from briardeal_workflow.owner._start_records import STARTS_TOPIC, read_starts
+from briardeal_workflow.owner._start_records import (
+    READ_LIMIT_S,
+    STARTS_TOPIC,
+    StartRecordReader,
+)
 from briardeal_workflow.owner._summaries import SummarySource
 from briardeal_workflow.owner._takeover import PendingAgents
 from briardeal_workflow.owner._timing import (
@@ -136,6 +140,7 @@
         self.loaded = False
         self.wake = asyncio.Event()
         self.start_writer = FencedWriter(store, STARTS_TOPIC, ROLE, self.epoch)
+        self.start_reader = StartRecordReader(store)
         self.order_sender = OrderSender(
             self.epoch,
             self.start_writer,
@@ -190,7 +195,7 @@
             return
         self.pending_agents.fenced_s = boottime_s()
         self.progress.waits_for = "the records of starts"
-        starts = await self._read_starts()
+        starts = await self._read_starts(READ_LIMIT_S)
         self.progress.waits_for = "jobs up to the fence"
         await self.follower.wait_until_read(outcome.end)
         self._load(None if isinstance(starts, OutOfReach) else starts)
@@ -333,15 +338,17 @@
         since_s = min((each for each in since if each is not None), default=None)
         return 0.0 if since_s is None else boottime_s() - since_s
 
-    async def _read_starts(self) -> dict[str, tuple[tuple[TaskId, int], ...]] | OutOfReach | None:
+    async def _read_starts(
+        self, limit_s: float | None
+    ) -> dict[str, tuple[tuple[TaskId, int], ...]] | OutOfReach | None:
         """Return the attempts that earlier owners may have started, by VM; `None` if unknown.
 
-        Returns `OutOfReach` if they could not be read in time.
+        Returns `OutOfReach` if they could not be read within `limit_s` seconds.
         """
         owner = self.election.owner
         if owner is None or not owner.starts_recorded:
             return None
-        return await read_starts(self.store, self.pending_agents.epochs)
+        return await self.start_reader.read(self.pending_agents.epochs, limit_s)
 
     async def _read_missing_starts(
         self, starts: dict[str, tuple[tuple[TaskId, int], ...]] | OutOfReach | None
@@ -353,7 +360,7 @@
         """
         while isinstance(starts, OutOfReach) and not self.planner.takeover_complete:
             await asyncio.sleep(READ_AGAIN_S)
-            starts = await self._read_starts()
+            starts = await self._read_starts(limit_s=None)
             if isinstance(starts, dict) and not self.planner.takeover_complete:
                 held = self._hold_tasks(starts)
                 log_event(Event.LOG_RECOVERED, topic=STARTS_TOPIC, held_tasks=held)
--- a/packages/workflow/briardeal_workflow/owner/_start_records.py
+++ b/packages/workflow/briardeal_workflow/owner/_start_records.py
@@ -40,45 +40,70 @@
     return msgspec.msgpack.encode(StartRecord(tuple(attempts)))
 
 
-async def read_starts(
-    store: Store, required: Collection[str]
-) -> dict[str, tuple[tuple[TaskId, int], ...]] | OutOfReach | None:
-    """Return the recorded attempts by VM.
+class StartRecordReader:
+    """Reads the recorded attempts, and goes on after the last page if that takes several tries.
 
-    Returns `OutOfReach` if the store does not answer in time, and `None` if the record of a
-    required VM is malformed, each with a log line.
+    No earlier owner changes the records any more, so that a page may be read any time after the one
+    before it.
+
+    Parameters
+    ----------
+    store
+        Store that contains the records.
     """
-    try:
-        async with asyncio.timeout(READ_LIMIT_S):
-            records = await _read_all(store)
-    except TimeoutError:
-        records = OutOfReach(f"not read in {READ_LIMIT_S} s")
-    if isinstance(records, OutOfReach):
-        log_event(Event.LOG_UNAVAILABLE, topic=STARTS_TOPIC, detail=records.detail)
-        return records
-    starts = {}
-    for record in records:
+
+    def __init__(self, store: Store) -> None:
+        self.store = store
+        self._records: list[Record] = []
+        self._after_key = ""
+        self._complete = False
+
+    async def read(
+        self, required: Collection[str], limit_s: float | None
+    ) -> dict[str, tuple[tuple[TaskId, int], ...]] | OutOfReach | None:
+        """Return the recorded attempts by VM.
+
+        Returns `OutOfReach` if the store does not answer in time, and `None` if the record of a
+        required VM is malformed, each with a log line.
+
+        Parameters
+        ----------
+        required
+            VMs whose records have to be readable.
+        limit_s
+            Time for all reads, in seconds; `None` for no limit.
+        """
         try:
-            starts[record.key] = decode_msgpack(record.value or b"", StartRecord).attempts
-        except msgspec.DecodeError as error:
-            log_event(Event.RECORD_BROKEN, key=record.key, offset=record.offset, detail=str(error))
-            if record.key in required:
-                return None
-    return starts
-
-
-async def _read_all(store: Store) -> list[Record] | OutOfReach:
-    records: list[Record] = []
-    after_key, failures = "", 0
-    while True:
-        page = await store.list_newest(STARTS_TOPIC, after_key)
-        if isinstance(page, Page):
-            records += page.records
-            after_key = page.next_key
-            if not after_key:
-                return records
-            continue
-        failures += 1
-        if failures == READ_TRIES:
-            return OutOfReach(str(page))
-        await asyncio.sleep(RETRY_PAUSE_S)
+            async with asyncio.timeout(limit_s):
+                failure = await self._read_pages()
+        except TimeoutError:
+            failure = OutOfReach(f"not read in {limit_s} s")
+        if failure is not None:
+            log_event(Event.LOG_UNAVAILABLE, topic=STARTS_TOPIC, detail=failure.detail)
+            return failure
+        starts = {}
+        for record in self._records:
+            try:
+                starts[record.key] = decode_msgpack(record.value or b"", StartRecord).attempts
+            except msgspec.DecodeError as error:
+                log_event(
+                    Event.RECORD_BROKEN, key=record.key, offset=record.offset, detail=str(error)
+                )
+                if record.key in required:
+                    return None
+        return starts
+
+    async def _read_pages(self) -> OutOfReach | None:
+        failures = 0
+        while not self._complete:
+            page = await self.store.list_newest(STARTS_TOPIC, self._after_key)
+            if isinstance(page, Page):
+                self._records += page.records
+                self._after_key = page.next_key
+                self._complete = not page.next_key
+                continue
+            failures += 1
+            if failures == READ_TRIES:
+                return OutOfReach(str(page))
+            await asyncio.sleep(RETRY_PAUSE_S)
+        return None
