--- a/packages/workflow/briardeal_workflow/relay/_client.py
+++ b/packages/workflow/briardeal_workflow/relay/_client.py
@@ -60,8 +60,8 @@
     ----------
     direct_available
         Whether the newest direct call to the store succeeded.
-    relay_until_s
-        Until when calls go through other entries, on the loop's clock.
+    relay_until_s, relay_appends_until_s
+        Until when all calls, and appends alone, go through other entries, on the loop's clock.
     direct_answer_s
         When the newest part of an answer to a direct call arrived, on the loop's clock.
     """
@@ -74,6 +74,7 @@
         self.network = network
         self.peers = peers
         self.relay_until_s = float("-inf")
+        self.relay_appends_until_s = float("-inf")
         self.direct_answer_s = float("-inf")
         self.direct_available = True
         self.direct_failing_since_s = float("-inf")
@@ -92,7 +93,7 @@
     ) -> AppendOutcome:
         """Append records, all or none; see `Store.append`."""
         fields = (topic, tuple(records), expected_end, position, timeout_s)
-        if not self._uses_relay():
+        if not self._uses_relay() and loop_time() >= self.relay_appends_until_s:
             sent_s = loop_time()
             outcome = await self.direct.append(
                 topic,
@@ -164,10 +165,12 @@
         """Record whether a direct call succeeded, and switch between direct calls and relays.
 
         A call whose answer is lost does not divert the others from a store that has answered one of
-        them since `due_s`, when the answer was due.
+        them since `due_s`, when the answer was due; an append diverts further appends.
         """
         failed = isinstance(outcome, NotStored | Unconfirmed | OutOfReach)
         if failed and self.direct_answer_s > due_s:
+            if not isinstance(outcome, OutOfReach):
+                self.relay_appends_until_s = loop_time() + RELAY_DURATION_S
             return
         if failed and self.direct_available:
             log_event(Event.STORE_DETOUR, detail=outcome.detail)
@@ -235,7 +238,7 @@
                 return answer
             failed = answer
         # No entry reaches the store, so the next call goes to the store directly again.
-        self.relay_until_s = float("-inf")
+        self.relay_until_s = self.relay_appends_until_s = float("-inf")
         return failed
 
     def _open_link(self, address: str) -> Link | None:
