Appends: allow for the time that records take to reach the store

Seen by callers: over a thin link a job with a large body is answered with 504 after two tries, and an owner whose progress is large loses the ownership, as the append is never stored.

Cause: an append had 0.7 s for its records to arrive and for the answer, and was dropped and sent again from the start. Urgent appends were repeated each 0.25 s beside the one under way. Class of fault: the same limit on a whole transfer as for reads.

--- a/packages/workflow/briardeal_workflow/gateway/_gateway.py
+++ b/packages/workflow/briardeal_workflow/gateway/_gateway.py
@@ -14,7 +14,7 @@
 from briardeal_workflow.admission import URGENT
 from briardeal_workflow.job_table import cancel_key, encode_record, job_key
 from briardeal_workflow.model import find_validation_error
-from briardeal_workflow.store import Appended, NotStored, Page, Record
+from briardeal_workflow.store import Appended, NotStored, Page, Record, estimate_upload_s
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -26,7 +26,8 @@
     from briardeal_workflow.store import Follower, Store
 
 APPEND_TIMEOUT_S = 0.7
-"""Timeout of one append; a healthy store answers within 10 ms, a silent connection never."""
+"""Time for the answer to an append; a healthy store answers within 10 ms, a silent connection
+never."""
 
 RETRY_PAUSE_S = 0.1
 """Pause before an unanswered append is repeated."""
@@ -248,9 +249,8 @@
             remaining_s = deadline_s - loop_time()
             if remaining_s <= 0:
                 break
-            outcome = await self.store.append(
-                self.topic, [record], timeout_s=min(APPEND_TIMEOUT_S, remaining_s)
-            )
+            timeout_s = min(APPEND_TIMEOUT_S + estimate_upload_s([record]), remaining_s)
+            outcome = await self.store.append(self.topic, [record], timeout_s=timeout_s)
             if isinstance(outcome, Appended):
                 self.unconfirmed_jobs.pop(job_id, None)
                 self.apply(attrs.evolve(record, offset=outcome.end - 1))
--- a/packages/workflow/briardeal_workflow/relay/_client.py
+++ b/packages/workflow/briardeal_workflow/relay/_client.py
@@ -17,7 +17,13 @@
     RelayList,
     RelayRead,
 )
-from briardeal_workflow.store import NotStored, OutOfReach, Unconfirmed, ignore_progress
+from briardeal_workflow.store import (
+    NotStored,
+    OutOfReach,
+    Unconfirmed,
+    estimate_upload_s,
+    ignore_progress,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -105,7 +111,10 @@
             self._record_direct_outcome(outcome, sent_s)
             if not isinstance(outcome, NotStored):
                 return outcome
-        answer = await self._relay_call(lambda call_id: RelayAppend(call_id, *fields), timeout_s)
+        # The records cross a second link.
+        answer = await self._relay_call(
+            lambda call_id: RelayAppend(call_id, *fields), timeout_s + estimate_upload_s(records)
+        )
         return answer if isinstance(answer, NotStored | Unconfirmed) else answer.append_outcome()
 
     async def read(
--- a/packages/workflow/briardeal_workflow/store/__init__.py
+++ b/packages/workflow/briardeal_workflow/store/__init__.py
@@ -17,6 +17,7 @@
     Unconfirmed,
     ignore_progress,
 )
+from briardeal_workflow.store._upload import estimate_upload_s
 from briardeal_workflow.store._writer import FencedWriter
 
 __all__ = [
@@ -35,5 +36,6 @@
     "Store",
     "Trimmed",
     "Unconfirmed",
+    "estimate_upload_s",
     "ignore_progress",
 ]
--- a/packages/workflow/briardeal_workflow/store/_writer.py
+++ b/packages/workflow/briardeal_workflow/store/_writer.py
@@ -7,6 +7,7 @@
 
 from briardeal_core.clock import boottime_s, loop_time
 from briardeal_workflow.store._interface import Appended, Fenced, NotStored, Position, Unconfirmed
+from briardeal_workflow.store._upload import estimate_upload_s
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -14,7 +15,7 @@
     from briardeal_workflow.store._interface import AppendOutcome, Record, Store
 
 APPEND_TIMEOUT_S = 0.7
-"""Timeout of one append; a healthy store answers within 10 ms."""
+"""Time for the answer to an append; a healthy store answers within 10 ms."""
 
 RETRY_PAUSE_S = 0.2
 """Pause before a failed append is repeated."""
@@ -69,12 +70,13 @@
         """Append records; calls that are not answered soon overlap with repetitions of them."""
         async with self._lock, asyncio.TaskGroup() as tasks:
             sequence = self._sequence
+            repeat_after_s = REPEAT_AFTER_S + estimate_upload_s(records)
             calls: set[asyncio.Task[AppendOutcome]] = set()
             stored: Appended | None = None
             while stored is None and not self.fenced:
                 calls.add(tasks.create_task(self._call(records, sequence)))
                 answered, calls = await asyncio.wait(
-                    calls, timeout=REPEAT_AFTER_S, return_when=asyncio.FIRST_COMPLETED
+                    calls, timeout=repeat_after_s, return_when=asyncio.FIRST_COMPLETED
                 )
                 outcomes = [call.result() for call in answered]
                 stored = next((each for each in outcomes if isinstance(each, Appended)), None)
@@ -95,8 +97,9 @@
         """Send one append, and record its outcome."""
         sent_s, sent_loop_s = boottime_s(), loop_time()
         position = Position(self.writer, self.epoch, sequence)
+        timeout_s = APPEND_TIMEOUT_S + estimate_upload_s(records)
         outcome = await self.store.append(
-            self.topic, records, position=position, timeout_s=APPEND_TIMEOUT_S
+            self.topic, records, position=position, timeout_s=timeout_s
         )
         if isinstance(outcome, Appended):
             self.confirmed_s = max(self.confirmed_s, sent_s)
