HTTP client: after a timeout, reuse no connection that was idle before

Seen by callers: after all connections of an entry have gone silent at once, each idle connection to the store costs one more timeout of 0.6 s, and the configuration ages by as much.

Cause: only the connection that had failed was closed. Idle ones that have not been used since the failed request was sent are closed with it now; later use shows that the others live.

test_connections_that_went_silent_together_fail_once failed before: the second read timed out, too.

--- a/packages/core/briardeal_core/http/_client.py
+++ b/packages/core/briardeal_core/http/_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import TYPE_CHECKING
@@ -110,6 +111,7 @@
             If the calling task is cancelled; the connection is closed.
         """
         connection: _ClientConnection | None = None
+        began_s = asyncio.get_running_loop().time()
         try:
             async with asyncio.timeout(timeout_s) as timeout:
                 connection = self._pop_idle() or await self._open()
@@ -118,6 +120,8 @@
         except (OSError, OverflowError, h11.ProtocolError) as error:
             if connection is not None:
                 connection.close()
+            if isinstance(error, TimeoutError):
+                self._close_idle(began_s)
             return _describe_failure(error, connection)
         except asyncio.CancelledError:
             if connection is not None:
@@ -128,8 +132,19 @@
 
     def close(self) -> None:
         """Close the idle connections."""
-        while self._idle:
-            self._idle.pop().close()
+        self._close_idle(math.inf)
+
+    def _close_idle(self, used_until_s: float) -> None:
+        """Close the idle connections that have not been used since.
+
+        Connections may all go silent at the same time. If one has, only a use since then shows that
+        another has not.
+        """
+        used = [each for each in self._idle if each.last_used_s > used_until_s]
+        for connection in self._idle:
+            if connection not in used:
+                connection.close()
+        self._idle = used
 
     def _pop_idle(self) -> _ClientConnection | None:
         now_s = asyncio.get_running_loop().time()
