Relay: read directly again while a large answer still arrives from another entry

Cause: their reads went through other entries, whose links carried several large answers at once, and an answer that was arriving was waited for to its end. When direct calls are due again, such a read is made directly as well, and the first answer counts.

--- a/packages/workflow/briardeal_workflow/control/__init__.py
+++ b/packages/workflow/briardeal_workflow/control/__init__.py
@@ -24,6 +24,7 @@
 from briardeal_workflow.control._relay import (
     RelayAnswer,
     RelayAppend,
+    RelayCancel,
     RelayHello,
     RelayList,
     RelayPart,
@@ -49,6 +50,7 @@
     "OwnerHeartbeat",
     "RelayAnswer",
     "RelayAppend",
+    "RelayCancel",
     "RelayHello",
     "RelayList",
     "RelayPart",
--- a/packages/workflow/briardeal_workflow/control/_codec.py
+++ b/packages/workflow/briardeal_workflow/control/_codec.py
@@ -23,6 +23,7 @@
     | relay.RelayAppend
     | relay.RelayRead
     | relay.RelayList
+    | relay.RelayCancel
     | relay.RelayPart
     | relay.RelayAnswer
 )
--- a/packages/workflow/briardeal_workflow/control/_relay.py
+++ b/packages/workflow/briardeal_workflow/control/_relay.py
@@ -85,6 +85,12 @@
     in_parts: bool = False
 
 
+class RelayCancel(msgspec.Struct, frozen=True, tag="relay_cancel"):
+    """Request to drop a call, as its answer is not needed any more."""
+
+    call_id: int
+
+
 class RelayPart(msgspec.Struct, frozen=True, tag="relay_part", omit_defaults=True):
     """Part of the records of an answer that follows, or progress of the relaying entry.
 
--- a/packages/workflow/briardeal_workflow/relay/_client.py
+++ b/packages/workflow/briardeal_workflow/relay/_client.py
@@ -13,6 +13,7 @@
 from briardeal_workflow.control import (
     RelayAnswer,
     RelayAppend,
+    RelayCancel,
     RelayHello,
     RelayList,
     RelayRead,
@@ -26,7 +27,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Awaitable, Callable, Sequence
 
     from briardeal_protocol.connections import Call, Network
     from briardeal_workflow.control import RelayPart
@@ -126,17 +127,10 @@
         on_progress: Callable[[], None] = ignore_progress,
     ) -> ReadOutcome:
         """Read from an offset on; see `Store.read`."""
-        if not self._uses_relay():
-            due_s = loop_time() + wait_s
-            outcome = await self.direct.read(
-                topic, offset, wait_s=wait_s, on_progress=self._record_answers(on_progress)
-            )
-            self._record_direct_outcome(outcome, due_s)
-            if not isinstance(outcome, OutOfReach) or not self._uses_relay():
-                return outcome
-        return await self._relay_read(
+        return await self._read(
+            lambda record: self.direct.read(topic, offset, wait_s=wait_s, on_progress=record),
             lambda call_id: RelayRead(call_id, topic, offset, wait_s, in_parts=True),
-            wait_s + ANSWER_TIMEOUT_S,
+            wait_s,
             on_progress,
         )
 
@@ -144,20 +138,80 @@
         self, topic: str, after_key: str, on_progress: Callable[[], None] = ignore_progress
     ) -> ReadOutcome:
         """Read a page of the newest record of each key; see `Store.list_newest`."""
-        if not self._uses_relay():
-            due_s = loop_time()
-            outcome = await self.direct.list_newest(
-                topic, after_key, self._record_answers(on_progress)
-            )
-            self._record_direct_outcome(outcome, due_s)
-            if not isinstance(outcome, OutOfReach) or not self._uses_relay():
-                return outcome
-        return await self._relay_read(
+        return await self._read(
+            lambda record: self.direct.list_newest(topic, after_key, record),
             lambda call_id: RelayList(call_id, topic, after_key, in_parts=True),
-            ANSWER_TIMEOUT_S,
+            0.0,
             on_progress,
         )
 
+    async def _read(
+        self,
+        read_directly: Callable[[Callable[[], None]], Awaitable[ReadOutcome]],
+        make_call: Callable[[int], Call],
+        wait_s: float,
+        on_progress: Callable[[], None],
+    ) -> ReadOutcome:
+        """Read directly, or through another entry while direct calls fail.
+
+        A large answer that is still arriving from another entry when direct calls are due again is
+        read directly as well, and the first answer counts: the link of the other entry may carry
+        answers for several entries.
+
+        Parameters
+        ----------
+        read_directly
+            Makes the direct call, with the function to call on progress.
+        make_call
+            Returns the relayed call with a number.
+        wait_s
+            Longest time for which the store waits for a record, in seconds.
+        on_progress
+            Called whenever a part of the records has arrived.
+        """
+        if not self._uses_relay():
+            outcome = await self._read_directly(read_directly, wait_s, on_progress)
+            if not isinstance(outcome, OutOfReach) or not self._uses_relay():
+                return outcome
+        arriving = asyncio.Event()
+
+        def record_part() -> None:
+            arriving.set()
+            on_progress()
+
+        timeout_s = wait_s + ANSWER_TIMEOUT_S
+        async with asyncio.TaskGroup() as tasks:
+            relayed = tasks.create_task(self._relay_read(make_call, timeout_s, record_part))
+            waiting = tasks.create_task(arriving.wait())
+            await asyncio.wait({relayed, waiting}, return_when=asyncio.FIRST_COMPLETED)
+            waiting.cancel()
+            pause_s = self.relay_until_s - loop_time()
+            while not relayed.done():
+                await asyncio.wait({relayed}, timeout=max(0.0, pause_s))
+                if relayed.done():
+                    break
+                direct = tasks.create_task(self._read_directly(read_directly, wait_s, on_progress))
+                await asyncio.wait({relayed, direct}, return_when=asyncio.FIRST_COMPLETED)
+                if direct.done() and not isinstance(direct.result(), OutOfReach):
+                    relayed.cancel()
+                    return direct.result()
+                if relayed.done() and isinstance(relayed.result(), OutOfReach):
+                    return await direct
+                direct.cancel()
+                pause_s = RELAY_DURATION_S
+        return relayed.result()
+
+    async def _read_directly(
+        self,
+        read_directly: Callable[[Callable[[], None]], Awaitable[ReadOutcome]],
+        wait_s: float,
+        on_progress: Callable[[], None],
+    ) -> ReadOutcome:
+        due_s = loop_time() + wait_s
+        outcome = await read_directly(self._record_answers(on_progress))
+        self._record_direct_outcome(outcome, due_s)
+        return outcome
+
     def _uses_relay(self) -> bool:
         return loop_time() < self.relay_until_s
 
@@ -237,7 +291,11 @@
             if link is None:
                 continue
             call = make_call(link.next_call_id())
-            answer = await link.call(call, timeout_s + RELAY_MARGIN_S, on_part)
+            try:
+                answer = await link.call(call, timeout_s + RELAY_MARGIN_S, on_part)
+            except asyncio.CancelledError:
+                link.connection.post(RelayCancel(call.call_id))
+                raise
             if isinstance(answer, Closed | TimedOut):
                 self._close_link(address)
                 return Unconfirmed(f"no response from relay {address}")
--- a/packages/workflow/briardeal_workflow/relay/_server.py
+++ b/packages/workflow/briardeal_workflow/relay/_server.py
@@ -7,7 +7,14 @@
 
 from briardeal_core.clock import loop_time
 from briardeal_protocol.connections import Closed
-from briardeal_workflow.control import RelayAnswer, RelayAppend, RelayList, RelayPart, RelayRead
+from briardeal_workflow.control import (
+    RelayAnswer,
+    RelayAppend,
+    RelayCancel,
+    RelayList,
+    RelayPart,
+    RelayRead,
+)
 from briardeal_workflow.store import NotStored, OutOfReach, ignore_progress
 
 if TYPE_CHECKING:
@@ -37,12 +44,20 @@
 
     async def serve(self, connection: Connection) -> None:
         """Serve the calls on a connection until it closes."""
+        calls: dict[int, asyncio.Task[None]] = {}
         async with asyncio.TaskGroup() as tasks:
             while True:
                 message = await connection.receive()
                 if isinstance(message, Closed):
                     return
-                tasks.create_task(self._serve_call(connection, message))
+                if isinstance(message, RelayCancel):
+                    if message.call_id in calls:
+                        calls[message.call_id].cancel()
+                    continue
+                call = tasks.create_task(self._serve_call(connection, message))
+                if isinstance(message, RelayRead | RelayList):
+                    calls[message.call_id] = call
+                    call.add_done_callback(lambda _, id_=message.call_id: calls.pop(id_))
 
     async def _serve_call(self, connection: Connection, message: object) -> None:
         if not self.is_available():
--- a/tests/workflow/relay/test_client.py
+++ b/tests/workflow/relay/test_client.py
@@ -11,7 +11,7 @@
 from briardeal_core.clock import loop_time
 from briardeal_protocol.connections import MemoryNetwork
 from briardeal_standins.emulator import MemoryStore, StoreClient, StoreFault
-from briardeal_workflow.control import CONTROL_CODEC, RelayAnswer, RelayRead
+from briardeal_workflow.control import CONTROL_CODEC, RelayAnswer, RelayCancel, RelayRead
 from briardeal_workflow.relay import RelayedStore, RelayServer
 from briardeal_workflow.store import Appended, OutOfReach, Page, Record
 from tests.workflow.sites import run_site
@@ -169,3 +169,32 @@
     assert not client.direct_available
     for task in network.tasks:
         task.cancel()
+
+
+class WaitingStore:
+    """Store whose reads are never answered."""
+
+    def __init__(self):
+        self.cancelled = 0
+
+    async def read(self, *_, **__):
+        try:
+            await asyncio.Event().wait()
+        finally:
+            self.cancelled += 1
+
+
+async def test_cancelled_call_is_dropped_by_the_relay():
+    # Guards against relays that go on to send answers which nothing waits for.
+    store, network = WaitingStore(), MemoryNetwork(codec=CONTROL_CODEC)
+    await network.listen(ADDRESS, RelayServer(store, lambda: True).serve)
+    connection = await network.connect(ADDRESS)
+    for call_id in (1, 2):
+        await connection.send(RelayRead(call_id, "jobs", 0, 0.0))
+    await asyncio.sleep(0.1)
+    await connection.send(RelayCancel(1))
+    await connection.send(RelayCancel(3))
+    await asyncio.sleep(0.1)
+    assert store.cancelled == 1
+    for task in network.tasks:
+        task.cancel()
