HTTP server: parse pipelined requests only when those before them are answered

Cause: a piece of 16 KB was parsed at once, up to 600 requests, and a parsed request takes over ten times its bytes, which the budget does not count. Class of fault: memory by a multiple of what is counted. Requests are now parsed in slices of 1 KB, and only once those before them were answered; the rest of a piece is held as it came. Bodies of a known length are still parsed at once.

test_pipelined_requests_are_parsed_no_further_ahead_than_one_slice failed before.

--- a/packages/core/briardeal_core/http/_connection.py
+++ b/packages/core/briardeal_core/http/_connection.py
@@ -33,6 +33,12 @@
 """Bytes that are received and discarded on a refused connection, so that clients that send before
 they read come to the answer; twice the largest body."""
 
+SLICE_BYTES = 1_024
+"""Size of the slices in which small requests are parsed.
+
+A parsed request takes over ten times its bytes, so that no whole piece is parsed ahead of the
+answers."""
+
 TURN_BYTES = 512
 """Size from which a piece that does not end its request makes the connection wait for its turn.
 
@@ -42,7 +48,8 @@
 class HttpConnection(asyncio.BufferedProtocol):
     """Reads the requests of one client and answers them one after the other.
 
-    At most one piece is read while a request is served, so that a client can't pile up requests.
+    At most one piece is read while a request is served, and requests are parsed when those before
+    them have been answered, so that a client can't pile up requests.
 
     Parameters
     ----------
@@ -57,6 +64,7 @@
         self.holding: Holding = server.budget.open(self, now_s)
         self.transport: asyncio.Transport | None = None
         self.parser: RequestParser | None = RequestParser(server.limits)
+        self.unparsed = b""
         self.serving: ParsedRequest | None = None
         self.flush_since_s: float | None = None
         self.discarded_bytes = 0
@@ -88,11 +96,13 @@
             return
         if self.holding.phase is Phase.IDLE:
             parser.limits = self.server.limits
-        parser.feed(self.server.buffer[:nbytes])
+        piece = self.server.buffer[:nbytes]
         if self.serving is not None or self.flush_since_s is not None:
+            self.unparsed += piece
             self.transport.pause_reading()
-        elif parser.complete:
-            self._enter(Phase.SERVING)
+            return
+        self._parse(parser, piece)
+        if parser.complete:
             self._serve_next()
         else:
             self._continue_reading(parser, nbytes)
@@ -193,7 +203,16 @@
         """Read the next piece."""
         self._resume()
 
+    def _parse(self, parser: RequestParser, data: memoryview | bytes) -> None:
+        """Parse up to the end of a request, and keep what follows it."""
+        while data and not (parser.complete or parser.ended or parser.refused is not None):
+            size = max(SLICE_BYTES, parser.missing_body_bytes)
+            parser.feed(data[:size])
+            data = data[size:]
+        self.unparsed = bytes(data)
+
     def _release(self) -> None:
+        self.unparsed = b""
         if self.parser is not None:
             self.parser.release()
             self.parser = None
@@ -227,8 +246,9 @@
 
     def _serve_next(self) -> None:
         """Serve the requests that were read, then read on."""
-        while self.parser is not None and self.parser.complete and self.flush_since_s is None:
+        while self._has_request() and self.flush_since_s is None:
             self.serving = self.parser.complete.popleft()
+            self._enter(Phase.SERVING)
             self._hold_served()
             self.server.active_requests += 1
             try:
@@ -243,6 +263,14 @@
         if self.parser is not None and self.flush_since_s is None:
             self._read_on(self.parser)
 
+    def _has_request(self) -> bool:
+        """Return whether a request that was read waits for its answer."""
+        if self.parser is None:
+            return False
+        if not self.parser.complete:
+            self._parse(self.parser, self.unparsed)
+        return bool(self.parser.complete)
+
     def _hold_served(self) -> None:
         """Count the requests that were read; pipelined ones are as small as one piece in all."""
         held_bytes = len(self.serving.request.body)
@@ -266,7 +294,7 @@
         # Requests that were read whole are answered also while the server stops.
         last = not parsed.keep_alive
         if self.server.draining or self.half_closed:
-            last = last or not self.parser.complete
+            last = last or not self._has_request()
         head_only = parsed.request.method == "HEAD"
         self.transport.write(encode_reply(reply, head_only=head_only, close=last))
         if last:
--- a/packages/core/briardeal_core/http/_parser.py
+++ b/packages/core/briardeal_core/http/_parser.py
@@ -109,6 +109,13 @@
         """Size of what is held of the request that has not ended."""
         return self._header_bytes + len(self._body) + self._stray_bytes
 
+    @property
+    def missing_body_bytes(self) -> int:
+        """Size of the rest of the body of that request, if its length is known; else 0."""
+        if not self.in_body:
+            return 0
+        return int(self._headers.get("content-length") or 0) - len(self._body)
+
     @property
     def waits_for_continue(self) -> bool:
         """Whether the client waits for a response before it sends the body."""
--- a/tests/core/http/test_server.py
+++ b/tests/core/http/test_server.py
@@ -9,6 +9,7 @@
 import pytest
 
 from briardeal_core.http import HttpLimits, HttpServer, ListenerBudget, Reply
+from briardeal_core.http._connection import SLICE_BYTES
 from briardeal_core.http._turns import PIECES_IN_TURN, Turns
 
 LIMITS = HttpLimits(max_header_bytes=1_000, max_body_bytes=200_000)
@@ -233,3 +234,24 @@
         assert len(resumed) == done * PIECES_IN_TURN
     await asyncio.sleep(0)
     assert turns.read_on(Connection())
+
+
+async def test_pipelined_requests_are_parsed_no_further_ahead_than_one_slice():
+    # Guards against small requests whose parsed form takes many times the bytes that are counted.
+    count = 2_000
+    released = asyncio.Event()
+
+    async def handle_later(request):
+        await released.wait()
+        return echo(request)
+
+    async with run_server(handle_later) as server:
+        reader, writer = await connect(server)
+        writer.write(GET * count)
+        await settle()
+        (holding,) = server.budget.holdings
+        assert len(holding.connection.parser.complete) <= SLICE_BYTES // len(GET)
+        released.set()
+        for _ in range(count):
+            assert (await read_answer(reader))[1] == b"/a 0"
+        writer.close()
