HTTP server: close connections for others whose answers are not read

Seen by callers: a crowd of clients that never read their answers takes all places of an entry or of an agent's registry, and ordinary requests get 503 for as long as the crowd stays (30 s idle time, and longer for clients that come again).

Cause: such a connection counted as being served until its answer was read, and served ones are never closed. It now has a phase of its own: after 1 s it is closed for others before idle connections are, and younger ones are closed last. Class of fault: a place that a client can keep without limit.

test_connections_whose_answers_are_not_read_give_way_to_others failed before (503). At an entry ordinary requests still get 503 while the crowd's requests are being served; that follows.

--- a/packages/core/briardeal_core/http/_budget.py
+++ b/packages/core/briardeal_core/http/_budget.py
@@ -64,6 +64,13 @@
     IDLE = 1
     READING = 2
     SERVING = 3
+    WRITING = 4
+    """Its client has not read an answer that was written to it."""
+
+
+SETTLED_RANKS = {Phase.WRITING: 1, Phase.IDLE: 2, Phase.READING: 3}
+YOUNG_RANKS = {Phase.IDLE: 4, Phase.READING: 5, Phase.WRITING: 6}
+"""Order in which connections are closed by what they do, above and below the age of `SETTLED_S`."""
 
 
 class ListenerBudget(msgspec.Struct, frozen=True):
@@ -145,9 +152,10 @@
     """Decides which connections of a listener are closed for others.
 
     Answers crowds of clients that together hold more memory or descriptors than the process has,
-    most of them by stopping just short of the end of a request. Connections that were refused go
-    first, then those that have been idle for a while, then reads that have lasted for a while, the
-    slowest first, and then the youngest of both. A request that was read to its end stays.
+    most of them by stopping just short of the end of a request, or by not reading their answers.
+    Connections that were refused go first, then those whose client has not read its answer for a
+    while, those that have been idle for a while, and reads that have lasted for a while, the
+    slowest first; then the younger ones, unread answers last. A request being served stays.
 
     Parameters
     ----------
@@ -236,7 +244,8 @@
     age_s = now_s - holding.since_s
     if holding.phase is Phase.REFUSED:
         return (0, -age_s)
-    idle = holding.phase is Phase.IDLE
     if age_s < SETTLED_S:
-        return (3 if idle else 4, -age_s)
-    return (1, -age_s) if idle else (2, holding.held_bytes / age_s)
+        return (YOUNG_RANKS[holding.phase], -age_s)
+    if holding.phase is Phase.READING:
+        return (SETTLED_RANKS[holding.phase], holding.held_bytes / age_s)
+    return (SETTLED_RANKS[holding.phase], -age_s)
--- a/packages/core/briardeal_core/http/_connection.py
+++ b/packages/core/briardeal_core/http/_connection.py
@@ -21,6 +21,9 @@
 IDLE_FOR_OTHERS = "idle_for_others"
 """Reason of connections that are closed between requests, as others need their place."""
 
+UNREAD_ANSWER = "unread_answer"
+"""Reason of connections whose client has not read its answer in time, or when others need room."""
+
 CUT_OFF = "cut_off"
 """Reason of connections whose client ends in the middle of a request."""
 
@@ -121,6 +124,8 @@
     def pause_writing(self) -> None:
         """Wait for the client to read its answer before more is read from it."""
         self.flush_since_s = self.server.now_s()
+        if self.holding.phase is Phase.SERVING:
+            self._enter(Phase.WRITING)
 
     def resume_writing(self) -> None:
         """Go on after the client has read its answer."""
@@ -134,7 +139,7 @@
         holding = self.holding
         age_s = now_s - holding.since_s
         if self.flush_since_s is not None and now_s - self.flush_since_s > limits.idle_timeout_s:
-            self.server.count_closed("unread_answer")
+            self.server.count_closed(UNREAD_ANSWER)
             self.abort()
         elif holding.phase is Phase.REFUSED:
             if age_s > LINGER_S:
@@ -189,6 +194,8 @@
         """Close the connection at once for another one, with an answer if a request is read."""
         if self.holding.phase is Phase.IDLE:
             self.server.count_closed(IDLE_FOR_OTHERS)
+        elif self.holding.phase is Phase.WRITING:
+            self.server.count_closed(UNREAD_ANSWER)
         elif self.holding.phase is Phase.READING:
             self.server.count_closed(Refused.TOO_MANY.code)
             if self._writable:
--- a/tests/core/http/test_budget.py
+++ b/tests/core/http/test_budget.py
@@ -16,15 +16,17 @@
 
 def test_connections_are_closed_in_order_and_served_ones_never():
     # Guards against a crowd that outlives ordinary clients: stalled connections must go first.
-    budget = Budget(ListenerBudget(7, 0), FLOOR_BYTES)
+    budget = Budget(ListenerBudget(9, 0), FLOOR_BYTES)
     open_holding(budget, Phase.SERVING, 0.0, 50_000)
     expected = [
         open_holding(budget, Phase.REFUSED, 9.9),
+        open_holding(budget, Phase.WRITING, 8.0),
         open_holding(budget, Phase.IDLE, 5.0),
         open_holding(budget, Phase.READING, 1.0, 9_000),
         open_holding(budget, Phase.READING, 1.0, 90_000),
         open_holding(budget, Phase.IDLE, 9.5),
         open_holding(budget, Phase.READING, 9.5, 500),
+        open_holding(budget, Phase.WRITING, 9.5),
     ]
     assert budget.is_full
     closed = []
--- a/tests/core/http/test_server.py
+++ b/tests/core/http/test_server.py
@@ -255,3 +255,22 @@
         for _ in range(count):
             assert (await read_answer(reader))[1] == b"/a 0"
         writer.close()
+
+
+async def test_connections_whose_answers_are_not_read_give_way_to_others():
+    # Guards against a crowd that takes all places for as long as it reads no answer.
+    def answer(request):
+        return Reply(200, b"a" * 4_000_000) if request.path == "/a" else echo(request)
+
+    async with run_server(answer, ListenerBudget(4, 0)) as server:
+        streams = [await connect(server) for _ in range(4)]
+        for _, writer in streams:
+            writer.transport.pause_reading()
+            writer.write(GET)
+        await settle()
+        reader, writer = await connect(server)
+        writer.write(GET.replace(b"/a", b"/b"))
+        assert (await read_answer(reader))[1] == b"/b 0"
+        assert server.closed == ["unread_answer"]
+        for _, other in [*streams, (reader, writer)]:
+            other.close()
