HTTP server: let connections whose clients send ahead give way to others

Seen by callers: while a crowd of 300 clients sends 20,000 requests each without waiting for answers, an ordinary request to an entry gets 503, as all connections are always being served.

Cause: such a connection is served without a pause, and a served one is not closed. If nothing else can be closed, the one that has been served longest and has sent further requests is closed after the answer under way, and its place is free at once; an eighth of the connections may be above the budget for that answer. The dropped requests have not run, as the answer says Connection: close.

test_clients_that_send_ahead_give_way_when_all_connections_are_served failed before.

--- a/packages/core/briardeal_core/http/_budget.py
+++ b/packages/core/briardeal_core/http/_budget.py
@@ -52,6 +52,9 @@
 
 An ordinary request arrives within it, so that a crowd is closed before ordinary clients are."""
 
+CLOSING_SHARE = 8
+"""One of this many connections may be above the budget while it waits for its last answer."""
+
 HELD_BYTES = 4_096
 """Size from which closing a read frees memory that counts."""
 
@@ -66,6 +69,8 @@
     SERVING = 3
     WRITING = 4
     """Its client has not read an answer that was written to it."""
+    CLOSING = 5
+    """It is closed after the answer under way."""
 
 
 SETTLED_RANKS = {Phase.WRITING: 1, Phase.IDLE: 2, Phase.READING: 3}
@@ -140,12 +145,15 @@
         What it does.
     held_bytes
         Size of the requests being read or served on it.
+    sends_ahead
+        Whether its client has sent more than the request being served.
     """
 
     connection: Any
     since_s: float
     phase: Phase = Phase.IDLE
     held_bytes: int = 0
+    sends_ahead: bool = False
 
 
 class Budget:
@@ -155,7 +163,8 @@
     most of them by stopping just short of the end of a request, or by not reading their answers.
     Connections that were refused go first, then those whose client has not read its answer for a
     while, those that have been idle for a while, and reads that have lasted for a while, the
-    slowest first; then the younger ones, unread answers last. A request being served stays.
+    slowest first; then the younger ones, unread answers last. A request being served stays; if all
+    are, clients that send ahead get no further answer after that one.
 
     Parameters
     ----------
@@ -208,10 +217,26 @@
         """Return the connection to close before another one is accepted, if any can be closed."""
         return self._find_first(self.holdings, now_s)
 
+    def find_pipelining(self) -> Holding | None:
+        """Return a served connection to close after its answer, as its client sends ahead.
+
+        Another one may take its place at once. Few may close like this at a time, as the answer may
+        take long.
+        """
+        if self._closing >= max(1, self.size.connections // CLOSING_SHARE):
+            return None
+        served = (each for each in self.holdings if each.phase is Phase.SERVING)
+        ahead = (each for each in served if each.sends_ahead)
+        return min(ahead, key=lambda each: each.since_s, default=None)
+
     @property
     def is_full(self) -> bool:
         """Whether a connection has to be closed before another one is accepted."""
-        return len(self.holdings) >= self.size.connections
+        return len(self.holdings) - self._closing >= self.size.connections
+
+    @property
+    def _closing(self) -> int:
+        return sum(each.phase is Phase.CLOSING for each in self.holdings)
 
     def find_excess_read(self, reader: Holding, now_s: float) -> Holding | None:
         """Return the read to close so that the requests held fit, or `None` if they fit.
@@ -235,7 +260,7 @@
         return reader if self.held_bytes > allowed + self.floor_bytes else None
 
     def _find_first(self, holdings: Iterable[Holding], now_s: float) -> Holding | None:
-        closable = (each for each in holdings if each.phase is not Phase.SERVING)
+        closable = (each for each in holdings if each.phase not in (Phase.SERVING, Phase.CLOSING))
         return min(closable, key=lambda each: _rank(each, now_s), default=None)
 
 
--- a/packages/core/briardeal_core/http/_connection.py
+++ b/packages/core/briardeal_core/http/_connection.py
@@ -21,6 +21,9 @@
 IDLE_FOR_OTHERS = "idle_for_others"
 """Reason of connections that are closed between requests, as others need their place."""
 
+SENDS_AHEAD = "sends_ahead"
+"""Reason of connections that get no further answers, as all places are taken by served ones."""
+
 UNREAD_ANSWER = "unread_answer"
 """Reason of connections whose client has not read its answer in time, or when others need room."""
 
@@ -102,6 +105,7 @@
         piece = self.server.buffer[:nbytes]
         if self.serving is not None or self.flush_since_s is not None:
             self.unparsed += piece
+            self.holding.sends_ahead = True
             self.transport.pause_reading()
             return
         self._parse(parser, piece)
@@ -124,7 +128,7 @@
     def pause_writing(self) -> None:
         """Wait for the client to read its answer before more is read from it."""
         self.flush_since_s = self.server.now_s()
-        if self.holding.phase is Phase.SERVING:
+        if self.holding.phase in (Phase.SERVING, Phase.CLOSING):
             self._enter(Phase.WRITING)
 
     def resume_writing(self) -> None:
@@ -190,6 +194,11 @@
         if self.holding.phase is Phase.IDLE and self.transport is not None:
             self.close()
 
+    def close_after_answer(self) -> None:
+        """Close the connection after the answer under way, and drop what its client sent ahead."""
+        self.server.count_closed(SENDS_AHEAD)
+        self._enter(Phase.CLOSING)
+
     def make_room(self) -> None:
         """Close the connection at once for another one, with an answer if a request is read."""
         if self.holding.phase is Phase.IDLE:
@@ -256,6 +265,7 @@
         while self._has_request() and self.flush_since_s is None:
             self.serving = self.parser.complete.popleft()
             self._enter(Phase.SERVING)
+            self.holding.sends_ahead = bool(self.parser.complete or self.unparsed)
             self._hold_served()
             self.server.active_requests += 1
             try:
@@ -299,7 +309,7 @@
         if self.parser is None or self.transport.is_closing():
             return
         # Requests that were read whole are answered also while the server stops.
-        last = not parsed.keep_alive
+        last = not parsed.keep_alive or self.holding.phase is Phase.CLOSING
         if self.server.draining or self.half_closed:
             last = last or not self._has_request()
         head_only = parsed.request.method == "HEAD"
--- a/packages/core/briardeal_core/http/_server.py
+++ b/packages/core/briardeal_core/http/_server.py
@@ -199,9 +199,13 @@
         now_s = self.now_s()
         while self.budget.is_full:
             found = self.budget.find_excess_connection(now_s)
+            if found is not None:
+                found.connection.make_room()
+                continue
+            found = self.budget.find_pipelining()
             if found is None:
                 return False
-            found.connection.make_room()
+            found.connection.close_after_answer()
         return True
 
     def _turn_away(self, accepted: socket.socket) -> None:
--- a/tests/core/http/test_server.py
+++ b/tests/core/http/test_server.py
@@ -274,3 +274,30 @@
         assert server.closed == ["unread_answer"]
         for _, other in [*streams, (reader, writer)]:
             other.close()
+
+
+async def test_clients_that_send_ahead_give_way_when_all_connections_are_served():
+    # Guards against a few clients with thousands of requests each that keep all others out.
+    release = asyncio.Event()
+
+    async def handle_held(request):
+        if request.path == "/a":
+            await release.wait()
+        return echo(request)
+
+    async with run_server(handle_held, ListenerBudget(4, 0)) as server:
+        streams = [await connect(server) for _ in range(4)]
+        for _, writer in streams[1:]:
+            writer.write(GET * 1_000)
+        streams[0][1].write(GET)
+        await settle()
+        reader, writer = await connect(server)
+        writer.write(GET.replace(b"/a", b"/b"))
+        assert (await read_answer(reader))[1] == b"/b 0"
+        release.set()
+        answers = [await other.read() for other, _ in streams[1:2]]
+        assert b"Connection: close" in answers[0]
+        assert (await read_answer(streams[0][0]))[1] == b"/a 0"
+        assert server.closed == ["sends_ahead"]
+        for _, other in [*streams, (reader, writer)]:
+            other.close()
