--- a/tests/core/http/test_server.py
+++ b/tests/core/http/test_server.py
@@ -301,3 +301,4 @@
         assert server.closed == ["sends_ahead"]
         for _, other in [*streams, (reader, writer)]:
             other.close()
+        await settle()
