Relay: make a read that has failed through another entry, also where the store answers other calls

Since calls are no longer diverted by one lost answer, such a read was repeated after a pause only, and the entry refused jobs meanwhile, as its newest read had failed. The read itself is relayed again, as before; the other calls stay with the store.

The test now expects that, and still that later calls are made directly.

--- a/packages/workflow/briardeal_workflow/relay/_client.py
+++ b/packages/workflow/briardeal_workflow/relay/_client.py
@@ -171,7 +171,7 @@
         """
         if not self._uses_relay():
             outcome = await self._read_directly(read_directly, wait_s, on_progress)
-            if not isinstance(outcome, OutOfReach) or not self._uses_relay():
+            if not isinstance(outcome, OutOfReach):
                 return outcome
         arriving = asyncio.Event()
 
