HTTP server: count closing connections only when all places are taken

Each accepted connection counted them over all open ones. Whether the listener is full is now decided by their number first; the result is the same, and the tests of the budget pass.

--- a/packages/core/briardeal_core/http/_budget.py
+++ b/packages/core/briardeal_core/http/_budget.py
@@ -232,6 +232,8 @@
     @property
     def is_full(self) -> bool:
         """Whether a connection has to be closed before another one is accepted."""
+        if len(self.holdings) < self.size.connections:
+            return False
         return len(self.holdings) - self._closing >= self.size.connections
 
     @property
