--- a/packages/core/briardeal_core/http/__init__.py
+++ b/packages/core/briardeal_core/http/__init__.py
@@ -13,7 +13,7 @@
 from briardeal_core.http._limits import HttpLimits, Refused
 from briardeal_core.http._messages import Reply, Request
 from briardeal_core.http._server import HttpServer
-from briardeal_core.http._transfer import STALL_S, TransferDeadline
+from briardeal_core.http._transfer import TransferDeadline
 
 __all__ = [
     "Budget",
@@ -30,7 +30,6 @@
     "Refused",
     "Reply",
     "Request",
-    "STALL_S",
     "TransferDeadline",
     "divide_budgets",
     "fetch",
--- a/packages/workflow/briardeal_workflow/store/_interface.py
+++ b/packages/workflow/briardeal_workflow/store/_interface.py
@@ -120,7 +120,7 @@
 
 
 def ignore_progress() -> None:
-    """Take no notice of the progress of a read."""
+    """Ignore the progress of a read."""
 
 
 class Store(Protocol):
--- a/tests/core/http/test_transfer.py
+++ b/tests/core/http/test_transfer.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from briardeal_core.http import STALL_S, TransferDeadline
-from briardeal_core.http._transfer import MIN_BYTES_PER_S
+from briardeal_core.http import TransferDeadline
+from briardeal_core.http._transfer import MIN_BYTES_PER_S, STALL_S
 
 TIMEOUT_S = 0.5
 
